--- /dev/null
+++ b/include/poplardrift/base/events.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplardrift
+{
+
+/// How much an event matters to an operator.
+enum class event_level : std::uint8_t
+{
+    debug,
+    info,
+    warning,
+    error,
+};
+
+/// Numbered events of the log. Numbers never change their meaning; docs/EVENTS.md lists them.
+enum class event_code : std::uint16_t
+{
+    daemon_started = 100,
+    daemon_ready = 101,
+    daemon_not_ready = 102,
+    daemon_leaving = 103,
+    daemon_stopped = 104,
+    settings_rejected = 105,
+    member_changed = 200,
+    peer_reconnected = 201,
+    peer_message_rejected = 202,
+    configuration_applied = 300,
+    configuration_refused = 301,
+    configuration_incomplete = 302,
+    configuration_from_peer = 303,
+    snapshot_appended = 304,
+    declaration_unreadable = 305,
+    log_unreachable = 306,
+    log_reachable = 307,
+    zone_out = 400,
+    zone_in = 401,
+    ownership_taken = 402,
+    ownership_lost = 403,
+    upstream_cold = 404,
+    upstream_warm = 405,
+    upstream_ejected = 406,
+    upstream_leaving = 407,
+    request_done = 500,
+    request_refused = 501,
+    request_failed = 502,
+    stream_resumed = 503,
+    stream_broken = 504,
+    request_invalid = 505,
+    transaction_claimed = 600,
+    transaction_lost = 601,
+    transaction_unknown = 602,
+    transaction_abandoned = 603,
+    transaction_recovered = 604,
+    lease_acquired = 700,
+    lease_lost = 701,
+    order_sent = 702,
+    order_settled = 703,
+    order_refused = 704,
+};
+
+/// Entry of the catalogue.
+struct event_description
+{
+    event_code code;
+    event_level level;
+    std::string_view name;
+    std::string_view meaning; ///< what happened and what an operator may do
+};
+
+/// All events, in the order of their numbers.
+[[nodiscard]] auto event_catalogue() -> const std::vector<event_description>&;
+/// Entry of one event.
+[[nodiscard]] auto describe(event_code code) -> const event_description&;
+/// The catalogue as the Markdown table of docs/EVENTS.md.
+[[nodiscard]] auto event_catalogue_markdown() -> std::string;
+
+/// Something that happened, with what an operator needs to place it.
+struct event
+{
+    event_code code;
+    std::string detail;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/include/poplardrift/core/control_core.hpp
@@ -0,0 +1,272 @@
+#pragma once
+
+#include "poplardrift/admission/admission.hpp"
+#include "poplardrift/base/events.hpp"
+#include "poplardrift/config/configuration.hpp"
+#include "poplardrift/gossip/byte_budget.hpp"
+#include "poplardrift/gossip/messages.hpp"
+#include "poplardrift/gossip/peer_link.hpp"
+#include "poplardrift/membership/membership.hpp"
+#include "poplardrift/slots/slot_owner.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace poplardrift
+{
+
+/// Settings of the control state.
+struct control_settings
+{
+    membership_settings membership;
+    slot_settings slots;
+    warmup_settings warmup;
+    byte_budget_settings budget;
+    configuration_settings configuration;
+    duration heartbeat = std::chrono::milliseconds(500);      ///< between messages to one host
+    duration urgent_interval = std::chrono::milliseconds(4);  ///< shortest pause between messages
+    duration silent_link = std::chrono::seconds(3);  ///< without acknowledgement: dial anew
+    duration sign_repeat = std::chrono::seconds(2);  ///< for which a sign is told again
+    duration log_retention = std::chrono::hours(1);  ///< the log keeps records that long
+    std::int64_t snapshot_records = 1000;            ///< records after which a snapshot is due
+    std::size_t exceptions_a_message = 24;           ///< most exceptions told in one message
+};
+
+/// One record as read from the platform's log.
+struct log_record
+{
+    log_offset offset;
+    log_time time{};
+    nlohmann::json data;
+};
+
+/// What this host's admission tells the control state at one moment.
+struct host_usage
+{
+    std::vector<slot_use> uses;
+    std::vector<pool_load> loads;
+    std::set<host_id> asks;                     ///< owners that new waits ask
+    std::vector<placement_exception> exceptions; ///< places that others should learn
+};
+
+/// A message for another host.
+struct send_message
+{
+    host_id to;
+    peer_message message;
+};
+
+/// A connection to another host takes messages but nothing arrives: dial it anew.
+struct reconnect_peer
+{
+    host_id to;
+};
+
+/// Slots for this host.
+struct apply_grant
+{
+    upstream_id upstream;
+    std::uint32_t slots = 0;
+    time_point valid_until{};
+};
+
+/// All slots of an upstream are void for now.
+struct revoke_slots
+{
+    upstream_id upstream;
+};
+
+/// An owner's word on slots that nobody has.
+struct note_free_slots
+{
+    upstream_id upstream;
+    std::uint32_t free_slots = 0;
+};
+
+/// A conversation's place, told by another host.
+struct learn_exception
+{
+    placement_exception item;
+};
+
+/// A new view for traffic threads.
+struct publish_view
+{
+    std::shared_ptr<const routing_view> view;
+};
+
+/// A snapshot of the configuration to append to the log.
+struct append_snapshot
+{
+    nlohmann::json snapshot;
+};
+
+/// Something for the log and the audit trail.
+struct note_event
+{
+    event what;
+};
+
+/// What the control state wants done, in order.
+using control_action = std::variant<send_message, reconnect_peer, apply_grant, revoke_slots, note_free_slots,
+                                    learn_exception, publish_view, append_snapshot, note_event>;
+
+/// State of an upstream for operators.
+struct upstream_overview
+{
+    std::string path;
+    std::string owner;
+    upstream_state state = upstream_state::cold;
+    std::uint32_t limit = 0;
+    std::uint32_t in_use = 0;   ///< as the owner knows it; zero on other hosts
+    std::uint32_t promised = 0; ///< likewise
+};
+
+/// All control state of one host: configuration, membership, the slots of the upstreams that it
+/// owns, and what it tells other hosts. Events go in, actions come out; the same events give the
+/// same actions. One thread calls it.
+class control_core final : private membership_listener
+{
+public:
+    control_core(control_settings settings, host_address self, incarnation_id incarnation, time_point now);
+
+    auto add_seeds(const std::vector<host_address>& seeds) -> void { this->hosts.add_seeds(seeds); }
+
+    auto on_host_list(const std::vector<host_address>& live, const std::vector<std::string>& leaving,
+                      time_point now) -> void;
+    auto on_peer_message(const peer_message& message, time_point now) -> void;
+    /// Records of the configuration's stream, in order. An empty list says that the log answers.
+    auto on_log_records(const std::vector<log_record>& records, time_point now) -> void;
+    auto on_log_unreachable(time_point now) -> void;
+    auto on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now) -> void;
+    /// This host saw that an upstream turned cold or fails.
+    auto on_local_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void;
+    /// Control bytes that the shell caused by other means, such as probes.
+    auto on_control_bytes(std::size_t bytes, time_point now) -> void { this->budget.spend_raw(bytes, now); }
+    /// A planned stop begins: other hosts take over what this one owns.
+    auto start_leaving() -> void;
+    /// Lets time pass and takes the host's use of slots. Call it every few milliseconds.
+    auto on_tick(const host_usage& usage, time_point now) -> void;
+
+    /// Actions since the last call.
+    [[nodiscard]] auto take_actions() -> std::vector<control_action>;
+
+    [[nodiscard]] auto config() const -> const configuration& { return this->configured; }
+    [[nodiscard]] auto declared() const -> const declarations& { return this->parsed; }
+    [[nodiscard]] auto members() const -> const membership& { return this->hosts; }
+    [[nodiscard]] auto owned() const -> std::vector<upstream_id>;
+    [[nodiscard]] auto overview(time_point now) const -> std::vector<upstream_overview>;
+    /// Configuration offsets of all hosts as last heard, this one among them.
+    [[nodiscard]] auto configuration_offsets() const -> std::map<std::string, log_offset>;
+    [[nodiscard]] auto log_is_reachable() const noexcept -> bool { return this->log_reachable; }
+    /// Why this host should take no requests; empty when it should.
+    [[nodiscard]] auto not_ready_reason() const -> std::string;
+    /// All control bytes so far.
+    [[nodiscard]] auto control_bytes() const -> std::uint64_t { return this->budget.total(); }
+
+private:
+    /// What is kept for each other host.
+    struct peer_state
+    {
+        peer_link link;
+        bool urgent = false;              ///< send at once, within the byte budget
+        std::set<upstream_id> unanswered; ///< its reports that want a grant
+        std::set<upstream_id> greeted;    ///< its upstreams that have answered a report of ours
+        std::map<pool_id, std::uint32_t> loads;
+        time_point loads_at{};
+        log_offset configuration;
+        bool configuration_differs = false; ///< same offset, other content
+        bool wants_configuration = false;
+        time_point update_sent{};
+    };
+
+    /// A sign that this host has given and repeats for a while.
+    struct recent_sign
+    {
+        upstream_sign sign;
+        time_point told{};
+    };
+
+    /// A sign that another host has given.
+    struct heard_sign
+    {
+        host_id from;
+        upstream_id upstream;
+        friend auto operator<=>(const heard_sign&, const heard_sign&) = default;
+    };
+
+    auto on_member_changed(const member& changed, member_status before) -> void override;
+    auto note(event_code code, std::string detail) -> void;
+    auto peer(host_id id, time_point now) -> peer_state&;
+
+    auto accept_reports(host_id from, peer_state& from_state, const peer_message& message, time_point now)
+        -> void;
+    auto accept_grants(host_id from, peer_state& from_state, const peer_message& message) -> void;
+    auto accept_statuses(host_id from, const peer_message& message) -> void;
+    auto accept_signs(host_id from, const peer_message& message, time_point now) -> void;
+    auto accept_configuration(host_id from, peer_state& from_state, const peer_message& message,
+                              time_point now) -> void;
+    auto apply_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void;
+
+    auto take_configuration(time_point now) -> void;
+    auto note_audit() -> void;
+    auto note_zones(const declarations& before) -> void;
+    auto update_owners(time_point now) -> void;
+    auto tick_owned(const host_usage& usage, time_point now) -> void;
+    auto grant_to_self(upstream_id id, const slot_use& use, time_point now) -> void;
+    auto set_status(const upstream_status& status) -> void;
+    auto tick_peers(const host_usage& usage, time_point now) -> void;
+    auto tick_peer(host_id to, peer_state& state, const host_usage& usage, time_point now) -> void;
+    auto tick_snapshot(time_point now) -> void;
+    auto update_view() -> void;
+
+    [[nodiscard]] auto compose(host_id to, peer_state& state, const host_usage& usage, time_point now)
+        -> peer_message;
+    auto add_reports(host_id to, const peer_state& state, const host_usage& usage, peer_message& message) const
+        -> void;
+    auto add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void;
+    auto add_configuration(peer_state& state, peer_message& message, time_point now) -> void;
+    [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
+        -> slot_grant;
+    [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
+    [[nodiscard]] auto mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto pool_in_flight(pool_id pool, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto declaration_of(upstream_id id) const -> const upstream_declaration*;
+    [[nodiscard]] auto state_of(upstream_id id) const -> upstream_state;
+    [[nodiscard]] auto digest() const -> std::uint32_t;
+
+    control_settings settings;
+    incarnation_id incarnation;
+    membership hosts;
+    configuration configured;
+    declarations parsed;
+    std::map<upstream_id, std::string> paths; ///< of declared upstreams
+    byte_budget budget;
+    slot_owner owner;
+    std::map<host_id, peer_state> peers;
+    std::map<upstream_id, upstream_knowledge> known;
+    std::map<upstream_id, recent_sign> signs;
+    std::map<heard_sign, std::uint32_t> heard_signs; ///< with the count last heard
+    std::map<pool_id, std::uint32_t> own_loads;
+    std::map<upstream_id, time_point> self_granted;
+    std::uint64_t self_sequence = 0;
+    std::vector<control_action> actions;
+    std::uint64_t seen_members = 0;
+    std::uint64_t seen_configuration = 0;
+    log_offset noted_audit;
+    std::uint64_t view_revision = 0;
+    bool view_is_stale = true;
+    bool leaving = false;
+    bool log_reachable = false;
+    bool was_complete = true;
+    std::int64_t records_since_snapshot = 0;
+    time_point snapshot_seen{};
+    std::uint32_t configuration_digest = 0;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/include/poplardrift/slots/slot_owner.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "poplardrift/config/declarations.hpp"
+#include "poplardrift/slots/slot_ledger.hpp"
+#include "poplardrift/slots/warmup.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace poplardrift
+{
+
+/// Most requests in flight that an upstream may have so that it carries no more than `multiple`
+/// times the mean load of its peers, rounded up, once one more request is placed.
+/// `total` are the requests in flight of all that count towards the mean, `weight_part` is the
+/// upstream's part of their weights.
+[[nodiscard]] auto bound_by_mean(double multiple, std::uint32_t total, double weight_part) -> std::uint32_t;
+
+/// The upstreams whose slots this host grants. Control thread only.
+class slot_owner final
+{
+public:
+    slot_owner(slot_settings slots, warmup_settings conditions);
+
+    /// Starts to own an upstream. `published` is what its former owner last said of it.
+    auto adopt(const upstream_declaration& declared, const std::optional<upstream_status>& published,
+               time_point now) -> void;
+    auto drop(upstream_id id) -> void { this->owned.erase(id); }
+    [[nodiscard]] auto owns(upstream_id id) const -> bool { return this->owned.contains(id); }
+    [[nodiscard]] auto ids() const -> std::vector<upstream_id>;
+
+    auto on_slot_report(host_id holder, const slot_report& report, message_sequence sequence,
+                        message_sequence acknowledged, time_point now) -> void;
+    auto on_upstream_report(upstream_id id, const upstream_report& report, time_point now) -> void;
+    auto on_sign(upstream_id id, upstream_state suspected, time_point now) -> void;
+    /// A host's process is gone: its requests ended with it.
+    auto forget_holder(host_id holder) -> void;
+
+    /// Lets an upstream's warm-up go on and sets the bound that grants keep.
+    auto update(upstream_id id, std::uint32_t bound, time_point now) -> void;
+    /// What the holder gets now. `host_count_complete` says that every listed host has reported, so
+    /// that no promise of a former owner is unknown; `may_wait_out` that, failing this, waiting for
+    /// such promises to run out is enough.
+    [[nodiscard]] auto grant(upstream_id id, host_id holder, bool host_count_complete, bool may_wait_out,
+                             message_sequence sequence, time_point now) -> slot_grant;
+    /// True when all these hosts have reported to this owner.
+    [[nodiscard]] auto has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const -> bool;
+
+    [[nodiscard]] auto status(upstream_id id, time_point now) const -> upstream_status;
+    [[nodiscard]] auto condition(upstream_id id) const -> const warmup&;
+    [[nodiscard]] auto in_use(upstream_id id) const -> std::uint32_t;
+    [[nodiscard]] auto promised(upstream_id id, time_point now) const -> std::uint32_t;
+
+private:
+    struct owned_upstream
+    {
+        slot_ledger ledger;
+        warmup condition;
+        std::uint32_t limit = 0;
+    };
+
+    [[nodiscard]] auto at(upstream_id id) const -> const owned_upstream&;
+
+    slot_settings slots;
+    warmup_settings conditions;
+    std::map<upstream_id, owned_upstream> owned;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/base/events.cpp
@@ -0,0 +1,81 @@
+#include "poplardrift/base/events.hpp"
+
+#include "poplardrift/base/assert.hpp"
+
+#include <algorithm>
+
+namespace poplardrift
+{
+
+auto event_catalogue() -> const std::vector<event_description>&
+{
+    using enum event_code;
+    using enum event_level;
+    static const std::vector<event_description> catalogue = {
+        {daemon_started, info, "daemon-started", "The process has read its settings and listens."},
+        {daemon_ready, info, "daemon-ready", "The host has a configuration and takes requests."},
+        {daemon_not_ready, warning, "daemon-not-ready", "The host takes no requests; the detail says why."},
+        {daemon_leaving, info, "daemon-leaving", "A planned stop has begun; open requests are finished."},
+        {daemon_stopped, info, "daemon-stopped", "The process ends; the detail says how many requests were cut off."},
+        {settings_rejected, error, "settings-rejected", "The settings file has faults; the process does not start."},
+        {member_changed, info, "member-changed", "Another host became alive, suspect, leaving or absent."},
+        {peer_reconnected, warning, "peer-reconnected", "A connection to another host had gone silent and was dialled anew."},
+        {peer_message_rejected, warning, "peer-message-rejected", "A message between hosts was malformed or not authentic. Check the hosts' secret."},
+        {configuration_applied, info, "configuration-applied", "A change is in force on this host."},
+        {configuration_refused, warning, "configuration-refused", "A record of the log was refused by all hosts alike; the detail says why."},
+        {configuration_incomplete, error, "configuration-incomplete", "Records are missing that the log no longer gives; a snapshot or a peer has to fill in."},
+        {configuration_from_peer, info, "configuration-from-peer", "Configuration came from another host."},
+        {snapshot_appended, info, "snapshot-appended", "This host appended a snapshot, before records lapse."},
+        {declaration_unreadable, error, "declaration-unreadable", "A value cannot be used by this version and is left out."},
+        {log_unreachable, warning, "log-unreachable", "The platform's log does not answer."},
+        {log_reachable, info, "log-reachable", "The platform's log answers again."},
+        {zone_out, warning, "zone-out", "An availability zone is out of service: it gets no new work."},
+        {zone_in, info, "zone-in", "An availability zone is back in service."},
+        {ownership_taken, info, "ownership-taken", "This host now grants the slots of an upstream."},
+        {ownership_lost, info, "ownership-lost", "Another host now grants the slots of an upstream."},
+        {upstream_cold, warning, "upstream-cold", "An upstream is in cold start and gets only what it can bear."},
+        {upstream_warm, info, "upstream-warm", "An upstream takes its full share."},
+        {upstream_ejected, warning, "upstream-ejected", "An upstream failed repeatedly and gets nothing for a while."},
+        {upstream_leaving, info, "upstream-leaving", "An upstream says that it will stop; it gets no new work."},
+        {request_done, debug, "request-done", "A request was answered whole."},
+        {request_refused, info, "request-refused", "A request was refused and did not run."},
+        {request_failed, warning, "request-failed", "A request failed after it may have run."},
+        {stream_resumed, info, "stream-resumed", "A broken answer was taken up where it broke."},
+        {stream_broken, warning, "stream-broken", "An answer could not be completed and ended visibly broken."},
+        {request_invalid, info, "request-invalid", "A caller's request was malformed; the detail says how."},
+        {transaction_claimed, debug, "transaction-claimed", "This host may run a transaction: its claim is first in the log."},
+        {transaction_lost, info, "transaction-lost", "Another claim for the key came first."},
+        {transaction_unknown, warning, "transaction-unknown", "It cannot be said whether a transaction ran; ask for its key later."},
+        {transaction_abandoned, info, "transaction-abandoned", "A claim was given up before anything was sent; it will never run."},
+        {transaction_recovered, info, "transaction-recovered", "Claims of the log have been read; transactions may run."},
+        {lease_acquired, info, "lease-acquired", "This host holds the lease of an engine; the detail has the fencing number."},
+        {lease_lost, info, "lease-lost", "A lease has ended or went to another host."},
+        {order_sent, info, "order-sent", "An order went to an engine."},
+        {order_settled, info, "order-settled", "An engine is in the declared state."},
+        {order_refused, warning, "order-refused", "An engine refused an order, as for an old fencing number."},
+    };
+    return catalogue;
+}
+
+auto describe(event_code code) -> const event_description&
+{
+    const auto& catalogue = event_catalogue();
+    const auto found = std::find_if(catalogue.begin(), catalogue.end(),
+                                    [&](const auto& item) { return item.code == code; });
+    POPLARDRIFT_ASSERT(found != catalogue.end());
+    return *found;
+}
+
+auto event_catalogue_markdown() -> std::string
+{
+    static constexpr std::string_view levels[] = {"debug", "info", "warning", "error"};
+    std::string text = "| number | name | level | meaning |\n|---|---|---|---|\n";
+    for (const auto& item : event_catalogue())
+    {
+        text += "| " + std::to_string(static_cast<int>(item.code)) + " | " + std::string(item.name) + " | " +
+                std::string(levels[static_cast<int>(item.level)]) + " | " + std::string(item.meaning) + " |\n";
+    }
+    return text;
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/config/configuration.cpp
@@ -0,0 +1,320 @@
+#include "poplardrift/config/configuration.hpp"
+
+#include "poplardrift/base/crypto.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+auto sets_to_json(const std::vector<change_set_item>& sets) -> nlohmann::json
+{
+    auto result = nlohmann::json::array();
+    for (const auto& item : sets)
+    {
+        result.push_back({{"path", item.path},
+                          {"expected", item.expected.value()},
+                          {"value", item.value ? *item.value : nlohmann::json(nullptr)}});
+    }
+    return result;
+}
+
+/// True when the member is present and a string.
+auto has_text(const nlohmann::json& document, const char* name) -> bool
+{
+    return document.contains(name) && document[name].is_string();
+}
+
+} // namespace
+
+auto config_change::signed_text() const -> std::string
+{
+    // nlohmann::json keeps members sorted, so the text does not depend on the writer.
+    const nlohmann::json body = {{"id", this->id},
+                                 {"author", this->author},
+                                 {"team", this->team},
+                                 {"sets", sets_to_json(this->sets)}};
+    return body.dump();
+}
+
+auto config_change::to_json() const -> nlohmann::json
+{
+    return {{"type", "change"},  {"id", this->id},
+            {"author", this->author}, {"team", this->team},
+            {"sets", sets_to_json(this->sets)}, {"signature", this->signature}};
+}
+
+auto config_change::from_json(const nlohmann::json& document) -> outcome<config_change>
+{
+    const auto well_formed = document.is_object() && has_text(document, "id") &&
+                             has_text(document, "author") && has_text(document, "team") &&
+                             has_text(document, "signature") && document.contains("sets") &&
+                             document["sets"].is_array() && !document["sets"].empty();
+    if (!well_formed)
+    {
+        return outcome<config_change>::failure("a change needs id, author, team, sets and signature");
+    }
+    config_change change;
+    change.id = document["id"];
+    change.author = document["author"];
+    change.team = document["team"];
+    change.signature = document["signature"];
+    for (const auto& item : document["sets"])
+    {
+        const auto fits = item.is_object() && has_text(item, "path") && item.contains("expected") &&
+                          item["expected"].is_number_unsigned() && item.contains("value");
+        if (!fits)
+        {
+            return outcome<config_change>::failure("each set needs path, expected and value");
+        }
+        change_set_item set;
+        set.path = item["path"];
+        set.expected = log_offset{item["expected"].get<std::uint64_t>()};
+        if (!item["value"].is_null())
+        {
+            set.value = item["value"];
+        }
+        change.sets.push_back(std::move(set));
+    }
+    return change;
+}
+
+configuration::configuration(configuration_settings settings) : settings(std::move(settings)) {}
+
+auto configuration::key_of_team(const std::string& team) const -> std::string
+{
+    if (team == "fleet")
+    {
+        return this->settings.fleet_public_key;
+    }
+    const auto found = this->state.find("/fleet/teams/" + team);
+    if (found == this->state.end() || !found->second.value)
+    {
+        return "";
+    }
+    const auto& value = *found->second.value;
+    return has_text(value, "public_key") ? value["public_key"].get<std::string>() : "";
+}
+
+auto configuration::is_authentic(const config_change& change) const -> bool
+{
+    const auto key = this->key_of_team(change.team);
+    return !key.empty() && verify_signature(key, change.signed_text(), change.signature);
+}
+
+auto configuration::check(const config_change& change) const -> std::optional<std::string>
+{
+    // Who wrote it.
+    if (this->key_of_team(change.team).empty())
+    {
+        return "team " + change.team + " is not declared";
+    }
+    if (!this->is_authentic(change))
+    {
+        return "the signature is not that of team " + change.team;
+    }
+    for (const auto& item : change.sets)
+    {
+        // Whether the author may change this path.
+        if (change.team != "fleet" && team_of(item.path) != change.team)
+        {
+            return item.path + " is outside the subtree of team " + change.team;
+        }
+        // Whether the author saw the present version.
+        const auto found = this->state.find(item.path);
+        const auto version = found == this->state.end() ? log_offset{} : found->second.version;
+        if (version != item.expected)
+        {
+            return item.path + " has version " + std::to_string(version.value()) + ", not " +
+                   std::to_string(item.expected.value());
+        }
+    }
+    return std::nullopt;
+}
+
+auto configuration::remember(const std::string& change_id) -> void
+{
+    if (!this->seen.insert(change_id).second)
+    {
+        return;
+    }
+    this->seen_order.push_back(change_id);
+    while (this->seen_order.size() > this->settings.remembered_changes)
+    {
+        this->seen.erase(this->seen_order.front());
+        this->seen_order.pop_front();
+    }
+}
+
+auto configuration::apply_change(log_offset offset, log_time time, const config_change& change) -> void
+{
+    if (this->seen.contains(change.id))
+    {
+        return;
+    }
+    audit_entry entry;
+    entry.offset = offset;
+    entry.time = time;
+    entry.change_id = change.id;
+    entry.author = change.author;
+    entry.team = change.team;
+    const auto authentic = this->is_authentic(change);
+    const auto refusal = this->check(change);
+    entry.accepted = !refusal;
+    entry.reason = refusal.value_or("");
+    for (const auto& item : change.sets)
+    {
+        entry.paths.push_back(item.path);
+        auto& slot = this->state[item.path];
+        entry.before[item.path] = slot.value ? *slot.value : nlohmann::json(nullptr);
+        entry.after[item.path] = item.value ? *item.value : nlohmann::json(nullptr);
+        if (entry.accepted)
+        {
+            slot.version = offset;
+            slot.value = item.value;
+        }
+        else if (slot.version == log_offset{})
+        {
+            this->state.erase(item.path);
+        }
+    }
+    // A record that its team did not sign must not use up the id of a genuine one.
+    if (authentic)
+    {
+        this->remember(change.id);
+    }
+    this->revision_count += entry.accepted ? 1 : 0;
+    this->trail.push_back(std::move(entry));
+    if (this->trail.size() > this->settings.audit_entries)
+    {
+        this->trail.pop_front();
+    }
+}
+
+auto configuration::apply(log_offset offset, log_time time, const nlohmann::json& record) -> void
+{
+    if (offset <= this->applied_offset)
+    {
+        return;
+    }
+    const auto is_snapshot = has_text(record, "type") && record["type"] == "snapshot";
+    if (is_snapshot && this->merge(record))
+    {
+        this->applied_offset = std::max(this->applied_offset, offset);
+        return;
+    }
+    if (offset.value() > this->applied_offset.value() + 1)
+    {
+        this->missing_through = log_offset{offset.value() - 1};
+    }
+    if (!is_snapshot)
+    {
+        const auto change = config_change::from_json(record);
+        if (change)
+        {
+            this->apply_change(offset, time, *change);
+        }
+    }
+    this->applied_offset = std::max(this->applied_offset, offset);
+}
+
+auto configuration::snapshot_mac(const nlohmann::json& body) const -> std::string
+{
+    return to_hex(hmac_sha256(this->settings.host_secret, body.dump()));
+}
+
+auto configuration::snapshot(log_offset since) const -> nlohmann::json
+{
+    auto paths = nlohmann::json::array();
+    for (const auto& [path, entry] : this->state)
+    {
+        if (entry.version <= since)
+        {
+            continue;
+        }
+        paths.push_back({path, entry.version.value(), entry.value ? *entry.value : nlohmann::json(nullptr)});
+    }
+    nlohmann::json body = {{"through", this->applied_offset.value()},
+                           {"since", since.value()},
+                           {"entries", std::move(paths)},
+                           {"change_ids", this->seen_order}};
+    auto mac = this->snapshot_mac(body);
+    return {{"type", "snapshot"}, {"body", std::move(body)}, {"mac", std::move(mac)}};
+}
+
+auto configuration::merge(const nlohmann::json& snapshot) -> bool
+{
+    const auto authentic = snapshot.is_object() && snapshot.contains("body") && has_text(snapshot, "mac") &&
+                           equal_constant_time(this->snapshot_mac(snapshot["body"]),
+                                               snapshot["mac"].get_ref<const std::string&>());
+    if (!authentic)
+    {
+        return false;
+    }
+    const auto& body = snapshot["body"];
+    const log_offset through{body["through"].get<std::uint64_t>()};
+    const log_offset since{body["since"].get<std::uint64_t>()};
+    if (since > this->applied_offset)
+    {
+        return false;
+    }
+    for (const auto& item : body["entries"])
+    {
+        const log_offset version{item[1].get<std::uint64_t>()};
+        auto& slot = this->state[item[0].get<std::string>()];
+        if (version > slot.version)
+        {
+            slot.version = version;
+            slot.value = item[2].is_null() ? std::nullopt : std::optional(item[2]);
+            ++this->revision_count;
+        }
+    }
+    for (const auto& id : body["change_ids"])
+    {
+        this->remember(id.get<std::string>());
+    }
+    this->applied_offset = std::max(this->applied_offset, through);
+    if (since == log_offset{} && through >= this->missing_through)
+    {
+        this->missing_through = log_offset{};
+    }
+    return true;
+}
+
+auto configuration::values() const -> path_values
+{
+    path_values result;
+    for (const auto& [path, entry] : this->state)
+    {
+        if (entry.value)
+        {
+            result[path] = *entry.value;
+        }
+    }
+    return result;
+}
+
+auto configuration::result_of(const std::string& change_id) const -> std::optional<audit_entry>
+{
+    for (auto entry = this->trail.rbegin(); entry != this->trail.rend(); ++entry)
+    {
+        if (entry->change_id == change_id)
+        {
+            return *entry;
+        }
+    }
+    return std::nullopt;
+}
+
+auto configuration::digest() const -> std::uint64_t
+{
+    std::uint64_t result = 0;
+    for (const auto& [path, entry] : this->state)
+    {
+        result = hash_pair_64(result, hash_bytes_64(path, entry.version.value()));
+    }
+    return result;
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/core/control_core.cpp
@@ -0,0 +1,776 @@
+#include "poplardrift/core/control_core.hpp"
+
+#include "poplardrift/base/assert.hpp"
+
+#include <algorithm>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// Time after which another host's word on its load no longer counts.
+constexpr duration load_validity = std::chrono::seconds(4);
+/// Pause between two updates of the configuration to the same host.
+constexpr duration update_interval = std::chrono::seconds(1);
+/// Part of a lease after which this host renews slots that it grants to itself.
+constexpr std::int64_t renewals_a_lease = 6;
+/// Snapshots go out this often within the log's retention.
+constexpr std::int64_t snapshots_a_retention = 3;
+/// Each host waits that much longer than the one before it, so that mostly one appends.
+constexpr duration snapshot_stagger = std::chrono::seconds(3);
+
+auto status_text(member_status status) -> std::string
+{
+    switch (status)
+    {
+    case member_status::alive:
+        return "alive";
+    case member_status::suspect:
+        return "suspect";
+    case member_status::leaving:
+        return "leaving";
+    case member_status::absent:
+        return "absent";
+    }
+    POPLARDRIFT_ASSERT(false);
+    return "";
+}
+
+auto state_event(upstream_state state) -> event_code
+{
+    switch (state)
+    {
+    case upstream_state::cold:
+        return event_code::upstream_cold;
+    case upstream_state::warm:
+        return event_code::upstream_warm;
+    case upstream_state::ejected:
+        return event_code::upstream_ejected;
+    case upstream_state::leaving:
+        return event_code::upstream_leaving;
+    }
+    POPLARDRIFT_ASSERT(false);
+    return event_code::upstream_cold;
+}
+
+} // namespace
+
+control_core::control_core(control_settings settings, host_address self, incarnation_id incarnation,
+                           time_point now)
+    : settings(settings), incarnation(incarnation),
+      hosts(settings.membership, std::move(self), incarnation), configured(settings.configuration),
+      budget(settings.budget, now), owner(settings.slots, settings.warmup), snapshot_seen(now)
+{
+    this->hosts.set_listener(this);
+}
+
+auto control_core::note(event_code code, std::string detail) -> void
+{
+    this->actions.emplace_back(note_event{{code, std::move(detail)}});
+}
+
+auto control_core::take_actions() -> std::vector<control_action> { return std::exchange(this->actions, {}); }
+
+auto control_core::peer(host_id id, time_point now) -> peer_state&
+{
+    return this->peers.try_emplace(id, peer_state{peer_link(now)}).first->second;
+}
+
+auto control_core::on_member_changed(const member& changed, member_status before) -> void
+{
+    this->note(event_code::member_changed, changed.where.name + " from " + status_text(before) + " to " +
+                                               status_text(changed.status));
+}
+
+auto control_core::on_host_list(const std::vector<host_address>& live,
+                                const std::vector<std::string>& leaving_hosts, time_point now) -> void
+{
+    this->hosts.on_host_list(live, leaving_hosts, now);
+}
+
+auto control_core::start_leaving() -> void
+{
+    this->leaving = true;
+    for (auto& [id, state] : this->peers)
+    {
+        state.urgent = true;
+    }
+}
+
+// Configuration.
+
+auto control_core::on_log_records(const std::vector<log_record>& records, time_point now) -> void
+{
+    if (!this->log_reachable)
+    {
+        this->log_reachable = true;
+        this->note(event_code::log_reachable, "");
+    }
+    for (const auto& record : records)
+    {
+        this->configured.apply(record.offset, record.time, record.data);
+        const auto is_snapshot = record.data.is_object() && record.data.value("type", "") == "snapshot";
+        this->records_since_snapshot = is_snapshot ? 0 : this->records_since_snapshot + 1;
+        this->snapshot_seen = is_snapshot ? now : this->snapshot_seen;
+    }
+    this->take_configuration(now);
+}
+
+auto control_core::on_log_unreachable(time_point now) -> void
+{
+    (void)now;
+    if (this->log_reachable)
+    {
+        this->log_reachable = false;
+        this->note(event_code::log_unreachable, "");
+    }
+}
+
+auto control_core::note_audit() -> void
+{
+    for (const auto& entry : this->configured.audit())
+    {
+        if (entry.offset <= this->noted_audit)
+        {
+            continue;
+        }
+        this->noted_audit = entry.offset;
+        auto detail = "offset " + std::to_string(entry.offset.value()) + " change " + entry.change_id + " by " +
+                      entry.author + " of " + entry.team;
+        for (const auto& path : entry.paths)
+        {
+            detail += " " + path;
+        }
+        this->note(entry.accepted ? event_code::configuration_applied : event_code::configuration_refused,
+                   entry.accepted ? detail : detail + ": " + entry.reason);
+    }
+}
+
+auto control_core::note_zones(const declarations& before) -> void
+{
+    for (const auto& [name, zone] : this->parsed.zones)
+    {
+        const auto former = before.zones.find(name);
+        const auto was_in = former == before.zones.end() || former->second.in_service;
+        if (was_in != zone.in_service)
+        {
+            this->note(zone.in_service ? event_code::zone_in : event_code::zone_out, name);
+        }
+    }
+}
+
+auto control_core::take_configuration(time_point now) -> void
+{
+    this->note_audit();
+    const auto complete = this->configured.is_complete();
+    if (complete != this->was_complete && !complete)
+    {
+        this->note(event_code::configuration_incomplete, "");
+    }
+    this->was_complete = complete;
+    if (this->configured.revision() == this->seen_configuration)
+    {
+        return;
+    }
+    this->seen_configuration = this->configured.revision();
+    this->configuration_digest = static_cast<std::uint32_t>(this->configured.digest());
+    std::vector<config_error> errors;
+    auto before = std::exchange(
+        this->parsed, read_declarations(this->configured.values(), errors, unknown_keys::ignore));
+    for (const auto& error : errors)
+    {
+        this->note(event_code::declaration_unreadable, error.text());
+    }
+    this->note_zones(before);
+    this->paths.clear();
+    for (const auto& [path, item] : this->parsed.upstreams)
+    {
+        this->paths.emplace(make_upstream_id(path), path);
+    }
+    this->view_is_stale = true;
+    this->seen_members = 0;
+    this->update_owners(now);
+}
+
+auto control_core::not_ready_reason() const -> std::string
+{
+    if (this->leaving)
+    {
+        return "leaving";
+    }
+    if (this->configured.applied() == log_offset{})
+    {
+        return this->log_reachable ? "no configuration on the log yet"
+                                   : "neither the log nor a peer has given a configuration";
+    }
+    if (!this->configured.is_complete())
+    {
+        return "configuration records are missing that the log no longer gives";
+    }
+    return this->parsed.routes.empty() ? "no routes are declared" : "";
+}
+
+// Ownership and slots.
+
+auto control_core::declaration_of(upstream_id id) const -> const upstream_declaration*
+{
+    const auto path = this->paths.find(id);
+    if (path == this->paths.end())
+    {
+        return nullptr;
+    }
+    const auto found = this->parsed.upstreams.find(path->second);
+    return found == this->parsed.upstreams.end() ? nullptr : &found->second;
+}
+
+auto control_core::state_of(upstream_id id) const -> upstream_state
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? upstream_state::cold : found->second.status.state;
+}
+
+auto control_core::update_owners(time_point now) -> void
+{
+    if (this->seen_members == this->hosts.revision())
+    {
+        return;
+    }
+    this->seen_members = this->hosts.revision();
+    const auto self = this->hosts.self();
+    for (const auto& [id, path] : this->paths)
+    {
+        const auto& item = this->parsed.upstreams.at(path);
+        auto owning = this->hosts.owner_of(id, item.zone).value_or(self);
+        auto& knowledge = this->known[id];
+        this->view_is_stale = this->view_is_stale || knowledge.owner != owning;
+        const auto owned_before = this->owner.owns(id);
+        if (owning == self)
+        {
+            const auto published = knowledge.owner == host_id{} ? std::nullopt
+                                                                : std::optional(knowledge.status);
+            this->owner.adopt(item, published, now);
+        }
+        else
+        {
+            this->owner.drop(id);
+        }
+        if (owned_before != (owning == self))
+        {
+            this->note(owned_before ? event_code::ownership_lost : event_code::ownership_taken, path);
+        }
+        if (knowledge.owner != owning && this->peers.contains(owning))
+        {
+            this->peers.at(owning).greeted.erase(id);
+        }
+        knowledge.owner = owning;
+    }
+    // Upstreams that are no longer declared.
+    for (const auto id : this->owner.ids())
+    {
+        if (!this->paths.contains(id))
+        {
+            this->owner.drop(id);
+        }
+    }
+    std::erase_if(this->known, [&](const auto& item) { return !this->paths.contains(item.first); });
+}
+
+auto control_core::pool_in_flight(pool_id pool, time_point now) const -> std::uint32_t
+{
+    const auto own = this->own_loads.find(pool);
+    auto total = own == this->own_loads.end() ? 0 : own->second;
+    for (const auto& [id, state] : this->peers)
+    {
+        const auto load = state.loads.find(pool);
+        const auto fresh = now - state.loads_at < load_validity;
+        total += load != state.loads.end() && fresh ? load->second : 0;
+    }
+    return total;
+}
+
+auto control_core::mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t
+{
+    // Upstreams in cold start cannot take their share, so they do not count towards the mean.
+    double warm_weight = 0.0;
+    double all_weight = 0.0;
+    for (const auto& [path, other] : this->parsed.upstreams)
+    {
+        if (other.pool != item.pool || !is_in_service(this->parsed, other))
+        {
+            continue;
+        }
+        const auto state = this->state_of(make_upstream_id(path));
+        warm_weight += state == upstream_state::warm ? other.weight : 0.0;
+        all_weight += state == upstream_state::warm || state == upstream_state::cold ? other.weight : 0.0;
+    }
+    const auto own_state = this->state_of(make_upstream_id(item.path));
+    const auto counted = own_state == upstream_state::warm ? warm_weight : warm_weight + item.weight;
+    const auto weights = warm_weight > 0.0 ? counted : std::max(all_weight, item.weight);
+    return bound_by_mean(this->parsed.limits.load_bound,
+                         this->pool_in_flight(make_pool_id(item.pool), now), item.weight / weights);
+}
+
+auto control_core::listed_hosts() const -> std::vector<host_id>
+{
+    std::vector<host_id> result;
+    for (const auto& [id, item] : this->hosts.members())
+    {
+        const auto exists = item.listed || item.status == member_status::alive ||
+                            item.status == member_status::suspect;
+        if (exists && id != this->hosts.self())
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+auto control_core::grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
+    -> slot_grant
+{
+    const auto* item = this->declaration_of(id);
+    POPLARDRIFT_ASSERT(item != nullptr);
+    const auto complete = this->owner.has_heard_all(id, this->listed_hosts());
+    // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
+    // enough: they may be alive and grant its slots.
+    const auto& self_zone = this->hosts.find(this->hosts.self())->where.zone;
+    const auto may_wait_out = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
+                              this->hosts.zone_has_no_listed_host(item->zone);
+    return this->owner.grant(id, holder, complete, may_wait_out, sequence, now);
+}
+
+auto control_core::set_status(const upstream_status& status) -> void
+{
+    auto& knowledge = this->known[status.upstream];
+    const auto before = knowledge.status;
+    knowledge.status = status;
+    if (before.free_slots != status.free_slots)
+    {
+        this->actions.emplace_back(note_free_slots{status.upstream, status.free_slots});
+    }
+    if (before.state == status.state && before.upstream == status.upstream)
+    {
+        return;
+    }
+    this->view_is_stale = true;
+    const auto path = this->paths.find(status.upstream);
+    this->note(state_event(status.state), path == this->paths.end() ? "" : path->second);
+    if (status.state != upstream_state::warm && before.state == upstream_state::warm)
+    {
+        this->actions.emplace_back(revoke_slots{status.upstream});
+    }
+}
+
+auto control_core::grant_to_self(upstream_id id, const slot_use& use, time_point now) -> void
+{
+    auto& granted = this->self_granted[id];
+    const auto due = now - granted >= this->settings.slots.lease / renewals_a_lease;
+    if (use.wanted == 0 && !due)
+    {
+        return;
+    }
+    granted = now;
+    // What this host is told, it acts on at once: each message acknowledges the one before.
+    const message_sequence sequence{++this->self_sequence};
+    const message_sequence acknowledged{sequence.value() - 1};
+    this->owner.on_slot_report(this->hosts.self(), {id, use.in_use, use.wanted, use.held}, sequence,
+                               acknowledged, now);
+    const auto grant = this->grant_to(id, this->hosts.self(), sequence, now);
+    this->actions.emplace_back(apply_grant{id, grant.slots, now + this->settings.slots.lease});
+}
+
+auto control_core::tick_owned(const host_usage& usage, time_point now) -> void
+{
+    for (const auto& load : usage.loads)
+    {
+        this->own_loads[load.pool] = load.in_flight;
+    }
+    std::map<upstream_id, slot_use> by_upstream;
+    for (const auto& use : usage.uses)
+    {
+        by_upstream.emplace(use.upstream, use);
+    }
+    for (const auto id : this->owner.ids())
+    {
+        const auto* item = this->declaration_of(id);
+        POPLARDRIFT_ASSERT(item != nullptr);
+        this->owner.update(id, this->mean_bound(*item, now), now);
+        this->set_status(this->owner.status(id, now));
+        const auto use = by_upstream.find(id);
+        this->grant_to_self(id, use == by_upstream.end() ? slot_use{id, {}, 0, 0, 0} : use->second, now);
+    }
+}
+
+// Messages from other hosts.
+
+auto control_core::on_peer_message(const peer_message& message, time_point now) -> void
+{
+    const auto from = message.sender;
+    if (!this->hosts.on_heartbeat(from, message.incarnation, message.leaving, now))
+    {
+        return;
+    }
+    auto& state = this->peer(from, now);
+    bool restarted = false;
+    if (!state.link.accept(message, this->incarnation, now, restarted))
+    {
+        return;
+    }
+    if (restarted)
+    {
+        // Requests of the former process ended with its connections.
+        this->owner.forget_holder(from);
+        state.greeted.clear();
+    }
+    for (const auto& load : message.loads)
+    {
+        state.loads[load.pool] = load.in_flight;
+    }
+    state.loads_at = now;
+    this->update_owners(now);
+    this->accept_configuration(from, state, message, now);
+    this->accept_signs(from, message, now);
+    this->accept_statuses(from, message);
+    this->accept_grants(from, state, message);
+    this->accept_reports(from, state, message, now);
+    for (const auto& item : message.exceptions)
+    {
+        this->actions.emplace_back(learn_exception{item});
+    }
+}
+
+auto control_core::accept_reports(host_id from, peer_state& from_state, const peer_message& message,
+                                  time_point now) -> void
+{
+    for (const auto& report : message.reports)
+    {
+        if (!this->owner.owns(report.upstream))
+        {
+            continue;
+        }
+        this->owner.on_slot_report(from, report, message.sequence, from_state.link.acknowledged(), now);
+        from_state.unanswered.insert(report.upstream);
+        from_state.urgent = from_state.urgent || report.wanted > 0;
+    }
+}
+
+auto control_core::accept_grants(host_id from, peer_state& from_state, const peer_message& message) -> void
+{
+    for (const auto& grant : message.grants)
+    {
+        // Only the owner's word counts, and the lease runs from our own report.
+        const auto found = this->known.find(grant.upstream);
+        const auto reported = from_state.link.sent_at(grant.answered);
+        if (found == this->known.end() || found->second.owner != from || !reported)
+        {
+            continue;
+        }
+        from_state.greeted.insert(grant.upstream);
+        this->actions.emplace_back(
+            apply_grant{grant.upstream, grant.slots, *reported + this->settings.slots.lease});
+    }
+}
+
+auto control_core::accept_statuses(host_id from, const peer_message& message) -> void
+{
+    for (const auto& status : message.statuses)
+    {
+        const auto found = this->known.find(status.upstream);
+        if (found != this->known.end() && found->second.owner == from)
+        {
+            this->set_status(status);
+        }
+    }
+}
+
+auto control_core::apply_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void
+{
+    this->actions.emplace_back(revoke_slots{upstream});
+    this->owner.on_sign(upstream, suspected, now);
+    for (auto& [id, state] : this->peers)
+    {
+        state.urgent = true;
+    }
+}
+
+auto control_core::accept_signs(host_id from, const peer_message& message, time_point now) -> void
+{
+    for (const auto& sign : message.signs)
+    {
+        auto& count = this->heard_signs[{from, sign.upstream}];
+        if (sign.count == count || !this->paths.contains(sign.upstream))
+        {
+            continue;
+        }
+        count = sign.count;
+        this->apply_sign(sign.upstream, sign.suspected, now);
+    }
+}
+
+auto control_core::on_local_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void
+{
+    auto& own = this->signs[upstream];
+    own.sign = {upstream, suspected, own.sign.count + 1};
+    own.told = now;
+    this->apply_sign(upstream, suspected, now);
+}
+
+auto control_core::on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now)
+    -> void
+{
+    this->owner.on_upstream_report(upstream, report, now);
+}
+
+auto control_core::accept_configuration(host_id from, peer_state& from_state, const peer_message& message,
+                                        time_point now) -> void
+{
+    from_state.configuration = message.configuration;
+    from_state.configuration_differs = message.configuration == this->configured.applied() &&
+                                       message.configuration_digest != this->digest();
+    from_state.wants_configuration = message.wants_configuration;
+    if (message.configuration_update.empty())
+    {
+        return;
+    }
+    const auto before = this->configured.revision();
+    const auto update = nlohmann::json::parse(message.configuration_update, nullptr, false);
+    if (update.is_discarded() || !this->configured.merge(update))
+    {
+        return;
+    }
+    if (this->configured.revision() != before)
+    {
+        const auto* sender = this->hosts.find(from);
+        this->note(event_code::configuration_from_peer,
+                   (sender == nullptr ? "" : sender->where.name) + " through offset " +
+                       std::to_string(this->configured.applied().value()));
+    }
+    this->take_configuration(now);
+}
+
+// Messages to other hosts.
+
+auto control_core::digest() const -> std::uint32_t { return this->configuration_digest; }
+
+auto control_core::add_reports(host_id to, const peer_state& state, const host_usage& usage,
+                               peer_message& message) const -> void
+{
+    std::set<upstream_id> told;
+    for (const auto& use : usage.uses)
+    {
+        const auto found = this->known.find(use.upstream);
+        if (found != this->known.end() && found->second.owner == to)
+        {
+            message.reports.push_back({use.upstream, use.in_use, use.wanted, use.held});
+            told.insert(use.upstream);
+        }
+    }
+    // An owner that has not answered yet has to hear of every host, even of one without any use.
+    for (const auto& [id, knowledge] : this->known)
+    {
+        if (knowledge.owner == to && !told.contains(id) && !state.greeted.contains(id))
+        {
+            message.reports.push_back({id, 0, 0, 0});
+        }
+    }
+}
+
+auto control_core::add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void
+{
+    for (const auto id : state.unanswered)
+    {
+        if (this->owner.owns(id))
+        {
+            message.grants.push_back(this->grant_to(id, to, state.link.next(), now));
+        }
+    }
+    state.unanswered.clear();
+    for (const auto id : this->owner.ids())
+    {
+        message.statuses.push_back(this->owner.status(id, now));
+    }
+}
+
+auto control_core::add_configuration(peer_state& state, peer_message& message, time_point now) -> void
+{
+    message.configuration = this->configured.applied();
+    message.configuration_digest = this->digest();
+    message.wants_configuration = !this->log_reachable || !this->configured.is_complete();
+    const auto lags = state.wants_configuration && state.configuration < this->configured.applied();
+    const auto due = now - state.update_sent >= update_interval;
+    if ((lags || state.configuration_differs) && due && this->configured.is_complete())
+    {
+        // A host with other content at the same offset lost records: it gets the whole state.
+        const auto since = state.configuration_differs ? log_offset{} : state.configuration;
+        message.configuration_update = this->configured.snapshot(since).dump();
+        state.update_sent = now;
+    }
+}
+
+auto control_core::compose(host_id to, peer_state& state, const host_usage& usage, time_point now)
+    -> peer_message
+{
+    peer_message message;
+    message.sender = this->hosts.self();
+    message.incarnation = this->incarnation;
+    message.leaving = this->leaving;
+    this->add_configuration(state, message, now);
+    for (const auto& [id, item] : this->signs)
+    {
+        if (now - item.told < this->settings.sign_repeat)
+        {
+            message.signs.push_back(item.sign);
+        }
+    }
+    this->add_reports(to, state, usage, message);
+    this->add_grants(to, state, message, now);
+    message.loads = usage.loads;
+    // Places of conversations matter least: they take what room is left.
+    const auto room = this->budget.room(now) > this->settings.budget.burst_bytes / 4;
+    if (room)
+    {
+        message.exceptions = usage.exceptions;
+    }
+    state.link.stamp(message, now);
+    return message;
+}
+
+auto control_core::tick_peer(host_id to, peer_state& state, const host_usage& usage, time_point now) -> void
+{
+    if (state.link.is_one_way(this->settings.silent_link, now))
+    {
+        state.link.on_reconnect(now);
+        this->actions.emplace_back(reconnect_peer{to});
+        const auto* other = this->hosts.find(to);
+        this->note(event_code::peer_reconnected, other == nullptr ? "" : other->where.name);
+    }
+    const auto since = now - state.link.last_sent();
+    // A heartbeat must go out, more rarely when the budget is used up; the rest waits for room.
+    const auto room = this->budget.room(now) > 0;
+    const auto due = since >= this->settings.heartbeat * (room ? 1 : 2);
+    const auto urgent = state.urgent && room && since >= this->settings.urgent_interval;
+    if (!due && !urgent)
+    {
+        return;
+    }
+    state.urgent = false;
+    this->actions.emplace_back(send_message{to, this->compose(to, state, usage, now)});
+}
+
+auto control_core::tick_peers(const host_usage& usage, time_point now) -> void
+{
+    for (const auto& id : usage.asks)
+    {
+        if (this->peers.contains(id))
+        {
+            this->peers.at(id).urgent = true;
+        }
+    }
+    for (const auto& [id, item] : this->hosts.members())
+    {
+        const auto reachable = item.status != member_status::absent || !item.where.address.empty();
+        if (id != this->hosts.self() && reachable)
+        {
+            this->tick_peer(id, this->peer(id, now), usage, now);
+        }
+    }
+}
+
+auto control_core::tick_snapshot(time_point now) -> void
+{
+    if (!this->log_reachable || !this->configured.is_complete() || this->configured.entries().empty())
+    {
+        return;
+    }
+    // Hosts take turns by their rank, so that mostly one of them appends.
+    std::int64_t rank = 0;
+    for (const auto& [id, item] : this->hosts.members())
+    {
+        rank += id < this->hosts.self() && item.status == member_status::alive ? 1 : 0;
+    }
+    const auto age = now - this->snapshot_seen - rank * snapshot_stagger;
+    const auto by_age = age >= this->settings.log_retention / snapshots_a_retention;
+    const auto by_count = this->records_since_snapshot >=
+                          this->settings.snapshot_records + rank * this->settings.snapshot_records / 10;
+    if (!by_age && !by_count)
+    {
+        return;
+    }
+    this->snapshot_seen = now;
+    this->records_since_snapshot = 0;
+    this->actions.emplace_back(append_snapshot{this->configured.snapshot()});
+    this->note(event_code::snapshot_appended, "through offset " + std::to_string(this->configured.applied().value()));
+}
+
+auto control_core::update_view() -> void
+{
+    if (!this->view_is_stale)
+    {
+        return;
+    }
+    this->view_is_stale = false;
+    auto view = make_routing_view(this->parsed, this->known, this->configured.applied(), ++this->view_revision);
+    this->actions.emplace_back(publish_view{std::move(view)});
+}
+
+auto control_core::on_tick(const host_usage& usage, time_point now) -> void
+{
+    this->hosts.on_tick(now);
+    this->update_owners(now);
+    this->tick_owned(usage, now);
+    this->tick_peers(usage, now);
+    this->tick_snapshot(now);
+    this->update_view();
+}
+
+// What operators see.
+
+auto control_core::owned() const -> std::vector<upstream_id> { return this->owner.ids(); }
+
+auto control_core::overview(time_point now) const -> std::vector<upstream_overview>
+{
+    std::vector<upstream_overview> result;
+    for (const auto& [id, path] : this->paths)
+    {
+        upstream_overview item;
+        item.path = path;
+        const auto found = this->known.find(id);
+        if (found != this->known.end())
+        {
+            const auto* owning = this->hosts.find(found->second.owner);
+            item.owner = owning == nullptr ? "" : owning->where.name;
+            item.state = found->second.status.state;
+            item.limit = found->second.status.limit;
+        }
+        if (this->owner.owns(id))
+        {
+            item.in_use = this->owner.in_use(id);
+            item.promised = this->owner.promised(id, now);
+        }
+        result.push_back(std::move(item));
+    }
+    return result;
+}
+
+auto control_core::configuration_offsets() const -> std::map<std::string, log_offset>
+{
+    std::map<std::string, log_offset> result;
+    for (const auto& [id, item] : this->hosts.members())
+    {
+        const auto state = this->peers.find(id);
+        const auto heard = state != this->peers.end() && item.status != member_status::suspect;
+        if (id == this->hosts.self())
+        {
+            result[item.where.name] = this->configured.applied();
+        }
+        else if (item.status != member_status::absent)
+        {
+            result[item.where.name] = heard ? state->second.configuration : log_offset{};
+        }
+    }
+    return result;
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,1 @@
+auto main() -> int { return 0; }
--- /dev/null
+++ b/src/gossip/byte_budget.cpp
@@ -0,0 +1,45 @@
+#include "poplardrift/gossip/byte_budget.hpp"
+
+#include <algorithm>
+
+namespace poplardrift
+{
+
+byte_budget::byte_budget(byte_budget_settings settings, time_point now)
+    : settings(settings), balance(settings.burst_bytes), last(now)
+{
+}
+
+auto byte_budget::refill(time_point now) -> void
+{
+    if (now <= this->last)
+    {
+        return;
+    }
+    const auto earned = to_seconds(now - this->last) * this->settings.bytes_per_second;
+    this->balance = std::min(this->balance + earned, this->settings.burst_bytes);
+    this->last = now;
+}
+
+auto byte_budget::room(time_point now) -> std::size_t
+{
+    this->refill(now);
+    const auto left = this->balance - static_cast<double>(this->settings.message_overhead);
+    return left > 0 ? static_cast<std::size_t>(left) : 0;
+}
+
+auto byte_budget::fits(std::size_t payload, time_point now) -> bool { return this->room(now) >= payload; }
+
+auto byte_budget::spend(std::size_t payload, time_point now) -> void
+{
+    this->spend_raw(payload + this->settings.message_overhead, now);
+}
+
+auto byte_budget::spend_raw(std::size_t bytes, time_point now) -> void
+{
+    this->refill(now);
+    this->balance -= static_cast<double>(bytes);
+    this->spent += bytes;
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,185 @@
+#include "poplardrift/membership/membership.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace poplardrift
+{
+
+membership::membership(membership_settings settings, host_address self, incarnation_id incarnation)
+    : settings(settings), self_id(make_host_id(self.name))
+{
+    auto& own = this->known[this->self_id];
+    own.where = std::move(self);
+    own.status = member_status::alive;
+    own.incarnation = incarnation;
+    own.ever_heard = true;
+}
+
+auto membership::entry(const host_address& where) -> member&
+{
+    const auto id = make_host_id(where.name);
+    const auto [found, inserted] = this->known.try_emplace(id);
+    if (inserted || (id != this->self_id && !(found->second.where == where)))
+    {
+        found->second.where = where;
+        ++this->revision_count;
+    }
+    return found->second;
+}
+
+auto membership::set_status(member& item, member_status status) -> void
+{
+    if (item.status == status)
+    {
+        return;
+    }
+    const auto before = item.status;
+    item.status = status;
+    ++this->revision_count;
+    if (this->listener != nullptr)
+    {
+        this->listener->on_member_changed(item, before);
+    }
+}
+
+auto membership::add_seeds(const std::vector<host_address>& seeds) -> void
+{
+    for (const auto& seed : seeds)
+    {
+        this->entry(seed);
+    }
+}
+
+auto membership::on_host_list(const std::vector<host_address>& live,
+                              const std::vector<std::string>& leaving, time_point now) -> void
+{
+    std::set<host_id> listed;
+    for (const auto& where : live)
+    {
+        auto& item = this->entry(where);
+        listed.insert(make_host_id(where.name));
+        item.listed = true;
+        // A host that is listed but was never heard counts as silent from now on.
+        if (item.status == member_status::absent)
+        {
+            item.last_heard = now;
+            this->set_status(item, member_status::suspect);
+        }
+    }
+    for (auto& [id, item] : this->known)
+    {
+        item.listed = listed.contains(id);
+    }
+    for (const auto& name : leaving)
+    {
+        const auto found = this->known.find(make_host_id(name));
+        if (found != this->known.end() && found->first != this->self_id)
+        {
+            this->set_status(found->second, member_status::leaving);
+        }
+    }
+    this->on_tick(now);
+}
+
+auto membership::is_damped(host_id id, time_point now) -> bool
+{
+    auto& times = this->returns[id];
+    std::erase_if(times, [&](time_point at) { return now - at > this->settings.flap_window; });
+    return static_cast<std::int64_t>(times.size()) > this->settings.flap_limit &&
+           now - times.back() < this->settings.damping;
+}
+
+auto membership::on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now)
+    -> bool
+{
+    const auto found = this->known.find(from);
+    if (found == this->known.end() || from == this->self_id)
+    {
+        return false;
+    }
+    auto& item = found->second;
+    // A late message of a former start is dropped; a host whose clock went back is taken as new
+    // once its former start has fallen silent.
+    const auto former_is_recent = now - item.last_heard <= this->settings.suspicion_timeout;
+    if (item.ever_heard && incarnation < item.incarnation && former_is_recent)
+    {
+        return false;
+    }
+    if (item.incarnation != incarnation)
+    {
+        item.incarnation = incarnation;
+        ++this->revision_count;
+    }
+    const auto was_silent = item.status == member_status::suspect || item.status == member_status::absent;
+    if (was_silent && item.ever_heard && now - item.last_heard > this->settings.suspicion_timeout)
+    {
+        this->returns[from].push_back(now);
+    }
+    item.last_heard = now;
+    item.ever_heard = true;
+    if (leaving)
+    {
+        this->set_status(item, member_status::leaving);
+    }
+    else if (!was_silent || !this->is_damped(from, now))
+    {
+        this->set_status(item, member_status::alive);
+    }
+    return true;
+}
+
+auto membership::on_tick(time_point now) -> void
+{
+    for (auto& [id, item] : this->known)
+    {
+        if (id == this->self_id)
+        {
+            continue;
+        }
+        const auto silent = now - item.last_heard > this->settings.suspicion_timeout;
+        if (!silent)
+        {
+            continue;
+        }
+        this->set_status(item, item.listed ? member_status::suspect : member_status::absent);
+    }
+}
+
+auto membership::find(host_id id) const -> const member*
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? nullptr : &found->second;
+}
+
+auto membership::owner_of(upstream_id upstream, const std::string& zone) const
+    -> std::optional<host_id>
+{
+    std::optional<host_id> best;
+    std::uint64_t best_score = 0;
+    bool best_is_near = false;
+    for (const auto& [id, item] : this->known)
+    {
+        if (item.status != member_status::alive)
+        {
+            continue;
+        }
+        const auto near = item.where.zone == zone;
+        const auto score = hash_pair_64(id.value(), upstream.value());
+        if (!best || (near && !best_is_near) || (near == best_is_near && score > best_score))
+        {
+            best = id;
+            best_score = score;
+            best_is_near = near;
+        }
+    }
+    return best;
+}
+
+auto membership::zone_has_no_listed_host(const std::string& zone) const -> bool
+{
+    return std::none_of(this->known.begin(), this->known.end(),
+                        [&](const auto& item) { return item.second.where.zone == zone && item.second.listed; });
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/observability/logging.cpp
@@ -0,0 +1,1 @@
+#include "poplardrift/base/ids.hpp"
--- /dev/null
+++ b/src/placement/rendezvous.cpp
@@ -0,0 +1,16 @@
+#include "poplardrift/placement/rendezvous.hpp"
+
+#include <cmath>
+
+namespace poplardrift
+{
+
+auto rendezvous_score(conversation_id conversation, upstream_id upstream, double weight) -> double
+{
+    const auto hash = hash_pair_64(conversation.value(), upstream.value());
+    // 53 bits give a number in (0, 1) that a double holds exactly.
+    const auto uniform = (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0;
+    return -weight / std::log(uniform);
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/slots/slot_owner.cpp
@@ -0,0 +1,151 @@
+#include "poplardrift/slots/slot_owner.hpp"
+
+#include "poplardrift/base/assert.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// Guards the rounding up against the last bit of a product such as 1.25 * 8 / 10.
+constexpr double rounding_slack = 1e-9;
+
+} // namespace
+
+auto bound_by_mean(double multiple, std::uint32_t total, double weight_part) -> std::uint32_t
+{
+    const auto exact = multiple * (static_cast<double>(total) + 1.0) * weight_part;
+    return static_cast<std::uint32_t>(std::max(1.0, std::ceil(exact - rounding_slack)));
+}
+
+slot_owner::slot_owner(slot_settings slots, warmup_settings conditions)
+    : slots(slots), conditions(conditions)
+{
+}
+
+auto slot_owner::at(upstream_id id) const -> const owned_upstream&
+{
+    const auto found = this->owned.find(id);
+    POPLARDRIFT_ASSERT(found != this->owned.end());
+    return found->second;
+}
+
+auto slot_owner::adopt(const upstream_declaration& declared, const std::optional<upstream_status>& published,
+                       time_point now) -> void
+{
+    const auto id = make_upstream_id(declared.path);
+    const auto cold = static_cast<std::uint32_t>(declared.cold_capacity);
+    const auto most = static_cast<std::uint32_t>(declared.capacity);
+    const auto found = this->owned.find(id);
+    if (found != this->owned.end())
+    {
+        found->second.condition.set_declared(cold, most);
+        return;
+    }
+    const auto needs_reports = declared.kind == upstream_kind::engine;
+    owned_upstream item{slot_ledger(this->slots, now),
+                        warmup(this->conditions, cold, most, needs_reports), cold};
+    if (published)
+    {
+        item.condition.inherit(*published);
+    }
+    this->owned.emplace(id, std::move(item));
+}
+
+auto slot_owner::ids() const -> std::vector<upstream_id>
+{
+    std::vector<upstream_id> result;
+    result.reserve(this->owned.size());
+    for (const auto& [id, item] : this->owned)
+    {
+        result.push_back(id);
+    }
+    return result;
+}
+
+auto slot_owner::on_slot_report(host_id holder, const slot_report& report, message_sequence sequence,
+                                message_sequence acknowledged, time_point now) -> void
+{
+    const auto found = this->owned.find(report.upstream);
+    if (found != this->owned.end())
+    {
+        found->second.ledger.on_report(holder, report, sequence, acknowledged, now);
+    }
+}
+
+auto slot_owner::on_upstream_report(upstream_id id, const upstream_report& report, time_point now) -> void
+{
+    const auto found = this->owned.find(id);
+    if (found != this->owned.end())
+    {
+        found->second.condition.on_report(report, now);
+    }
+}
+
+auto slot_owner::on_sign(upstream_id id, upstream_state suspected, time_point now) -> void
+{
+    const auto found = this->owned.find(id);
+    if (found != this->owned.end())
+    {
+        found->second.condition.on_sign(suspected, now);
+    }
+}
+
+auto slot_owner::forget_holder(host_id holder) -> void
+{
+    for (auto& [id, item] : this->owned)
+    {
+        item.ledger.forget(holder);
+    }
+}
+
+auto slot_owner::update(upstream_id id, std::uint32_t bound, time_point now) -> void
+{
+    const auto found = this->owned.find(id);
+    POPLARDRIFT_ASSERT(found != this->owned.end());
+    auto& item = found->second;
+    item.ledger.expire(now);
+    item.condition.on_tick(item.ledger.in_use(), bound, now);
+    item.limit = std::min(item.condition.limit(), bound);
+}
+
+auto slot_owner::grant(upstream_id id, host_id holder, bool host_count_complete, bool may_wait_out,
+                       message_sequence sequence, time_point now) -> slot_grant
+{
+    const auto found = this->owned.find(id);
+    POPLARDRIFT_ASSERT(found != this->owned.end());
+    auto& item = found->second;
+    const auto waited = may_wait_out && item.ledger.former_promises_over(now);
+    auto result = item.ledger.grant(holder, item.limit, host_count_complete || waited, sequence, now);
+    result.upstream = id;
+    return result;
+}
+
+auto slot_owner::has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const -> bool
+{
+    const auto& ledger = this->at(id).ledger;
+    return std::all_of(hosts.begin(), hosts.end(), [&](host_id host) { return ledger.has(host); });
+}
+
+auto slot_owner::status(upstream_id id, time_point now) const -> upstream_status
+{
+    const auto& item = this->at(id);
+    const auto promised = item.ledger.promised(now);
+    const auto free_slots = item.limit > promised ? item.limit - promised : 0;
+    return {id, item.condition.state(), item.condition.limit(), free_slots, item.condition.incarnation()};
+}
+
+auto slot_owner::condition(upstream_id id) const -> const warmup& { return this->at(id).condition; }
+
+auto slot_owner::in_use(upstream_id id) const -> std::uint32_t { return this->at(id).ledger.in_use(); }
+
+auto slot_owner::promised(upstream_id id, time_point now) const -> std::uint32_t
+{
+    return this->at(id).ledger.promised(now);
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/slots/warmup.cpp
@@ -0,0 +1,142 @@
+#include "poplardrift/slots/warmup.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplardrift
+{
+
+warmup::warmup(warmup_settings settings, std::uint32_t declared_cold, std::uint32_t capacity,
+               bool needs_reports)
+    : settings(settings), declared_cold(declared_cold), capacity(capacity),
+      needs_reports(needs_reports), step_limit(declared_cold), adaptive_limit(capacity)
+{
+}
+
+auto warmup::set_declared(std::uint32_t cold, std::uint32_t most) -> void
+{
+    this->declared_cold = cold;
+    this->capacity = most;
+    this->adaptive_limit = std::min<double>(this->adaptive_limit, most);
+}
+
+auto warmup::inherit(const upstream_status& published) -> void { this->inherited = published; }
+
+auto warmup::start_step(time_point now) -> void
+{
+    this->step_start = now;
+    this->served_at_step = this->report ? this->report->served : 0;
+    this->peak_use = 0;
+}
+
+auto warmup::turn_cold(time_point now) -> void
+{
+    this->now_state = upstream_state::cold;
+    this->step_limit = this->declared_cold;
+    this->adaptive_limit = this->capacity;
+    this->start_step(now);
+}
+
+auto warmup::on_report(const upstream_report& fresh, time_point now) -> void
+{
+    const auto first = !this->report.has_value();
+    const auto restarted = !first && fresh.incarnation != this->known_incarnation;
+    this->report = fresh;
+    this->reported = now;
+    this->known_incarnation = fresh.incarnation;
+    if (first || restarted)
+    {
+        this->turn_cold(now);
+        const auto same_process = first && this->inherited && this->inherited->incarnation == fresh.incarnation;
+        if (same_process && !fresh.cold)
+        {
+            this->now_state = this->inherited->state;
+            this->step_limit = std::max(this->declared_cold, this->inherited->limit);
+        }
+    }
+    if (fresh.leaving)
+    {
+        this->now_state = upstream_state::leaving;
+        return;
+    }
+    if (this->now_state == upstream_state::leaving || (fresh.cold && this->now_state == upstream_state::warm))
+    {
+        this->turn_cold(now);
+    }
+    // Additive increase, multiplicative decrease on the upstream's own queue.
+    const auto overloaded = fresh.waiting > 0 && this->now_state == upstream_state::warm;
+    this->adaptive_limit = overloaded ? std::max<double>(this->declared_cold,
+                                                         fresh.in_flight * this->settings.decrease)
+                                      : std::min<double>(this->capacity, this->adaptive_limit + 1.0);
+}
+
+auto warmup::on_sign(upstream_state suspected, time_point now) -> void
+{
+    this->turn_cold(now);
+    if (suspected != upstream_state::ejected)
+    {
+        return;
+    }
+    const auto length = this->settings.ejection * (std::int64_t{1} << std::min(this->ejections, 10U));
+    this->ejected_until = now + std::min<duration>(length, this->settings.longest_ejection);
+    this->now_state = upstream_state::ejected;
+    ++this->ejections;
+}
+
+auto warmup::step_confirmed(time_point now) const -> bool
+{
+    if (now - this->step_start < this->settings.step)
+    {
+        return false;
+    }
+    if (!this->needs_reports)
+    {
+        return this->peak_use > 0;
+    }
+    // The upstream has to say itself that it finished as many requests as this step lets in.
+    const auto fresh = this->report && this->reported > this->step_start && !this->report->cold;
+    return fresh && this->report->served >= this->served_at_step + this->step_limit;
+}
+
+auto warmup::on_tick(std::uint32_t in_use, std::uint32_t full_share, time_point now) -> void
+{
+    this->peak_use = std::max(this->peak_use, in_use);
+    if (this->now_state == upstream_state::ejected && now >= this->ejected_until)
+    {
+        this->turn_cold(now);
+    }
+    const auto silent = this->needs_reports && this->report && now - this->reported > this->settings.report_timeout;
+    if (silent && this->now_state == upstream_state::warm)
+    {
+        this->turn_cold(now);
+    }
+    if (this->now_state != upstream_state::cold || !this->step_confirmed(now))
+    {
+        return;
+    }
+    const auto grown = std::ceil(this->step_limit * this->settings.step_factor);
+    this->step_limit = static_cast<std::uint32_t>(std::min<double>(grown, this->capacity));
+    this->start_step(now);
+    if (this->step_limit >= std::min(this->capacity, full_share))
+    {
+        this->now_state = upstream_state::warm;
+        this->ejections = 0;
+    }
+}
+
+auto warmup::limit() const -> std::uint32_t
+{
+    switch (this->now_state)
+    {
+    case upstream_state::cold:
+        return this->step_limit;
+    case upstream_state::warm:
+        return static_cast<std::uint32_t>(this->adaptive_limit);
+    case upstream_state::ejected:
+    case upstream_state::leaving:
+        return 0;
+    }
+    return 0;
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
