--- /dev/null
+++ b/src/transactions/transaction_core.cpp
@@ -0,0 +1,486 @@
+#include "poplardrift/transactions/transaction_core.hpp"
+
+#include "poplardrift/base/assert.hpp"
+
+#include <algorithm>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// Visitor built from one callable for each alternative.
+template <class... Ts>
+struct overloaded : Ts...
+{
+    using Ts::operator()...;
+};
+template <class... Ts>
+overloaded(Ts...) -> overloaded<Ts...>;
+
+} // namespace
+
+auto is_not_run(transaction_refusal reason) -> bool
+{
+    switch (reason)
+    {
+    case transaction_refusal::log_unreachable:
+    case transaction_refusal::recovering:
+    case transaction_refusal::claim_not_confirmed:
+    case transaction_refusal::key_conflict:
+    case transaction_refusal::bad_ticket:
+    case transaction_refusal::window_passed:
+        return true;
+    case transaction_refusal::ticket_expired:
+    case transaction_refusal::owner_gone:
+    case transaction_refusal::outcome_unknown:
+        return false;
+    }
+    POPLARDRIFT_ASSERT(false);
+    return false;
+}
+
+auto to_text(transaction_refusal reason) -> std::string_view
+{
+    switch (reason)
+    {
+    case transaction_refusal::log_unreachable:
+        return "the platform's log cannot be reached, so the key cannot be claimed";
+    case transaction_refusal::recovering:
+        return "claims of earlier requests are still being read";
+    case transaction_refusal::claim_not_confirmed:
+        return "the claim of the key was not confirmed in time and has been given up";
+    case transaction_refusal::key_conflict:
+        return "the key was used for another request";
+    case transaction_refusal::bad_ticket:
+        return "the key was not issued by this fleet for this workspace";
+    case transaction_refusal::ticket_expired:
+        return "the key is older than the window in which keys are remembered";
+    case transaction_refusal::owner_gone:
+        return "the host that may have run the request is gone";
+    case transaction_refusal::outcome_unknown:
+        return "the request was sent and its answer never came";
+    case transaction_refusal::window_passed:
+        return "the claim of the key had grown too old before the request could be sent";
+    }
+    POPLARDRIFT_ASSERT(false);
+    return "";
+}
+
+transaction_core::transaction_core(transaction_settings settings, host_id self, incarnation_id incarnation)
+    : settings(settings), self(self), incarnation(incarnation),
+      book({std::chrono::duration_cast<log_time>(settings.dedupe_window), settings.kept_answers_bytes})
+{
+}
+
+auto transaction_core::take_actions() -> std::vector<transaction_action>
+{
+    return std::exchange(this->actions, {});
+}
+
+auto transaction_core::note(event_code code, std::string detail) -> void
+{
+    this->actions.emplace_back(note_transaction{{code, std::move(detail)}});
+}
+
+auto transaction_core::refuse(request_id id, transaction_refusal reason) -> void
+{
+    this->actions.emplace_back(refuse_transaction{id, reason});
+}
+
+auto transaction_core::trimmed(const transaction_answer& answer) const -> transaction_answer
+{
+    if (answer.body.size() <= this->settings.kept_answer_bytes)
+    {
+        return answer;
+    }
+    return {answer.status, answer.content_type, "", false};
+}
+
+auto transaction_core::on_recovered() -> void
+{
+    if (!this->recovered)
+    {
+        this->recovered = true;
+        this->note(event_code::transaction_recovered, "through offset " + std::to_string(this->applied().value()));
+    }
+}
+
+auto transaction_core::on_gap(time_point now) -> void { this->gap_until = now + this->settings.dedupe_window; }
+
+auto transaction_core::on_host_seen(host_id host, incarnation_id seen) -> void
+{
+    this->gone.erase(host);
+    this->live[host] = seen;
+}
+
+// Beginning.
+
+auto transaction_core::issue_ticket(workspace_id workspace, time_point now) -> std::string
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    return format_ticket({this->self, this->incarnation, ++this->next_ticket, seconds, workspace},
+                         this->settings.host_secret);
+}
+
+auto transaction_core::begin(const transaction_request& request, time_point now) -> void
+{
+    if (request.key.empty())
+    {
+        // The caller has no key, so nobody can repeat the request: a ticket of our own will do.
+        auto own = request;
+        own.key = this->issue_ticket(request.workspace, now);
+        this->begin_ticket(own, now);
+    }
+    else if (looks_like_ticket(request.key))
+    {
+        this->begin_ticket(request, now);
+    }
+    else
+    {
+        this->begin_claim(request, now);
+    }
+}
+
+auto transaction_core::begin_ticket(const transaction_request& request, time_point now) -> void
+{
+    const auto item = parse_ticket(request.key, this->settings.host_secret);
+    if (!item || item->workspace != request.workspace)
+    {
+        this->refuse(request.id, transaction_refusal::bad_ticket);
+        return;
+    }
+    if (item->host != this->self || item->incarnation != this->incarnation)
+    {
+        // Only the process that issued it may run it.
+        const auto seen = this->live.find(item->host);
+        const auto replaced = item->host == this->self ||
+                              (seen != this->live.end() && seen->second != item->incarnation);
+        if (request.forwarded || replaced || this->gone.contains(item->host))
+        {
+            this->refuse(request.id, transaction_refusal::owner_gone);
+            return;
+        }
+        this->actions.emplace_back(forward_transaction{request.id, item->host, item->incarnation});
+        return;
+    }
+    const auto issued = time_point(std::chrono::seconds(item->issued_seconds));
+    const auto key = make_transaction_key(request.workspace, request.key);
+    const auto found = this->tickets.find(key);
+    if (found == this->tickets.end() && now - issued >= this->settings.dedupe_window)
+    {
+        this->refuse(request.id, transaction_refusal::ticket_expired);
+        return;
+    }
+    if (found == this->tickets.end())
+    {
+        this->tickets.emplace(key, ticket_entry{request.fingerprint, now, request.id, claim_open{}});
+        this->start_run(request, {key, std::nullopt, now, {}});
+        return;
+    }
+    if (found->second.fingerprint != request.fingerprint)
+    {
+        this->refuse(request.id, transaction_refusal::key_conflict);
+    }
+    else if (found->second.runner)
+    {
+        this->join(request, *found->second.runner);
+    }
+    else
+    {
+        this->answer_from(request, found->second.status);
+    }
+}
+
+auto transaction_core::begin_claim(const transaction_request& request, time_point now) -> void
+{
+    const auto key = make_transaction_key(request.workspace, request.key);
+    const auto* winner = this->book.find(key);
+    if (winner != nullptr)
+    {
+        this->resolve(request, *winner);
+        return;
+    }
+    if (!this->recovered || (this->gap_until && now < *this->gap_until))
+    {
+        this->refuse(request.id, transaction_refusal::recovering);
+        return;
+    }
+    if (!this->log_reachable)
+    {
+        this->refuse(request.id, transaction_refusal::log_unreachable);
+        return;
+    }
+    const claim_number number{++this->next_claim};
+    this->claims.emplace(number, own_claim{request, key, now});
+    this->actions.emplace_back(append_transaction_record{
+        claim_record{key, request.fingerprint, this->self, this->incarnation, number}, number});
+}
+
+/// Deals with a request whose key was claimed before.
+auto transaction_core::resolve(const transaction_request& request, const winning_claim& winner) -> void
+{
+    if (winner.fingerprint != request.fingerprint)
+    {
+        this->refuse(request.id, transaction_refusal::key_conflict);
+        return;
+    }
+    if (!std::holds_alternative<claim_open>(winner.status))
+    {
+        this->answer_from(request, winner.status);
+        return;
+    }
+    const auto ours = winner.host == this->self && winner.incarnation == this->incarnation;
+    if (ours)
+    {
+        const auto runner = this->runner_of_key.find(make_transaction_key(request.workspace, request.key));
+        if (runner != this->runner_of_key.end())
+        {
+            this->join(request, runner->second);
+        }
+        else
+        {
+            // Our own claim that was given up: its voiding is on the way to the log.
+            this->refuse(request.id, transaction_refusal::claim_not_confirmed);
+        }
+        return;
+    }
+    const auto seen = this->live.find(winner.host);
+    const auto replaced = winner.host == this->self ||
+                          (seen != this->live.end() && seen->second != winner.incarnation);
+    if (request.forwarded || replaced || this->gone.contains(winner.host))
+    {
+        this->note(event_code::transaction_unknown, "key " + make_transaction_key(request.workspace, request.key).value());
+        this->refuse(request.id, transaction_refusal::owner_gone);
+        return;
+    }
+    this->actions.emplace_back(forward_transaction{request.id, winner.host, winner.incarnation});
+}
+
+auto transaction_core::join(const transaction_request& request, request_id runner) -> void
+{
+    const auto found = this->runs.find(runner);
+    POPLARDRIFT_ASSERT(found != this->runs.end());
+    found->second.joined.push_back(request.id);
+}
+
+auto transaction_core::answer_from(const transaction_request& request, const claim_status& status) -> void
+{
+    if (const auto* done = std::get_if<claim_done>(&status))
+    {
+        this->actions.emplace_back(replay_answer{request.id, done->answer});
+        return;
+    }
+    this->refuse(request.id, transaction_refusal::outcome_unknown);
+}
+
+auto transaction_core::start_run(const transaction_request& request, running item) -> void
+{
+    this->runner_of_key[item.key] = request.id;
+    this->runs.emplace(request.id, std::move(item));
+    this->actions.emplace_back(run_transaction{request.id, request.key});
+}
+
+// Claims.
+
+auto transaction_core::abandon(own_claim& claim, transaction_refusal reason) -> void
+{
+    if (claim.abandoned)
+    {
+        return;
+    }
+    claim.abandoned = true;
+    this->note(event_code::transaction_abandoned, "key " + claim.key.value());
+    this->refuse(claim.request.id, reason);
+}
+
+auto transaction_core::on_append(claim_number number, append_result result, time_point now) -> void
+{
+    (void)now;
+    const auto found = this->claims.find(number);
+    if (found == this->claims.end() || result != append_result::not_appended)
+    {
+        // An appended claim is acted on when it is read back; a lost answer is settled the same way.
+        return;
+    }
+    if (!found->second.abandoned)
+    {
+        this->refuse(found->second.request.id, transaction_refusal::log_unreachable);
+    }
+    this->claims.erase(found);
+}
+
+auto transaction_core::on_record(log_offset offset, log_time time, const transaction_record& record,
+                                 time_point now) -> void
+{
+    const auto winner = this->book.apply(offset, time, record);
+    const auto* claim = std::get_if<claim_record>(&record);
+    const auto ours = claim != nullptr && winner && claim->host == this->self &&
+                      claim->incarnation == this->incarnation;
+    if (ours)
+    {
+        this->on_own_claim(claim->number, *winner, now);
+    }
+}
+
+auto transaction_core::on_own_claim(claim_number number, const winning_claim& winner, time_point now) -> void
+{
+    const auto found = this->claims.find(number);
+    if (found == this->claims.end())
+    {
+        return;
+    }
+    const auto claim = found->second;
+    this->claims.erase(found);
+    const auto won = winner.host == this->self && winner.incarnation == this->incarnation &&
+                     winner.number == number;
+    if (!won)
+    {
+        this->note(event_code::transaction_lost, "key " + claim.key.value());
+        if (!claim.abandoned)
+        {
+            this->resolve(claim.request, winner);
+        }
+        return;
+    }
+    if (claim.abandoned)
+    {
+        // It was given up before it was seen: say on the log that it never ran.
+        this->actions.emplace_back(append_transaction_record{void_record{claim.key, winner.offset}, std::nullopt});
+        return;
+    }
+    this->note(event_code::transaction_claimed, "key " + claim.key.value());
+    this->start_run(claim.request, {claim.key, winner.offset, claim.started, {}});
+    (void)now;
+}
+
+auto transaction_core::may_send(request_id id, time_point now) const -> bool
+{
+    const auto found = this->runs.find(id);
+    return found != this->runs.end() &&
+           now - found->second.started < this->settings.dedupe_window - this->settings.window_margin;
+}
+
+// Ends.
+
+auto transaction_core::settle_claim(const running& item, const run_result& result) -> void
+{
+    const auto claim = *item.claim;
+    const auto record = std::visit(
+        overloaded{[&](const run_not_sent&) -> transaction_record { return void_record{item.key, claim}; },
+                   [&](const run_answered& done) -> transaction_record
+                   { return done_record{item.key, claim, this->trimmed(done.answer)}; },
+                   [&](const run_unknown&) -> transaction_record { return unknown_record{item.key, claim}; }},
+        result);
+    this->actions.emplace_back(append_transaction_record{record, std::nullopt});
+}
+
+auto transaction_core::settle_ticket(const transaction_key& key, const run_result& result) -> void
+{
+    const auto found = this->tickets.find(key);
+    POPLARDRIFT_ASSERT(found != this->tickets.end());
+    found->second.runner.reset();
+    std::visit(overloaded{[&](const run_not_sent&) { this->tickets.erase(found); },
+                          [&](const run_answered& done)
+                          { found->second.status = claim_done{this->trimmed(done.answer)}; },
+                          [&](const run_unknown&) { found->second.status = claim_unknown{}; }},
+               result);
+}
+
+auto transaction_core::on_run_result(request_id id, const run_result& result, time_point now) -> void
+{
+    (void)now;
+    const auto found = this->runs.find(id);
+    POPLARDRIFT_ASSERT(found != this->runs.end());
+    const auto item = std::move(found->second);
+    this->runs.erase(found);
+    this->runner_of_key.erase(item.key);
+    if (item.claim)
+    {
+        this->settle_claim(item, result);
+    }
+    else
+    {
+        this->settle_ticket(item.key, result);
+    }
+    // Repeats that waited get the same end.
+    for (const auto& joined : item.joined)
+    {
+        std::visit(overloaded{[&](const run_not_sent&)
+                              { this->refuse(joined, transaction_refusal::claim_not_confirmed); },
+                              [&](const run_answered& done)
+                              { this->actions.emplace_back(replay_answer{joined, done.answer}); },
+                              [&](const run_unknown&)
+                              { this->refuse(joined, transaction_refusal::outcome_unknown); }},
+                   result);
+    }
+}
+
+auto transaction_core::on_caller_gone(request_id id, time_point now) -> void
+{
+    (void)now;
+    for (auto& [number, claim] : this->claims)
+    {
+        if (claim.request.id == id)
+        {
+            this->abandon(claim, transaction_refusal::claim_not_confirmed);
+        }
+    }
+    for (auto& [runner, item] : this->runs)
+    {
+        std::erase(item.joined, id);
+    }
+}
+
+auto transaction_core::on_tick(time_point now) -> void
+{
+    for (auto& [number, claim] : this->claims)
+    {
+        const auto late = now - claim.started >= this->settings.claim_timeout || now >= claim.request.deadline;
+        if (late)
+        {
+            this->abandon(claim, transaction_refusal::claim_not_confirmed);
+        }
+    }
+    // A claim that has not shown up within the window lost its chance to.
+    std::erase_if(this->claims, [&](const auto& item)
+                  { return item.second.abandoned && now - item.second.started > 2 * this->settings.dedupe_window; });
+    std::erase_if(this->tickets,
+                  [&](const auto& item)
+                  {
+                      const auto old = now - item.second.used >= this->settings.dedupe_window;
+                      return old && !item.second.runner;
+                  });
+}
+
+auto transaction_core::lookup(workspace_id workspace, const std::string& key) const -> key_lookup
+{
+    const auto hashed = make_transaction_key(workspace, key);
+    key_lookup result;
+    result.as_of = this->applied();
+    const claim_status* status = nullptr;
+    if (const auto ticket_found = this->tickets.find(hashed); ticket_found != this->tickets.end())
+    {
+        status = &ticket_found->second.status;
+    }
+    else if (const auto* winner = this->book.find(hashed))
+    {
+        status = &winner->status;
+    }
+    if (status == nullptr)
+    {
+        return result;
+    }
+    std::visit(overloaded{[&](const claim_open&) { result.what = key_lookup::state::running; },
+                          [&](const claim_done& done)
+                          {
+                              result.what = key_lookup::state::done;
+                              result.answer = done.answer;
+                          },
+                          [&](const claim_unknown&) { result.what = key_lookup::state::unknown; }},
+               *status);
+    return result;
+}
+
+} // namespace poplardrift
