--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -9,6 +9,7 @@
 #include "poplardrift/membership/membership.hpp"
 #include "poplardrift/slots/slot_owner.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,11 +55,20 @@
     std::vector<placement_exception> exceptions; ///< places that others should learn
 };
 
+/// An engine whose reports this host has to read.
+struct owned_engine
+{
+    upstream_id id;
+    std::string address;
+    std::uint16_t port = 0;
+};
+
 /// A message for another host.
 struct send_message
 {
     host_id to;
     peer_message message;
+    std::string bytes; ///< the message as it goes on the wire
 };
 
 /// A connection to another host takes messages but nothing arrives: dial it anew.
@@ -106,6 +116,12 @@
     nlohmann::json snapshot;
 };
 
+/// Read this upstream's report at once: a sign has to be settled.
+struct poll_report_now
+{
+    owned_engine engine;
+};
+
 /// Something for the log and the audit trail.
 struct note_event
 {
@@ -114,7 +130,7 @@
 
 /// What the control state wants done, in order.
 using control_action = std::variant<send_message, reconnect_peer, apply_grant, revoke_slots, note_free_slots,
-                                    learn_exception, publish_view, append_snapshot, note_event>;
+                                    learn_exception, publish_view, append_snapshot, poll_report_now, note_event>;
 
 /// State of an upstream for operators.
 struct upstream_overview
@@ -159,11 +175,12 @@
     [[nodiscard]] auto config() const -> const configuration& { return this->configured; }
     [[nodiscard]] auto declared() const -> const declarations& { return this->parsed; }
     [[nodiscard]] auto members() const -> const membership& { return this->hosts; }
-    [[nodiscard]] auto owned() const -> std::vector<upstream_id>;
+    [[nodiscard]] auto owned_engines() const -> std::vector<owned_engine>;
     [[nodiscard]] auto overview(time_point now) const -> std::vector<upstream_overview>;
     /// Configuration offsets of all hosts as last heard, this one among them.
     [[nodiscard]] auto configuration_offsets() const -> std::map<std::string, log_offset>;
     [[nodiscard]] auto log_is_reachable() const noexcept -> bool { return this->log_reachable; }
+    [[nodiscard]] auto incarnation_of(host_id host) const -> incarnation_id;
     /// Why this host should take no requests; empty when it should.
     [[nodiscard]] auto not_ready_reason() const -> std::string;
     /// All control bytes so far.
@@ -182,6 +199,7 @@
         log_offset configuration;
         bool configuration_differs = false; ///< same offset, other content
         bool wants_configuration = false;
+        std::uint64_t exceptions_told = 0; ///< number of places that it has been told
         time_point update_sent{};
     };
 
@@ -211,7 +229,8 @@
     auto accept_signs(host_id from, const peer_message& message, time_point now) -> void;
     auto accept_configuration(host_id from, peer_state& from_state, const peer_message& message,
                               time_point now) -> void;
-    auto apply_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void;
+    auto apply_sign(host_id from, upstream_id upstream, upstream_state suspected, time_point now) -> void;
+    [[nodiscard]] auto is_believed(host_id from, upstream_id upstream, time_point now) -> bool;
 
     auto take_configuration(time_point now) -> void;
     auto note_audit() -> void;
@@ -230,6 +249,8 @@
     auto add_reports(host_id to, const peer_state& state, const host_usage& usage, peer_message& message) const
         -> void;
     auto add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void;
+    auto add_exceptions(peer_state& state, peer_message& message, time_point now) -> void;
+    auto remember_exceptions(const std::vector<placement_exception>& fresh) -> void;
     auto add_configuration(peer_state& state, peer_message& message, time_point now) -> void;
     [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
         -> slot_grant;
@@ -252,6 +273,7 @@
     std::map<upstream_id, upstream_knowledge> known;
     std::map<upstream_id, recent_sign> signs;
     std::map<heard_sign, std::uint32_t> heard_signs; ///< with the count last heard
+    std::map<heard_sign, time_point> sign_times;     ///< of all hosts
     std::map<pool_id, std::uint32_t> own_loads;
     std::map<upstream_id, time_point> self_granted;
     std::uint64_t self_sequence = 0;
@@ -267,6 +289,8 @@
     std::int64_t records_since_snapshot = 0;
     time_point snapshot_seen{};
     std::uint32_t configuration_digest = 0;
+    std::deque<placement_exception> exception_log; ///< the last places to tell
+    std::uint64_t exception_end = 0;               ///< number of all places ever in that log
 };
 
 } // namespace poplardrift
--- /dev/null
+++ b/include/poplardrift/core/control_event.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "poplardrift/core/control_core.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace poplardrift
+{
+
+/// The platform's host list was read.
+struct host_list_read
+{
+    std::vector<host_address> live;
+    std::vector<std::string> leaving;
+};
+
+/// A message of another host arrived and is authentic.
+struct peer_message_received
+{
+    peer_message message;
+};
+
+/// The configuration's stream was read; the list may be empty.
+struct log_records_read
+{
+    std::vector<log_record> records;
+};
+
+/// The log did not answer.
+struct log_read_failed
+{
+};
+
+/// An upstream that this host owns reported.
+struct upstream_reported
+{
+    upstream_id upstream;
+    upstream_report report;
+};
+
+/// This host saw that an upstream turned cold or fails.
+struct sign_seen
+{
+    upstream_id upstream;
+    upstream_state suspected = upstream_state::cold;
+};
+
+/// The shell caused control traffic by other means than messages between hosts.
+struct control_bytes_spent
+{
+    std::size_t bytes = 0;
+};
+
+/// A planned stop begins.
+struct stop_requested
+{
+};
+
+/// Everything that the control state is told from outside.
+using control_event = std::variant<host_list_read, peer_message_received, log_records_read, log_read_failed,
+                                   upstream_reported, sign_seen, control_bytes_spent, stop_requested>;
+
+/// Hands an event to the control state.
+auto handle_event(control_core& core, const control_event& what, time_point now) -> void;
+
+/// Collects what the control state needs from admission for one tick. Call it under admission's
+/// lock.
+[[nodiscard]] auto collect_usage(admission& from, std::size_t most_exceptions, time_point now) -> host_usage;
+
+/// Applies an action that concerns admission. False when the action is for the shell. Call it under
+/// admission's lock.
+auto apply_to_admission(const control_action& action, admission& target, time_point now) -> bool;
+
+} // namespace poplardrift
--- a/include/poplardrift/slots/warmup.hpp
+++ b/include/poplardrift/slots/warmup.hpp
@@ -31,6 +31,7 @@
     duration ejection = std::chrono::seconds(2); ///< first ejection
     duration longest_ejection = std::chrono::seconds(60);
     duration report_timeout = std::chrono::seconds(5); ///< without a report for that long: unknown
+    duration doubt_timeout = std::chrono::seconds(2);  ///< a doubt that no report settles by then holds
     double decrease = 0.85; ///< factor on the adaptive limit when the upstream has a queue
 };
 
@@ -46,7 +47,9 @@
     /// Takes over what the former owner had published, if the upstream still is the same process.
     auto inherit(const upstream_status& published) -> void;
     auto on_report(const upstream_report& report, time_point now) -> void;
-    /// A host's sign that the upstream turned cold (or fails, with `ejected`).
+    /// A host's sign that the upstream turned cold (or fails, with `ejected`). An upstream that
+    /// reports gets only its cold limit until its next report settles the doubt; of one that does
+    /// not report, the sign is believed.
     auto on_sign(upstream_state suspected, time_point now) -> void;
     /// Use as the owner's ledger knows it; lets steps go on. `full_share` is what the upstream would
     /// carry of its pool's present load: a step that reaches it ends the cold start.
@@ -56,6 +59,8 @@
     [[nodiscard]] auto state() const noexcept -> upstream_state { return this->now_state; }
     /// Most requests in flight from all hosts, apart from the bound by the pool's mean.
     [[nodiscard]] auto limit() const -> std::uint32_t;
+    /// True while a sign waits for a report to settle it.
+    [[nodiscard]] auto is_in_doubt() const -> bool { return this->doubted.has_value(); }
     [[nodiscard]] auto incarnation() const noexcept -> std::uint32_t { return this->known_incarnation; }
     [[nodiscard]] auto last_report() const -> const std::optional<upstream_report>& { return this->report; }
 
@@ -74,6 +79,7 @@
     std::uint32_t known_incarnation = 0;
     std::optional<upstream_report> report;
     std::optional<upstream_status> inherited;
+    std::optional<time_point> doubted; ///< when a sign came that no report has settled
     time_point reported{};
     time_point step_start{};
     std::uint64_t served_at_step = 0;
--- a/include/poplardrift/transactions/transaction_core.hpp
+++ b/include/poplardrift/transactions/transaction_core.hpp
@@ -163,6 +163,8 @@
 
     /// True when a claim may still be acted on. To be asked right before sending.
     [[nodiscard]] auto may_send(request_id id, time_point now) const -> bool;
+    /// True when the request waits for another one with the same key.
+    [[nodiscard]] auto is_joined(request_id id) const -> bool;
     [[nodiscard]] auto lookup(workspace_id workspace, const std::string& key) const -> key_lookup;
     /// Offset up to which the stream has been folded.
     [[nodiscard]] auto applied() const noexcept -> log_offset { return this->book.applied(); }
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -1,6 +1,7 @@
 #include "poplardrift/core/control_core.hpp"
 
 #include "poplardrift/base/assert.hpp"
+#include "poplardrift/gossip/codec.hpp"
 
 #include <algorithm>
 
@@ -21,6 +22,11 @@
 /// Each host waits that much longer than the one before it, so that mostly one appends.
 constexpr duration snapshot_stagger = std::chrono::seconds(3);
 
+/// Signs of two hosts within this time support each other.
+constexpr duration sign_memory = std::chrono::seconds(5);
+/// Places of conversations that wait to be told; older ones are dropped.
+constexpr std::size_t most_logged_exceptions = 4096;
+
 auto status_text(member_status status) -> std::string
 {
     switch (status)
@@ -485,13 +491,39 @@
     }
 }
 
-auto control_core::apply_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void
+auto control_core::is_believed(host_id from, upstream_id upstream, time_point now) -> bool
+{
+    // A host that is cut off sees every upstream beyond the cut fail. One host's word is not enough
+    // for all, unless it is this one's own.
+    this->sign_times[{from, upstream}] = now;
+    const auto agreeing = std::count_if(this->sign_times.begin(), this->sign_times.end(),
+                                        [&](const auto& item)
+                                        {
+                                            return item.first.upstream == upstream &&
+                                                   now - item.second < sign_memory;
+                                        });
+    return from == this->hosts.self() || agreeing >= 2;
+}
+
+auto control_core::apply_sign(host_id from, upstream_id upstream, upstream_state suspected, time_point now)
+    -> void
 {
+    const auto* item = this->declaration_of(upstream);
+    const auto believed = this->is_believed(from, upstream, now);
+    if (item == nullptr || (item->kind == upstream_kind::service && !believed))
+    {
+        return;
+    }
     this->actions.emplace_back(revoke_slots{upstream});
+    if (!this->owner.owns(upstream))
+    {
+        return;
+    }
     this->owner.on_sign(upstream, suspected, now);
-    for (auto& [id, state] : this->peers)
+    if (item->kind == upstream_kind::engine)
     {
-        state.urgent = true;
+        this->actions.emplace_back(
+            poll_report_now{{upstream, item->address, static_cast<std::uint16_t>(item->port)}});
     }
 }
 
@@ -505,7 +537,7 @@
             continue;
         }
         count = sign.count;
-        this->apply_sign(sign.upstream, sign.suspected, now);
+        this->apply_sign(from, sign.upstream, sign.suspected, now);
     }
 }
 
@@ -514,7 +546,11 @@
     auto& own = this->signs[upstream];
     own.sign = {upstream, suspected, own.sign.count + 1};
     own.told = now;
-    this->apply_sign(upstream, suspected, now);
+    for (auto& [id, state] : this->peers)
+    {
+        state.urgent = true;
+    }
+    this->apply_sign(this->hosts.self(), upstream, suspected, now);
 }
 
 auto control_core::on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now)
@@ -593,6 +629,32 @@
     }
 }
 
+auto control_core::remember_exceptions(const std::vector<placement_exception>& fresh) -> void
+{
+    this->exception_log.insert(this->exception_log.end(), fresh.begin(), fresh.end());
+    this->exception_end += fresh.size();
+    while (this->exception_log.size() > most_logged_exceptions)
+    {
+        this->exception_log.pop_front();
+    }
+}
+
+auto control_core::add_exceptions(peer_state& state, peer_message& message, time_point now) -> void
+{
+    // Places of conversations matter least: they take what room the rest leaves.
+    if (static_cast<double>(this->budget.room(now)) < this->settings.budget.burst_bytes / 4)
+    {
+        return;
+    }
+    const auto first = this->exception_end - this->exception_log.size();
+    auto next = std::max(state.exceptions_told, first);
+    for (; next < this->exception_end && message.exceptions.size() < this->settings.exceptions_a_message; ++next)
+    {
+        message.exceptions.push_back(this->exception_log[next - first]);
+    }
+    state.exceptions_told = next;
+}
+
 auto control_core::add_configuration(peer_state& state, peer_message& message, time_point now) -> void
 {
     message.configuration = this->configured.applied();
@@ -627,12 +689,7 @@
     this->add_reports(to, state, usage, message);
     this->add_grants(to, state, message, now);
     message.loads = usage.loads;
-    // Places of conversations matter least: they take what room is left.
-    const auto room = this->budget.room(now) > this->settings.budget.burst_bytes / 4;
-    if (room)
-    {
-        message.exceptions = usage.exceptions;
-    }
+    this->add_exceptions(state, message, now);
     state.link.stamp(message, now);
     return message;
 }
@@ -656,7 +713,10 @@
         return;
     }
     state.urgent = false;
-    this->actions.emplace_back(send_message{to, this->compose(to, state, usage, now)});
+    auto message = this->compose(to, state, usage, now);
+    auto bytes = encode_message(message, this->settings.configuration.host_secret);
+    this->budget.spend(bytes.size(), now);
+    this->actions.emplace_back(send_message{to, std::move(message), std::move(bytes)});
 }
 
 auto control_core::tick_peers(const host_usage& usage, time_point now) -> void
@@ -719,6 +779,7 @@
 {
     this->hosts.on_tick(now);
     this->update_owners(now);
+    this->remember_exceptions(usage.exceptions);
     this->tick_owned(usage, now);
     this->tick_peers(usage, now);
     this->tick_snapshot(now);
@@ -727,7 +788,19 @@
 
 // What operators see.
 
-auto control_core::owned() const -> std::vector<upstream_id> { return this->owner.ids(); }
+auto control_core::owned_engines() const -> std::vector<owned_engine>
+{
+    std::vector<owned_engine> result;
+    for (const auto id : this->owner.ids())
+    {
+        const auto* item = this->declaration_of(id);
+        if (item != nullptr && item->kind == upstream_kind::engine)
+        {
+            result.push_back({id, item->address, static_cast<std::uint16_t>(item->port)});
+        }
+    }
+    return result;
+}
 
 auto control_core::overview(time_point now) const -> std::vector<upstream_overview>
 {
@@ -754,6 +827,12 @@
     return result;
 }
 
+auto control_core::incarnation_of(host_id host) const -> incarnation_id
+{
+    const auto* found = this->hosts.find(host);
+    return found == nullptr ? incarnation_id{} : found->incarnation;
+}
+
 auto control_core::configuration_offsets() const -> std::map<std::string, log_offset>
 {
     std::map<std::string, log_offset> result;
--- /dev/null
+++ b/src/daemon/admin_api.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "daemon/traffic_context.hpp"
+#include "net/http_listener.hpp"
+
+namespace poplardrift
+{
+
+/// The operators' interface: state, configuration, history, and the taking in of signed changes.
+class admin_api final
+{
+public:
+    explicit admin_api(traffic_context& context);
+
+    [[nodiscard]] auto start() -> bool { return this->listener.start(); }
+    auto stop() -> void { this->listener.stop(); }
+
+private:
+    auto handle_status(httplib::Response& response) -> void;
+    auto handle_config(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_audit(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_change(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_change_lookup(const std::string& id, httplib::Response& response) -> void;
+    [[nodiscard]] auto find_faults(const config_change& change) -> std::vector<config_error>;
+    [[nodiscard]] auto wait_for_change(const std::string& id) -> std::optional<audit_entry>;
+
+    traffic_context& context;
+    http_listener listener;
+};
+
+/// The audit entry as operators read it.
+[[nodiscard]] auto to_json(const audit_entry& entry) -> nlohmann::json;
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/admission_service.cpp
@@ -0,0 +1,96 @@
+#include "daemon/admission_service.hpp"
+
+#include "net/clock.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// A wait is looked at once more this long after its deadline, in case no tick came.
+constexpr duration deadline_slack = std::chrono::milliseconds(500);
+
+} // namespace
+
+admission_service::admission_service(admission_settings settings, std::function<void()> on_ask)
+    : core(settings), on_ask(std::move(on_ask))
+{
+}
+
+auto admission_service::tell_ended() -> void
+{
+    for (const auto& item : this->core.take_ended())
+    {
+        const auto found = this->waits.find(item.id);
+        if (found == this->waits.end())
+        {
+            continue;
+        }
+        found->second->result = item.result;
+        found->second->changed.notify_one();
+        this->waits.erase(found);
+    }
+}
+
+auto admission_service::view() -> std::shared_ptr<const routing_view>
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.view();
+}
+
+auto admission_service::next_request() -> request_id
+{
+    const std::lock_guard lock(this->mutex);
+    return request_id{++this->requests};
+}
+
+auto admission_service::acquire(const placement_request& wish) -> std::variant<placed, refused>
+{
+    std::unique_lock lock(this->mutex);
+    const auto result = this->core.request(wish, monotonic_now());
+    this->tell_ended();
+    if (const auto* place = std::get_if<placed>(&result))
+    {
+        return *place;
+    }
+    if (const auto* refusal = std::get_if<refused>(&result))
+    {
+        return *refusal;
+    }
+    wait_handle handle;
+    this->waits.emplace(wish.id, &handle);
+    lock.unlock();
+    this->on_ask();
+    lock.lock();
+    const auto until = std::chrono::steady_clock::time_point(wish.deadline.time_since_epoch() + deadline_slack);
+    handle.changed.wait_until(lock, until, [&] { return handle.result.has_value(); });
+    if (!handle.result)
+    {
+        this->waits.erase(wish.id);
+        this->core.cancel(wish.id);
+        return refused{refusal::queue_timeout};
+    }
+    return *handle.result;
+}
+
+auto admission_service::release(upstream_id upstream, workspace_id workspace) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->core.release(upstream, workspace, monotonic_now());
+    this->tell_ended();
+}
+
+auto admission_service::still_valid(upstream_id upstream) -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.still_valid(upstream, monotonic_now());
+}
+
+auto admission_service::on_result(upstream_id upstream, bool succeeded) -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.on_result(upstream, succeeded, monotonic_now());
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/chat_relay.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "daemon/caller_request.hpp"
+#include "daemon/traffic_context.hpp"
+#include "poplardrift/streams/event_sequencer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace poplardrift
+{
+
+/// A chat as the caller asked for it.
+struct chat_request
+{
+    caller_request caller;
+    std::string body;                ///< as it came
+    bool stream = false;
+    conversation_id conversation;
+    std::optional<upstream_id> hint;
+    httplib::Headers forwarded;      ///< headers that go on to the engine
+};
+
+/// Answers one chat: finds a slot, sends the request to the engine, relays the answer, and takes a
+/// broken answer up again, at the same engine or at another one. Blocking; one thread at a time.
+class chat_relay final
+{
+public:
+    /// Called once, when it is certain that an answer comes; it returns when the answer's body may
+    /// be written.
+    using commit_function = std::function<void()>;
+    /// Takes bytes for the caller; false when the caller is gone.
+    using write_function = std::function<bool(std::string_view bytes)>;
+
+    chat_relay(traffic_context& context, chat_request request);
+
+    /// Relays a streamed answer. Before the commit nothing has been written.
+    auto run_stream(const commit_function& commit, const write_function& write) -> void;
+    /// Gets a whole answer.
+    auto run_whole() -> void;
+
+    /// Why there is no answer, or why it ended broken.
+    [[nodiscard]] auto fault() const -> const std::optional<problem>& { return this->why; }
+    [[nodiscard]] auto is_committed() const -> bool { return this->committed; }
+    [[nodiscard]] auto is_complete() const -> bool { return this->complete; }
+    /// The whole answer, for `run_whole`, or an engine's own refusal.
+    [[nodiscard]] auto whole_answer() const -> const std::string& { return this->body; }
+    [[nodiscard]] auto whole_status() const -> int { return this->status; }
+    [[nodiscard]] auto whole_type() const -> const std::string& { return this->content_type; }
+    /// Where the chat runs, for the affinity hint.
+    [[nodiscard]] auto place() const -> upstream_id { return this->upstream.id; }
+    [[nodiscard]] auto request() const -> const chat_request& { return this->asked; }
+
+private:
+    enum class attempt_end : std::uint8_t
+    {
+        complete,
+        caller_gone,
+        engine_refused, ///< the engine's own answer goes to the caller
+        try_elsewhere,
+        try_resume,     ///< broke midway; the engine may still hold the answer
+        out_of_time,
+    };
+
+    [[nodiscard]] auto acquire_slot() -> bool;
+    auto release_slot() -> void;
+    auto exclude_upstream() -> void;
+    auto run_attempts() -> void;
+    [[nodiscard]] auto attempt_at_slot() -> attempt_end;
+    [[nodiscard]] auto exchange(bool resume, bool fresh) -> attempt_end;
+    [[nodiscard]] auto make_request(bool resume) const -> httplib::Request;
+    [[nodiscard]] auto body_to_continue() const -> std::string;
+    [[nodiscard]] auto on_headers(const httplib::Response& response) -> bool;
+    [[nodiscard]] auto on_bytes(std::string_view bytes) -> bool;
+    [[nodiscard]] auto judge(const httplib::Response& response, bool answered, httplib::Error error, bool reused)
+        -> attempt_end;
+    [[nodiscard]] auto judge_status(int answer_status) -> attempt_end;
+    auto note_event_times() -> void;
+    auto finish() -> void;
+    auto fail(int problem_status, const std::string& detail, request_outcome what, int retry_after) -> void;
+    [[nodiscard]] auto is_out_of_time() const -> bool;
+
+    traffic_context& context;
+    chat_request asked;
+    const route_metrics& times;
+    commit_function commit;
+    write_function write;
+    upstream_view upstream;      ///< of the present attempt
+    std::array<upstream_id, placement_request::most_excluded> excluded{};
+    std::size_t excluded_count = 0;
+    sse_splitter splitter;
+    event_sequencer sequencer;
+    std::vector<std::string_view> due;
+    std::string stream_id;       ///< the engine's name for the answer
+    std::string body;
+    std::string content_type;
+    int status = 0;
+    bool committed = false;
+    bool complete = false;
+    bool caller_gone = false;
+    bool mismatched = false;     ///< the answer was another request's
+    bool holds_slot = false;
+    time_point last_event{};
+    std::optional<problem> why;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/control_service.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "daemon/admission_service.hpp"
+#include "daemon/peer_transport.hpp"
+#include "daemon/settings.hpp"
+#include "net/growing_task_queue.hpp"
+#include "net/timer_service.hpp"
+#include "observability/logging.hpp"
+#include "observability/metrics.hpp"
+#include "poplardrift/core/control_event.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace poplardrift
+{
+
+/// Other hosts as the traffic side needs them: where each is reached.
+struct host_directory
+{
+    std::map<host_id, member> hosts;
+};
+
+/// The control thread: owns the control state, feeds it events, carries out its actions, and runs
+/// the readers of the log, the host list and the engines' reports.
+class control_service final
+{
+public:
+    control_service(const daemon_settings& settings, incarnation_id incarnation, admission_service& traffic,
+                    event_log& log, metrics& figures);
+    ~control_service();
+
+    /// Listens for other hosts and starts all threads. The reason tells why it cannot.
+    [[nodiscard]] auto start() -> std::optional<std::string>;
+    auto stop() -> void;
+
+    /// Hands an event to the control thread. Any thread; does not wait.
+    auto post(control_event what) -> void;
+    /// Makes the control thread look at once. Any thread.
+    auto wake() -> void;
+    /// Runs a function on the control thread and waits for its result. Any other thread.
+    template <class Function>
+    [[nodiscard]] auto inspect(Function function) -> decltype(function(std::declval<const control_core&>()))
+    {
+        using result_type = decltype(function(std::declval<const control_core&>()));
+        std::packaged_task<result_type(const control_core&)> task(std::move(function));
+        auto result = task.get_future();
+        this->run_on_control([&task](const control_core& core) { task(core); });
+        return result.get();
+    }
+    [[nodiscard]] auto directory() -> std::shared_ptr<const host_directory>;
+    /// Why this host should take no requests; empty when it should.
+    [[nodiscard]] auto not_ready_reason() -> std::string;
+    /// Told on the control thread after a change of hosts.
+    auto on_directory(std::function<void(const host_directory&)> listener) -> void { this->directory_listener = std::move(listener); }
+
+private:
+    auto run_on_control(std::function<void(const control_core&)> task) -> void;
+    auto run() -> void;
+    auto step() -> void;
+    auto carry_out(const control_action& action) -> void;
+    auto publish_directory() -> void;
+    auto read_configuration_loop() -> void;
+    auto poll_hosts() -> void;
+    auto poll_reports() -> void;
+    auto poll_report(upstream_id id, const std::string& address, std::uint16_t port) -> void;
+    auto append_snapshot_now(const nlohmann::json& snapshot) -> void;
+
+    daemon_settings settings;
+    admission_service& traffic;
+    event_log& log;
+    metrics& figures;
+    peer_transport transport;
+    timer_service timers;
+    growing_task_queue helpers;
+    std::unique_ptr<control_core> core; ///< only the control thread touches it once started
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<control_event> events;
+    std::deque<std::function<void(const control_core&)>> tasks;
+    bool woken = false;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+    std::thread reader;
+    std::mutex directory_mutex;
+    std::shared_ptr<const host_directory> hosts;
+    std::string readiness;
+    std::uint64_t directory_revision = 0;
+    std::function<void(const host_directory&)> directory_listener;
+    std::atomic<std::uint64_t> applied{0};
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/http_front.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "daemon/chat_relay.hpp"
+#include "daemon/service_relay.hpp"
+#include "daemon/traffic_context.hpp"
+#include "net/http_listener.hpp"
+
+#include <string>
+
+namespace poplardrift
+{
+
+/// The callers' interface: finds route and workspace of each request, checks it, and hands it to the
+/// relay for its kind. Handlers run on the listener's threads.
+class http_front final
+{
+public:
+    http_front(traffic_context& context, std::string id_prefix);
+
+    [[nodiscard]] auto start() -> bool { return this->listener.start(); }
+    auto stop() -> void { this->listener.stop(); }
+
+private:
+    auto handle(const httplib::Request& request, httplib::Response& response) -> void;
+    [[nodiscard]] auto handle_own_path(const httplib::Request& request, httplib::Response& response) -> bool;
+    [[nodiscard]] auto identify(const httplib::Request& request, httplib::Response& response, caller_request& caller) -> bool;
+    [[nodiscard]] auto check_size(const httplib::Request& request) const -> std::optional<problem>;
+    auto handle_chat(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void;
+    auto handle_service(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void;
+    auto handle_new_key(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_lookup(const httplib::Request& request, httplib::Response& response) -> void;
+    auto answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response) -> void;
+    auto answer_whole(chat_relay& relay, httplib::Response& response) -> void;
+    [[nodiscard]] auto workspace_of(const httplib::Request& request, const routing_view& view) const -> const workspace_view*;
+    [[nodiscard]] auto new_id() -> std::pair<request_id, std::string>;
+    auto refuse(httplib::Response& response, const problem& fault, const std::string& id) -> void;
+
+    traffic_context& context;
+    std::string id_prefix;
+    http_listener listener;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/peer_transport.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "daemon/settings.hpp"
+
+#include <nng/nng.h>
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+struct nng_tls_config;
+
+namespace poplardrift
+{
+
+/// Carries messages between hosts over nng: each host pulls at one address and pushes to every
+/// other host over a connection of its own.
+class peer_transport final
+{
+public:
+    using receiver = std::function<void(std::string_view bytes)>;
+
+    /// `receive` is called on the transport's own thread.
+    peer_transport(const host_address& self, const tls_settings& tls, receiver receive);
+    ~peer_transport();
+    peer_transport(const peer_transport&) = delete;
+    auto operator=(const peer_transport&) -> peer_transport& = delete;
+
+    /// Listens. The reason tells why it cannot.
+    [[nodiscard]] auto start() -> std::optional<std::string>;
+    /// Hands a message to the connection; drops it when the connection takes none. Never blocks.
+    auto send(const host_address& to, const std::string& bytes) -> void;
+    /// Closes the connection to a host, so that the next message dials anew.
+    auto reconnect(const host_address& to) -> void;
+    auto stop() -> void;
+
+private:
+    struct outgoing
+    {
+        nng_socket socket{};
+        std::string url;
+    };
+
+    [[nodiscard]] auto url_of(const host_address& where) const -> std::string;
+    [[nodiscard]] auto dial(const std::string& url) -> outgoing;
+    [[nodiscard]] auto make_tls(bool server) const -> ::nng_tls_config*;
+    auto receive_loop() -> void;
+
+    host_address self;
+    tls_settings tls;
+    receiver receive;
+    nng_socket incoming{};
+    bool listening = false;
+    std::thread thread;
+    std::mutex mutex;
+    std::map<std::string, outgoing> connections; ///< by host name
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/service_relay.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "daemon/caller_request.hpp"
+#include "daemon/traffic_context.hpp"
+
+#include <optional>
+#include <string>
+
+namespace poplardrift
+{
+
+/// A request to a plain service.
+struct service_request
+{
+    caller_request caller;
+    std::string method;
+    std::string target;        ///< path with its query
+    std::string body;
+    std::string key;           ///< Idempotency-Key; empty: none
+    bool forwarded = false;    ///< another host sent it here
+    httplib::Headers headers;  ///< that go on to the service
+};
+
+/// What the caller gets.
+struct service_answer
+{
+    transaction_answer answer;
+    std::string key;       ///< key of the transaction, for the caller to ask with; empty: none
+    bool replayed = false; ///< the answer was given before
+};
+
+/// Answers requests to plain services: those that may be repeated are retried within deadline and
+/// budget; those that may not run at most once, by the word of the transaction state.
+class service_relay final
+{
+public:
+    service_relay(traffic_context& context, service_request request);
+
+    /// Runs the request. Blocking.
+    auto run() -> void;
+
+    [[nodiscard]] auto fault() const -> const std::optional<problem>& { return this->why; }
+    [[nodiscard]] auto result() const -> const service_answer& { return this->got; }
+
+private:
+    /// How one exchange with an upstream ended.
+    enum class exchange_end : std::uint8_t
+    {
+        answered,
+        never_sent,    ///< proved: nothing left for the upstream
+        said_not_run,  ///< the upstream says so and may be believed
+        unknown,
+    };
+
+    auto run_idempotent() -> void;
+    auto run_transaction_request() -> void;
+    auto run_once() -> run_result;
+    auto forward_to(const forward_transaction& verdict) -> void;
+    [[nodiscard]] auto acquire_slot() -> bool;
+    auto release_slot() -> void;
+    [[nodiscard]] auto exchange(bool fresh) -> exchange_end;
+    auto fail(int status, const std::string& detail, request_outcome what, int retry_after) -> void;
+    auto fail_refused(transaction_refusal reason) -> void;
+    auto finish() -> void;
+
+    traffic_context& context;
+    service_request asked;
+    upstream_view upstream;
+    std::array<upstream_id, placement_request::most_excluded> excluded{};
+    std::size_t excluded_count = 0;
+    bool holds_slot = false;
+    service_answer got;
+    std::optional<problem> why;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/traffic_context.cpp
@@ -0,0 +1,62 @@
+#include "daemon/traffic_context.hpp"
+
+#include "net/clock.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// Signs of one upstream are told at most this often.
+constexpr duration sign_interval = std::chrono::milliseconds(500);
+
+} // namespace
+
+traffic_context::traffic_context(const daemon_settings& settings, admission_service& slots,
+                                 control_service& control, transaction_service& transactions, event_log& log,
+                                 metrics& figures)
+    : settings(settings), slots(slots), control(control), transactions(transactions), log(log),
+      figures(figures), upstreams(settings.host.address)
+{
+}
+
+auto traffic_context::on_upstream_result(const upstream_view& upstream, bool succeeded) -> void
+{
+    if (this->slots.on_result(upstream.id, succeeded))
+    {
+        this->control.post(sign_seen{upstream.id, upstream_state::ejected});
+        this->control.wake();
+    }
+}
+
+auto traffic_context::on_cold_sign(const upstream_view& upstream) -> void
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        auto& last = this->last_sign[upstream.id];
+        const auto now = monotonic_now();
+        if (now - last < sign_interval)
+        {
+            return;
+        }
+        last = now;
+    }
+    this->control.post(sign_seen{upstream.id, upstream_state::cold});
+    this->control.wake();
+}
+
+auto traffic_context::on_request(double retry_share) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->retries.set_share(retry_share);
+    this->retries.on_request();
+}
+
+auto traffic_context::take_retry() -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->retries.take();
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/transaction_service.cpp
@@ -0,0 +1,340 @@
+#include "daemon/transaction_service.hpp"
+
+#include "net/clock.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+constexpr const char* transaction_stream = "transactions";
+constexpr duration read_wait = std::chrono::seconds(5);
+constexpr duration retry_pause = std::chrono::milliseconds(200);
+/// A claim that the long read has not brought by then is read directly: the long read's connection
+/// may have gone silent.
+constexpr duration read_back_patience = std::chrono::milliseconds(150);
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+constexpr std::size_t most_records_a_batch = 500;
+
+} // namespace
+
+transaction_service::transaction_service(const daemon_settings& settings, incarnation_id incarnation,
+                                         event_log& log, metrics& figures,
+                                         std::function<void(std::size_t)> on_bytes)
+    : settings(settings), log(log), figures(figures), on_bytes(std::move(on_bytes)),
+      core(settings.transactions, make_host_id(settings.host.name), incarnation)
+{
+}
+
+transaction_service::~transaction_service() { this->stop(); }
+
+auto transaction_service::start() -> void
+{
+    this->writer = std::thread([this] { this->write_loop(); });
+    this->reader = std::thread([this] { this->read_loop(); });
+}
+
+auto transaction_service::stop() -> void
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->outgoing_changed.notify_all();
+    this->folded.notify_all();
+    if (this->writer.joinable())
+    {
+        this->writer.join();
+        this->reader.join();
+    }
+}
+
+auto transaction_service::deliver(request_id id, transaction_verdict verdict) -> void
+{
+    const auto found = this->waits.find(id);
+    if (found == this->waits.end())
+    {
+        return;
+    }
+    found->second->verdict = std::move(verdict);
+    found->second->changed.notify_one();
+    this->waits.erase(found);
+}
+
+auto transaction_service::drain() -> void
+{
+    for (auto& action : this->core.take_actions())
+    {
+        if (auto* append = std::get_if<append_transaction_record>(&action))
+        {
+            this->outgoing.push_back(std::move(*append));
+            this->outgoing_changed.notify_one();
+        }
+        else if (auto* run = std::get_if<run_transaction>(&action))
+        {
+            this->deliver(run->id, *run);
+        }
+        else if (auto* replay = std::get_if<replay_answer>(&action))
+        {
+            this->deliver(replay->id, *replay);
+        }
+        else if (auto* forward = std::get_if<forward_transaction>(&action))
+        {
+            this->deliver(forward->id, *forward);
+        }
+        else if (auto* refusal = std::get_if<refuse_transaction>(&action))
+        {
+            this->deliver(refusal->id, *refusal);
+        }
+        else if (auto* item = std::get_if<note_transaction>(&action))
+        {
+            this->log.write(item->what);
+            this->figures.count_event(std::string(describe(item->what.code).name));
+        }
+    }
+}
+
+auto transaction_service::begin(const transaction_request& request) -> transaction_verdict
+{
+    wait_handle handle;
+    std::unique_lock lock(this->mutex);
+    this->waits.emplace(request.id, &handle);
+    this->core.begin(request, monotonic_now());
+    this->drain();
+    const auto until = std::chrono::steady_clock::time_point(request.deadline.time_since_epoch());
+    handle.changed.wait_until(lock, until, [&] { return handle.verdict.has_value(); });
+    if (!handle.verdict)
+    {
+        // The caller's time is over: give up what has not begun. A repeat that waits for a running
+        // request learns only that it runs.
+        this->waits.erase(request.id);
+        const auto joined = this->core.is_joined(request.id);
+        this->core.on_caller_gone(request.id, monotonic_now());
+        this->drain();
+        return refuse_transaction{request.id, joined ? transaction_refusal::outcome_unknown
+                                                     : transaction_refusal::claim_not_confirmed};
+    }
+    return *handle.verdict;
+}
+
+auto transaction_service::may_send(request_id id) -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.may_send(id, monotonic_now());
+}
+
+auto transaction_service::on_run_result(request_id id, const run_result& result) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->core.on_run_result(id, result, monotonic_now());
+    this->drain();
+}
+
+auto transaction_service::issue_ticket(workspace_id workspace) -> std::string
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.issue_ticket(workspace, monotonic_now());
+}
+
+auto transaction_service::lookup(workspace_id workspace, const std::string& key) -> key_lookup
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.lookup(workspace, key);
+}
+
+auto transaction_service::on_hosts(const host_directory& hosts) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, item] : hosts.hosts)
+    {
+        if (item.status == member_status::absent)
+        {
+            this->core.on_host_gone(id);
+        }
+        else if (item.ever_heard)
+        {
+            this->core.on_host_seen(id, item.incarnation);
+        }
+    }
+}
+
+auto transaction_service::is_recovered() -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.is_recovered();
+}
+
+auto transaction_service::is_settled() -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    return this->outgoing.empty() && !this->writing;
+}
+
+auto transaction_service::write_loop() -> void
+{
+    log_client client(this->settings.platform);
+    while (true)
+    {
+        std::vector<append_transaction_record> batch;
+        {
+            std::unique_lock lock(this->mutex);
+            this->outgoing_changed.wait(lock, [&] { return !this->outgoing.empty() || this->stopping; });
+            if (this->outgoing.empty())
+            {
+                return;
+            }
+        }
+        // Gather what comes in the meantime: the log takes few appends, but large ones.
+        std::this_thread::sleep_for(this->settings.claim_batch);
+        {
+            const std::lock_guard lock(this->mutex);
+            while (!this->outgoing.empty() && batch.size() < most_records_a_batch)
+            {
+                batch.push_back(std::move(this->outgoing.front()));
+                this->outgoing.pop_front();
+            }
+            this->writing = true;
+        }
+        this->write_batch(client, std::move(batch));
+        this->on_bytes(client.take_bytes());
+        const std::lock_guard lock(this->mutex);
+        this->writing = false;
+        if (this->stopping)
+        {
+            return;
+        }
+    }
+}
+
+auto transaction_service::write_batch(log_client& client, std::vector<append_transaction_record> batch) -> void
+{
+    std::vector<nlohmann::json> records;
+    for (const auto& item : batch)
+    {
+        records.push_back(to_json(item.record));
+    }
+    const auto result = client.append(transaction_stream, records);
+    std::unique_lock lock(this->mutex);
+    const auto try_again = result == append_result::not_appended && client.was_rate_limited();
+    for (auto& item : batch)
+    {
+        if (item.number && !try_again)
+        {
+            this->core.on_append(*item.number, result, monotonic_now());
+        }
+        else if (result != append_result::appended)
+        {
+            // Records of outcomes may stand twice; they have to be there once.
+            this->outgoing.push_back(std::move(item));
+        }
+    }
+    this->drain();
+    if (result != append_result::appended)
+    {
+        lock.unlock();
+        std::this_thread::sleep_for(retry_pause);
+        return;
+    }
+    const auto goal = this->last_seen;
+    this->folded.wait_for(lock, read_back_patience, [&] { return this->last_seen > goal || this->stopping; });
+    const auto late = this->last_seen == goal && !this->stopping;
+    lock.unlock();
+    if (late)
+    {
+        this->read_back(client);
+    }
+}
+
+auto transaction_service::read_back(log_client& client) -> void
+{
+    log_offset from;
+    {
+        const std::lock_guard lock(this->mutex);
+        from = log_offset{this->last_seen.value() + 1};
+    }
+    (void)this->take_page(client.read(transaction_stream, from, duration{}));
+}
+
+auto transaction_service::take_page(const outcome<log_page>& page) -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    this->core.on_log_reachable(static_cast<bool>(page));
+    if (!page)
+    {
+        this->drain();
+        return false;
+    }
+    const auto now = monotonic_now();
+    for (const auto& item : page->records)
+    {
+        if (item.offset <= this->last_seen)
+        {
+            continue;
+        }
+        // Records that the log dropped by age are older than any window; a gap within is a loss.
+        const auto expected = this->last_seen.value() + 1;
+        if (this->last_seen != log_offset{} && item.offset.value() > expected && page->first.value() <= expected)
+        {
+            this->core.on_gap(now);
+        }
+        this->last_seen = item.offset;
+        if (const auto record = transaction_record_from_json(item.data))
+        {
+            this->core.on_record(item.offset, item.time, *record, now);
+        }
+    }
+    if (this->last_seen.value() + 1 >= page->next.value())
+    {
+        this->core.on_recovered();
+    }
+    else if (page->records.empty())
+    {
+        // The log's last records are gone: what they claimed is unknown.
+        this->last_seen = log_offset{page->next.value() - 1};
+        this->core.on_gap(now);
+        this->core.on_recovered();
+    }
+    this->drain();
+    this->folded.notify_all();
+    return true;
+}
+
+auto transaction_service::read_loop() -> void
+{
+    log_client client(this->settings.platform);
+    std::thread ticker(
+        [this]
+        {
+            std::unique_lock lock(this->mutex);
+            while (!this->stopping)
+            {
+                this->folded.wait_for(lock, tick_interval);
+                this->core.on_tick(monotonic_now());
+                this->drain();
+            }
+        });
+    while (true)
+    {
+        log_offset from;
+        duration wait{};
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->stopping)
+            {
+                break;
+            }
+            from = log_offset{this->last_seen.value() + 1};
+            wait = this->core.is_recovered() ? read_wait : duration{};
+        }
+        const auto good = this->take_page(client.read(transaction_stream, from, wait));
+        this->on_bytes(client.take_bytes());
+        if (!good)
+        {
+            std::this_thread::sleep_for(retry_pause);
+        }
+    }
+    ticker.join();
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/transaction_service.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "daemon/control_service.hpp"
+#include "daemon/settings.hpp"
+#include "poplardrift/transactions/transaction_core.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace poplardrift
+{
+
+/// What a transactional request is told to do.
+using transaction_verdict = std::variant<run_transaction, replay_answer, forward_transaction, refuse_transaction>;
+
+/// The transaction state with its log: a thread that appends in batches and one that reads.
+class transaction_service final
+{
+public:
+    transaction_service(const daemon_settings& settings, incarnation_id incarnation, event_log& log,
+                        metrics& figures, std::function<void(std::size_t)> on_bytes);
+    ~transaction_service();
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    /// Begins a request and waits until it is known what to do with it. Traffic threads.
+    [[nodiscard]] auto begin(const transaction_request& request) -> transaction_verdict;
+    [[nodiscard]] auto may_send(request_id id) -> bool;
+    auto on_run_result(request_id id, const run_result& result) -> void;
+    [[nodiscard]] auto issue_ticket(workspace_id workspace) -> std::string;
+    [[nodiscard]] auto lookup(workspace_id workspace, const std::string& key) -> key_lookup;
+    /// Tells which processes live and which are gone. Control thread.
+    auto on_hosts(const host_directory& hosts) -> void;
+    [[nodiscard]] auto is_recovered() -> bool;
+    /// True when every record that others need is on the log.
+    [[nodiscard]] auto is_settled() -> bool;
+
+private:
+    struct wait_handle
+    {
+        std::condition_variable changed;
+        std::optional<transaction_verdict> verdict;
+    };
+
+    /// Carries out what the core wants. Called with the lock held.
+    auto drain() -> void;
+    auto deliver(request_id id, transaction_verdict verdict) -> void;
+    auto write_loop() -> void;
+    auto read_loop() -> void;
+    auto write_batch(log_client& client, std::vector<append_transaction_record> batch) -> void;
+    auto read_back(log_client& client) -> void;
+    [[nodiscard]] auto take_page(const outcome<log_page>& page) -> bool;
+
+    daemon_settings settings;
+    event_log& log;
+    metrics& figures;
+    std::function<void(std::size_t)> on_bytes;
+    std::mutex mutex;
+    transaction_core core;
+    std::map<request_id, wait_handle*> waits;
+    std::deque<append_transaction_record> outgoing;
+    std::condition_variable outgoing_changed;
+    std::condition_variable folded;
+    bool writing = false;
+    bool stopping = false;
+    log_offset last_seen;
+    std::thread writer;
+    std::thread reader;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/upstream_pool.cpp
@@ -0,0 +1,74 @@
+#include "daemon/upstream_pool.hpp"
+
+#include "net/clock.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// An idle connection is not trusted for longer: what lies between may have lost track of it.
+constexpr duration longest_idle = std::chrono::seconds(4);
+constexpr std::size_t most_idle = 1024;
+
+auto to_microseconds(duration length) -> std::chrono::microseconds
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(length);
+}
+
+} // namespace
+
+auto is_never_sent(httplib::Error error) -> bool
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+           error == httplib::Error::BindIPAddress;
+}
+
+auto upstream_pool::take(const std::string& address, std::uint16_t port, const exchange_timeouts& timeouts, bool fresh)
+    -> upstream_connection
+{
+    upstream_connection result;
+    result.key = address + ":" + std::to_string(port);
+    if (!fresh)
+    {
+        const std::lock_guard lock(this->mutex);
+        auto& ready = this->idle[result.key];
+        // The one used last is the likeliest to be alive.
+        while (!ready.empty() && !result.client)
+        {
+            auto item = std::move(ready.back());
+            ready.pop_back();
+            if (monotonic_now() - item.since <= longest_idle)
+            {
+                result.client = std::move(item.client);
+                result.reused = true;
+            }
+        }
+    }
+    if (!result.client)
+    {
+        result.client = std::make_unique<httplib::Client>(address, port);
+        result.client->set_keep_alive(true);
+        result.client->set_tcp_nodelay(true);
+        result.client->set_decompress(false);
+        result.client->set_url_encode(false);
+        result.client->set_interface(this->source);
+    }
+    result.client->set_connection_timeout(to_microseconds(timeouts.connect));
+    result.client->set_read_timeout(to_microseconds(timeouts.progress));
+    result.client->set_write_timeout(to_microseconds(timeouts.progress));
+    return result;
+}
+
+auto upstream_pool::give_back(upstream_connection connection) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    auto& ready = this->idle[connection.key];
+    if (ready.size() < most_idle)
+    {
+        ready.push_back({std::move(connection.client), monotonic_now()});
+    }
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/net/growing_task_queue.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace poplardrift
+{
+
+/// Threads of an HTTP server: one for each connection, made when needed and kept for the next one.
+/// Past `most` connections, a few more threads take connections only to refuse them, which handlers
+/// see by `is_overflow`. The server owns it.
+class growing_task_queue final : public httplib::TaskQueue
+{
+public:
+    explicit growing_task_queue(std::size_t most);
+    ~growing_task_queue() override = default;
+
+    auto enqueue(std::function<void()> job) -> void override; // NOLINT(modernize-use-trailing-return-type)
+    auto shutdown() -> void override;
+
+    /// True on a thread whose connection is past the limit.
+    [[nodiscard]] static auto is_overflow() -> bool;
+
+private:
+    struct task
+    {
+        std::function<void()> job;
+        bool overflow = false;
+    };
+
+    auto work() -> void;
+
+    std::size_t most;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<task> tasks;
+    std::size_t threads = 0;
+    std::size_t idle = 0;
+    std::size_t busy = 0;
+    bool stopping = false;
+};
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/net/resumable_task.cpp
@@ -0,0 +1,87 @@
+#include "net/resumable_task.hpp"
+
+#include "poplardrift/base/assert.hpp"
+
+#include <boost/context/fixedsize_stack.hpp>
+
+#include <vector>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// Room for one HTTP exchange; the pages that are not touched cost nothing.
+constexpr std::size_t stack_bytes = 256 * 1024;
+
+/// Stacks that ended tasks of this thread have left.
+class stack_cache final
+{
+public:
+    ~stack_cache()
+    {
+        boost::context::fixedsize_stack source(stack_bytes);
+        for (auto& stack : this->free)
+        {
+            source.deallocate(stack);
+        }
+    }
+
+    auto take() -> boost::context::stack_context
+    {
+        if (this->free.empty())
+        {
+            return boost::context::fixedsize_stack(stack_bytes).allocate();
+        }
+        const auto stack = this->free.back();
+        this->free.pop_back();
+        return stack;
+    }
+
+    auto give(const boost::context::stack_context& stack) -> void { this->free.push_back(stack); }
+
+private:
+    std::vector<boost::context::stack_context> free;
+};
+
+thread_local stack_cache cached_stacks;
+
+/// Stack allocator in the form that the fiber library wants.
+struct cached_stack_allocator
+{
+    auto allocate() -> boost::context::stack_context { return cached_stacks.take(); }
+    auto deallocate(boost::context::stack_context& stack) -> void { cached_stacks.give(stack); }
+};
+
+} // namespace
+
+resumable_task::resumable_task(body_function body) : body(std::move(body))
+{
+    this->inside = boost::context::fiber(
+        std::allocator_arg, cached_stack_allocator{},
+        [this](boost::context::fiber&& caller)
+        {
+            this->outside = std::move(caller);
+            this->body([this] { this->outside = std::move(this->outside).resume(); });
+            this->done = true;
+            return std::move(this->outside);
+        });
+}
+
+resumable_task::~resumable_task()
+{
+    // A task that is dropped midway is run to its end: its owner has told it that nobody listens.
+    while (!this->done)
+    {
+        this->resume();
+    }
+}
+
+auto resumable_task::resume() -> void
+{
+    POPLARDRIFT_ASSERT(!this->done);
+    this->inside = std::move(this->inside).resume();
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/platform/log_client.cpp
@@ -0,0 +1,137 @@
+#include "platform/log_client.hpp"
+
+namespace poplardrift
+{
+
+namespace
+{
+
+/// HTTP and TCP bytes around one request and its answer, acknowledgements included.
+constexpr std::size_t exchange_overhead = 620;
+
+auto to_microseconds(duration length) -> std::chrono::microseconds
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(length);
+}
+
+auto parse_page(const std::string& body) -> outcome<log_page>
+{
+    try
+    {
+        const auto document = nlohmann::json::parse(body);
+        log_page page;
+        page.first = log_offset{document.at("first").get<std::uint64_t>()};
+        page.next = log_offset{document.at("next").get<std::uint64_t>()};
+        for (const auto& item : document.at("records"))
+        {
+            page.records.push_back({log_offset{item.at("offset").get<std::uint64_t>()},
+                                    log_time(item.at("time_ms").get<std::int64_t>()), item.at("data")});
+        }
+        return page;
+    }
+    catch (const nlohmann::json::exception& fault)
+    {
+        return outcome<log_page>::failure(std::string("the log answered nonsense: ") + fault.what());
+    }
+}
+
+auto parse_hosts(const std::string& body) -> outcome<std::vector<std::pair<host_address, bool>>>
+{
+    using result_type = outcome<std::vector<std::pair<host_address, bool>>>;
+    try
+    {
+        std::vector<std::pair<host_address, bool>> result;
+        for (const auto& item : nlohmann::json::parse(body).at("hosts"))
+        {
+            host_address where{item.at("name"), item.at("zone"), item.at("address"), item.at("peer_port"), item.at("http_port")};
+            result.emplace_back(std::move(where), item.value("state", "") == "leaving");
+        }
+        return result;
+    }
+    catch (const nlohmann::json::exception& fault)
+    {
+        return result_type::failure(std::string("the host list is malformed: ") + fault.what());
+    }
+}
+
+} // namespace
+
+log_client::log_client(platform_settings settings) : settings(std::move(settings)) {}
+
+auto log_client::dial(duration wait) -> void
+{
+    if (!this->client)
+    {
+        this->client = std::make_unique<httplib::Client>(this->settings.address, this->settings.port);
+        this->client->set_keep_alive(true);
+        this->client->set_tcp_nodelay(true);
+        this->client->set_connection_timeout(to_microseconds(this->settings.connect_timeout));
+        if (!this->settings.source.empty())
+        {
+            this->client->set_interface(this->settings.source);
+        }
+    }
+    this->client->set_read_timeout(to_microseconds(this->settings.answer_timeout + wait));
+}
+
+auto log_client::append(const std::string& stream, const std::vector<nlohmann::json>& records) -> append_result
+{
+    this->dial(duration{});
+    this->rate_limited = false;
+    const auto body = nlohmann::json{{"records", records}}.dump();
+    const auto answer = this->client->Post("/log/" + stream + "/append", body, "application/json");
+    this->bytes += body.size() + exchange_overhead;
+    if (answer && answer->status == 200)
+    {
+        return append_result::appended;
+    }
+    const auto error = answer.error();
+    // A connection that failed is not used again: it may have gone silent.
+    this->client.reset();
+    if (answer)
+    {
+        this->rate_limited = answer->status == 429;
+        return append_result::not_appended;
+    }
+    const auto never_sent = error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+                            error == httplib::Error::BindIPAddress;
+    return never_sent ? append_result::not_appended : append_result::lost;
+}
+
+auto log_client::read(const std::string& stream, log_offset from, duration wait) -> outcome<log_page>
+{
+    this->dial(wait);
+    const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    const auto answer = this->client->Get("/log/" + stream + "?from=" + std::to_string(from.value()) +
+                                          "&wait_ms=" + std::to_string(wait_ms));
+    this->bytes += exchange_overhead;
+    if (!answer || answer->status != 200)
+    {
+        const auto why = answer ? "the log answered " + std::to_string(answer->status)
+                                : "the log does not answer: " + httplib::to_string(answer.error());
+        this->client.reset();
+        return outcome<log_page>::failure(why);
+    }
+    this->bytes += answer->body.size();
+    return parse_page(answer->body);
+}
+
+auto read_host_list(const platform_settings& settings, const std::string& asker)
+    -> outcome<std::vector<std::pair<host_address, bool>>>
+{
+    httplib::Client client(settings.address, settings.port);
+    client.set_connection_timeout(to_microseconds(settings.connect_timeout));
+    client.set_read_timeout(to_microseconds(settings.answer_timeout));
+    if (!settings.source.empty())
+    {
+        client.set_interface(settings.source);
+    }
+    const auto answer = client.Get("/hosts?asker=" + asker);
+    if (!answer || answer->status != 200)
+    {
+        return outcome<std::vector<std::pair<host_address, bool>>>::failure("the host list does not answer");
+    }
+    return parse_hosts(answer->body);
+}
+
+} // namespace poplardrift
--- a/src/slots/warmup.cpp
+++ b/src/slots/warmup.cpp
@@ -43,6 +43,7 @@
     const auto restarted = !first && fresh.incarnation != this->known_incarnation;
     this->report = fresh;
     this->reported = now;
+    this->doubted.reset();
     this->known_incarnation = fresh.incarnation;
     if (first || restarted)
     {
@@ -72,11 +73,16 @@
 
 auto warmup::on_sign(upstream_state suspected, time_point now) -> void
 {
-    this->turn_cold(now);
+    if (this->needs_reports)
+    {
+        this->doubted = this->doubted.value_or(now);
+        return;
+    }
     if (suspected != upstream_state::ejected)
     {
         return;
     }
+    this->turn_cold(now);
     const auto length = this->settings.ejection * (std::int64_t{1} << std::min(this->ejections, 10U));
     this->ejected_until = now + std::min<duration>(length, this->settings.longest_ejection);
     this->now_state = upstream_state::ejected;
@@ -106,8 +112,10 @@
         this->turn_cold(now);
     }
     const auto silent = this->needs_reports && this->report && now - this->reported > this->settings.report_timeout;
-    if (silent && this->now_state == upstream_state::warm)
+    const auto doubt_holds = this->doubted && now - *this->doubted > this->settings.doubt_timeout;
+    if ((silent || doubt_holds) && this->now_state == upstream_state::warm)
     {
+        this->doubted.reset();
         this->turn_cold(now);
     }
     if (this->now_state != upstream_state::cold || !this->step_confirmed(now))
@@ -131,7 +139,7 @@
     case upstream_state::cold:
         return this->step_limit;
     case upstream_state::warm:
-        return static_cast<std::uint32_t>(this->adaptive_limit);
+        return this->doubted ? this->declared_cold : static_cast<std::uint32_t>(this->adaptive_limit);
     case upstream_state::ejected:
     case upstream_state::leaving:
         return 0;
--- /dev/null
+++ b/src/streams/event_sequencer.cpp
@@ -0,0 +1,78 @@
+#include "poplardrift/streams/event_sequencer.hpp"
+
+namespace poplardrift
+{
+
+auto event_sequencer::start_connection() -> void
+{
+    this->completion_id.clear();
+    this->held.clear();
+}
+
+auto event_sequencer::is_foreign(const sse_event& event) -> bool
+{
+    const auto id = find_text_member(event.data.substr(0, std::min<std::size_t>(event.data.size(), 256)), "\"id\"");
+    if (id.empty())
+    {
+        return false;
+    }
+    if (this->completion_id.empty())
+    {
+        this->completion_id = id;
+    }
+    return id != this->completion_id;
+}
+
+auto event_sequencer::hand_out(const sse_event& event, std::vector<std::string_view>& due) -> void
+{
+    due.push_back(event.raw);
+    this->complete = this->complete || is_done_event(event);
+    this->answer_text += find_text_member(event.data, "\"content\"");
+}
+
+auto event_sequencer::take(const sse_event& event, std::vector<std::string_view>& due) -> void
+{
+    this->released.clear();
+    if (this->is_foreign(event))
+    {
+        ++this->dropped_count;
+        return;
+    }
+    if (!event.sequence)
+    {
+        // An engine that does not number its events: they are taken as they come.
+        this->hand_out(event, due);
+        return;
+    }
+    this->numbered = true;
+    if (*event.sequence <= this->last_sequence)
+    {
+        ++this->dropped_count;
+        return;
+    }
+    if (*event.sequence != this->last_sequence + 1)
+    {
+        this->held.emplace(*event.sequence, std::string(event.raw));
+        return;
+    }
+    this->hand_out(event, due);
+    this->last_sequence = *event.sequence;
+    // Events that came before their turn may be due now.
+    while (!this->held.empty() && this->held.begin()->first == this->last_sequence + 1)
+    {
+        auto node = this->held.extract(this->held.begin());
+        this->last_sequence = node.key();
+        this->released.push_back(std::move(node.mapped()));
+    }
+    for (const auto& raw : this->released)
+    {
+        sse_splitter again;
+        again.feed(raw);
+        const auto parsed = again.next();
+        this->complete = this->complete || is_done_event(*parsed);
+        this->answer_text += find_text_member(parsed->data, "\"content\"");
+        due.push_back(raw);
+    }
+}
+
+} // namespace poplardrift
--- a/src/transactions/transaction_core.cpp
+++ b/src/transactions/transaction_core.cpp
@@ -454,6 +454,16 @@
                   });
 }
 
+auto transaction_core::is_joined(request_id id) const -> bool
+{
+    return std::any_of(this->runs.begin(), this->runs.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& joined = item.second.joined;
+                           return std::find(joined.begin(), joined.end(), id) != joined.end();
+                       });
+}
+
 auto transaction_core::lookup(workspace_id workspace, const std::string& key) const -> key_lookup
 {
     const auto hashed = make_transaction_key(workspace, key);
