--- a/src/emulator/engine.cpp
+++ b/src/emulator/engine.cpp
@@ -1,5 +1,6 @@
 #include "emulator/engine.hpp"
 
+#include "emulator/answer_text.hpp"
 #include "net/clock.hpp"
 #include "poplardrift/base/crypto.hpp"
 #include "poplardrift/base/ids.hpp"
@@ -17,7 +18,6 @@
 constexpr std::int64_t settle_ms = 15'000;
 /// An engine that was pushed past what it bears is down for this long.
 constexpr std::int64_t crash_ms = 3'000;
-constexpr std::int64_t characters_a_token = 4;
 constexpr int unavailable = 503;
 constexpr std::size_t most_resumable = 20'000;
 
@@ -27,17 +27,6 @@
     return static_cast<std::uint32_t>(source()) | 1U;
 }
 
-auto tokens_of(const std::string& text) -> std::int64_t
-{
-    return 1 + static_cast<std::int64_t>(text.size()) / characters_a_token;
-}
-
-/// The n-th word of the answer to a prompt; a caller can check an answer against it.
-auto token_text(std::uint64_t prompt, std::int64_t number) -> std::string
-{
-    return "w" + std::to_string(hash_pair_64(prompt, static_cast<std::uint64_t>(number)) % 1000) + " ";
-}
-
 } // namespace
 
 /// What one request is answered with.
@@ -239,7 +228,7 @@
     {
         answer += token_text(plan.prompt, number);
     }
-    this->cache.store(hash_pair_64(plan.prompt, hash_bytes_64("assistant" + answer)),
+    this->cache.store(extend_prompt(plan.prompt, "assistant", answer),
                       plan.prompt_token_count + tokens_of(answer));
     ++this->served;
     if (++this->served_since_cold == this->warm_after)
@@ -288,7 +277,7 @@
     for (const auto& message : body["messages"])
     {
         const auto content = message.value("content", "");
-        plan->prompt = hash_pair_64(plan->prompt, hash_bytes_64(message.value("role", "") + content));
+        plan->prompt = extend_prompt(plan->prompt, message.value("role", ""), content);
         plan->prompt_token_count += tokens_of(content);
         plan->prefixes.emplace_back(plan->prompt, plan->prompt_token_count);
     }
