--- a/include/poplardrift/membership/membership.hpp
+++ b/include/poplardrift/membership/membership.hpp
@@ -91,6 +91,9 @@
     /// none, over all alive hosts.
     [[nodiscard]] auto owner_of(upstream_id upstream, const std::string& zone) const
         -> std::optional<host_id>;
+    /// True once the host list has been read or settings have named other hosts: before that, this
+    /// host cannot know who else may grant the same slots.
+    [[nodiscard]] auto knows_fleet() const noexcept -> bool { return this->fleet_is_known; }
     /// True when every host of the zone is absent from the host list, not merely silent.
     [[nodiscard]] auto zone_has_no_listed_host(const std::string& zone) const -> bool;
 
@@ -105,6 +108,7 @@
     std::map<host_id, std::vector<time_point>> returns;
     membership_listener* listener = nullptr;
     std::uint64_t revision_count = 1;
+    bool fleet_is_known = false;
 };
 
 } // namespace poplardrift
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -338,12 +338,13 @@
 {
     const auto* item = this->declaration_of(id);
     POPLARDRIFT_ASSERT(item != nullptr);
-    const auto complete = this->owner.has_heard_all(id, this->listed_hosts());
+    const auto complete = this->hosts.knows_fleet() && this->owner.has_heard_all(id, this->listed_hosts());
     // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
     // enough: they may be alive and grant its slots.
     const auto& self_zone = this->hosts.find(this->hosts.self())->where.zone;
-    const auto may_wait_out = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
+    const auto safe_to_wait = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
                               this->hosts.zone_has_no_listed_host(item->zone);
+    const auto may_wait_out = this->hosts.knows_fleet() && safe_to_wait;
     return this->owner.grant(id, holder, complete, may_wait_out, sequence, now);
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -47,7 +47,9 @@
 {
     for (const auto& seed : seeds)
     {
-        this->entry(seed);
+        // Until the host list says otherwise, a named host is taken to exist.
+        this->entry(seed).listed = true;
+        this->fleet_is_known = true;
     }
 }
 
@@ -55,6 +57,7 @@
                               const std::vector<std::string>& leaving, time_point now) -> void
 {
     std::set<host_id> listed;
+    this->fleet_is_known = true;
     for (const auto& where : live)
     {
         auto& item = this->entry(where);
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -41,7 +41,8 @@
     try
     {
         std::vector<std::pair<host_address, bool>> result;
-        for (const auto& item : nlohmann::json::parse(body).at("hosts"))
+        const auto document = nlohmann::json::parse(body);
+        for (const auto& item : document.at("hosts"))
         {
             host_address where{item.at("name"), item.at("zone"), item.at("address"), item.at("peer_port"), item.at("http_port")};
             result.emplace_back(std::move(where), item.value("state", "") == "leaving");
