--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -29,13 +29,17 @@
     warmup_settings warmup;
     byte_budget_settings budget;
     configuration_settings configuration;
-    duration heartbeat = std::chrono::milliseconds(500);      ///< between messages to one host
+    duration heartbeat = std::chrono::milliseconds(600);      ///< between messages to one host
     duration urgent_interval = std::chrono::milliseconds(4);  ///< shortest pause between messages
     duration silent_link = std::chrono::seconds(3);  ///< without acknowledgement: dial anew
     duration sign_repeat = std::chrono::seconds(2);  ///< for which a sign is told again
     duration log_retention = std::chrono::hours(1);  ///< the log keeps records that long
     std::int64_t snapshot_records = 1000;            ///< records after which a snapshot is due
     std::size_t exceptions_a_message = 24;           ///< most exceptions told in one message
+    std::uint64_t status_interval = 4; ///< messages between two repeats of an unchanged status
+    duration cold_report_interval = std::chrono::seconds(1); ///< between reports of an engine in cold start
+    duration warm_report_interval = std::chrono::seconds(3); ///< between reports of a warm engine
+    duration peer_lead = std::chrono::milliseconds(300); ///< a host that is ahead for that long: read the log anew
 };
 
 /// One record as read from the platform's log.
@@ -116,12 +120,19 @@
     nlohmann::json snapshot;
 };
 
-/// Read this upstream's report at once: a sign has to be settled.
-struct poll_report_now
+/// Read this upstream's report.
+struct poll_report
 {
     owned_engine engine;
 };
 
+/// Read the configuration's stream over a new connection: another host is ahead, so the present
+/// connection may have gone silent.
+struct read_log_now
+{
+    log_offset from;
+};
+
 /// Something for the log and the audit trail.
 struct note_event
 {
@@ -130,7 +141,8 @@
 
 /// What the control state wants done, in order.
 using control_action = std::variant<send_message, reconnect_peer, apply_grant, revoke_slots, note_free_slots,
-                                    learn_exception, publish_view, append_snapshot, poll_report_now, note_event>;
+                                    learn_exception, publish_view, append_snapshot, poll_report, read_log_now,
+                                    note_event>;
 
 /// State of an upstream for operators.
 struct upstream_overview
@@ -163,7 +175,10 @@
     /// This host saw that an upstream turned cold or fails.
     auto on_local_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void;
     /// Control bytes that the shell caused by other means, such as probes.
-    auto on_control_bytes(std::size_t bytes, time_point now) -> void { this->budget.spend_raw(bytes, now); }
+    auto on_control_bytes(control_traffic kind, std::size_t bytes, time_point now) -> void
+    {
+        this->budget.spend_raw(bytes, kind, now);
+    }
     /// A planned stop begins: other hosts take over what this one owns.
     auto start_leaving() -> void;
     /// Lets time pass and takes the host's use of slots. Call it every few milliseconds.
@@ -175,7 +190,6 @@
     [[nodiscard]] auto config() const -> const configuration& { return this->configured; }
     [[nodiscard]] auto declared() const -> const declarations& { return this->parsed; }
     [[nodiscard]] auto members() const -> const membership& { return this->hosts; }
-    [[nodiscard]] auto owned_engines() const -> std::vector<owned_engine>;
     [[nodiscard]] auto overview(time_point now) const -> std::vector<upstream_overview>;
     /// Configuration offsets of all hosts as last heard, this one among them.
     [[nodiscard]] auto configuration_offsets() const -> std::map<std::string, log_offset>;
@@ -183,8 +197,8 @@
     [[nodiscard]] auto incarnation_of(host_id host) const -> incarnation_id;
     /// Why this host should take no requests; empty when it should.
     [[nodiscard]] auto not_ready_reason() const -> std::string;
-    /// All control bytes so far.
-    [[nodiscard]] auto control_bytes() const -> std::uint64_t { return this->budget.total(); }
+    /// Control bytes so far, by kind.
+    [[nodiscard]] auto traffic() const -> const byte_budget& { return this->budget; }
 
 private:
     /// What is kept for each other host.
@@ -192,6 +206,8 @@
     {
         peer_link link;
         bool urgent = false;              ///< send at once, within the byte budget
+        std::uint64_t messages = 0;       ///< sent to this process
+        std::map<upstream_id, upstream_status> told; ///< statuses as last sent
         std::set<upstream_id> unanswered; ///< its reports that want a grant
         std::set<upstream_id> greeted;    ///< its upstreams that have answered a report of ours
         std::map<pool_id, std::uint32_t> loads;
@@ -241,6 +257,8 @@
     auto set_status(const upstream_status& status) -> void;
     auto tick_peers(const host_usage& usage, time_point now) -> void;
     auto tick_peer(host_id to, peer_state& state, const host_usage& usage, time_point now) -> void;
+    auto tick_reports(time_point now) -> void;
+    auto tick_log_lead(time_point now) -> void;
     auto tick_snapshot(time_point now) -> void;
     auto update_view() -> void;
 
@@ -249,6 +267,7 @@
     auto add_reports(host_id to, const peer_state& state, const host_usage& usage, peer_message& message) const
         -> void;
     auto add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void;
+    auto add_statuses(peer_state& state, peer_message& message, time_point now) -> void;
     auto add_exceptions(peer_state& state, peer_message& message, time_point now) -> void;
     auto remember_exceptions(const std::vector<placement_exception>& fresh) -> void;
     auto add_configuration(peer_state& state, peer_message& message, time_point now) -> void;
@@ -276,6 +295,8 @@
     std::map<heard_sign, time_point> sign_times;     ///< of all hosts
     std::map<pool_id, std::uint32_t> own_loads;
     std::map<upstream_id, time_point> self_granted;
+    std::map<upstream_id, time_point> polled; ///< when each report was last asked for
+    std::optional<time_point> behind_since;   ///< since when another host has folded more
     std::uint64_t self_sequence = 0;
     std::vector<control_action> actions;
     std::uint64_t seen_members = 0;
--- a/include/poplardrift/core/control_event.hpp
+++ b/include/poplardrift/core/control_event.hpp
@@ -50,6 +50,7 @@
 /// The shell caused control traffic by other means than messages between hosts.
 struct control_bytes_spent
 {
+    control_traffic kind = control_traffic::log;
     std::size_t bytes = 0;
 };
 
--- a/include/poplardrift/gossip/byte_budget.hpp
+++ b/include/poplardrift/gossip/byte_budget.hpp
@@ -2,12 +2,31 @@
 
 #include "poplardrift/base/time.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace poplardrift
 {
 
+/// What control bytes are spent on.
+enum class control_traffic : std::uint8_t
+{
+    heartbeats,   ///< messages between hosts at their regular times
+    urgent,       ///< messages between hosts that could not wait
+    log,          ///< reads of the platform's log and appends of configuration
+    host_list,    ///< reads of the platform's host list
+    reports,      ///< reads of upstreams' reports
+    transactions, ///< claims and outcomes of transactions
+};
+
+/// Number of kinds of control traffic.
+inline constexpr std::size_t control_traffic_kinds = 6;
+
+/// Name of a kind, as metrics show it.
+[[nodiscard]] auto to_text(control_traffic kind) -> std::string_view;
+
 /// Settings of the control-traffic budget of one host.
 struct byte_budget_settings
 {
@@ -25,14 +44,15 @@
     /// True when a message of this size with overhead fits now.
     [[nodiscard]] auto fits(std::size_t payload, time_point now) -> bool;
     /// Counts a message; the balance may go below zero for messages that must go out.
-    auto spend(std::size_t payload, time_point now) -> void;
+    auto spend(std::size_t payload, control_traffic kind, time_point now) -> void;
     /// Counts bytes that were caused otherwise, such as probes, without message overhead.
-    auto spend_raw(std::size_t bytes, time_point now) -> void;
+    auto spend_raw(std::size_t bytes, control_traffic kind, time_point now) -> void;
     /// Bytes that may be sent now, after overhead of one message.
     [[nodiscard]] auto room(time_point now) -> std::size_t;
     /// All bytes counted so far.
-    [[nodiscard]] auto total() const noexcept -> std::uint64_t { return this->spent; }
-    [[nodiscard]] auto overhead() const noexcept -> std::size_t { return this->settings.message_overhead; }
+    [[nodiscard]] auto total() const -> std::uint64_t;
+    /// Bytes counted so far by kind, in the order of the kinds.
+    [[nodiscard]] auto by_kind() const -> const std::array<std::uint64_t, control_traffic_kinds>& { return this->spent; }
 
 private:
     auto refill(time_point now) -> void;
@@ -40,7 +60,7 @@
     byte_budget_settings settings;
     double balance;
     time_point last;
-    std::uint64_t spent = 0;
+    std::array<std::uint64_t, control_traffic_kinds> spent{};
 };
 
 } // namespace poplardrift
--- a/include/poplardrift/gossip/messages.hpp
+++ b/include/poplardrift/gossip/messages.hpp
@@ -43,6 +43,8 @@
     std::uint32_t limit = 0;       ///< most requests in flight from all hosts, by warm-up
     std::uint32_t free_slots = 0;  ///< of which nobody has been promised
     std::uint32_t incarnation = 0; ///< of the upstream's process, from its own report
+
+    friend auto operator==(const upstream_status&, const upstream_status&) -> bool = default;
 };
 
 /// A host's sign that an upstream has turned cold or fails.
--- a/include/poplardrift/slots/warmup.hpp
+++ b/include/poplardrift/slots/warmup.hpp
@@ -30,7 +30,7 @@
     double step_factor = 2.0;                    ///< growth of the limit from step to step
     duration ejection = std::chrono::seconds(2); ///< first ejection
     duration longest_ejection = std::chrono::seconds(60);
-    duration report_timeout = std::chrono::seconds(5); ///< without a report for that long: unknown
+    duration report_timeout = std::chrono::seconds(8); ///< without a report for that long: unknown
     duration doubt_timeout = std::chrono::seconds(2);  ///< a doubt that no report settles by then holds
     double decrease = 0.85; ///< factor on the adaptive limit when the upstream has a queue
 };
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -430,6 +430,8 @@
         // Requests of the former process ended with its connections.
         this->owner.forget_holder(from);
         state.greeted.clear();
+        state.told.clear();
+        state.messages = 0;
     }
     for (const auto& load : message.loads)
     {
@@ -523,8 +525,7 @@
     this->owner.on_sign(upstream, suspected, now);
     if (item->kind == upstream_kind::engine)
     {
-        this->actions.emplace_back(
-            poll_report_now{{upstream, item->address, static_cast<std::uint16_t>(item->port)}});
+        this->polled.erase(upstream);
     }
 }
 
@@ -624,9 +625,20 @@
         }
     }
     state.unanswered.clear();
+}
+
+auto control_core::add_statuses(peer_state& state, peer_message& message, time_point now) -> void
+{
+    const auto repeat = state.messages++ % this->settings.status_interval == 0;
     for (const auto id : this->owner.ids())
     {
-        message.statuses.push_back(this->owner.status(id, now));
+        const auto status = this->owner.status(id, now);
+        auto& told = state.told[id];
+        if (repeat || told != status)
+        {
+            told = status;
+            message.statuses.push_back(status);
+        }
     }
 }
 
@@ -689,6 +701,7 @@
     }
     this->add_reports(to, state, usage, message);
     this->add_grants(to, state, message, now);
+    this->add_statuses(state, message, now);
     message.loads = usage.loads;
     this->add_exceptions(state, message, now);
     state.link.stamp(message, now);
@@ -716,7 +729,7 @@
     state.urgent = false;
     auto message = this->compose(to, state, usage, now);
     auto bytes = encode_message(message, this->settings.configuration.host_secret);
-    this->budget.spend(bytes.size(), now);
+    this->budget.spend(bytes.size(), due ? control_traffic::heartbeats : control_traffic::urgent, now);
     this->actions.emplace_back(send_message{to, std::move(message), std::move(bytes)});
 }
 
@@ -739,6 +752,40 @@
     }
 }
 
+auto control_core::tick_reports(time_point now) -> void
+{
+    for (const auto id : this->owner.ids())
+    {
+        const auto* item = this->declaration_of(id);
+        const auto warm = this->owner.condition(id).state() == upstream_state::warm;
+        const auto interval = warm ? this->settings.warm_report_interval : this->settings.cold_report_interval;
+        const auto last = this->polled.find(id);
+        const auto due = last == this->polled.end() || now - last->second >= interval;
+        if (item != nullptr && item->kind == upstream_kind::engine && due)
+        {
+            this->polled[id] = now;
+            this->actions.emplace_back(poll_report{{id, item->address, static_cast<std::uint16_t>(item->port)}});
+        }
+    }
+}
+
+auto control_core::tick_log_lead(time_point now) -> void
+{
+    const auto ahead = std::any_of(this->peers.begin(), this->peers.end(), [&](const auto& item)
+                                   { return item.second.configuration > this->configured.applied(); });
+    if (!ahead)
+    {
+        this->behind_since.reset();
+        return;
+    }
+    this->behind_since = this->behind_since.value_or(now);
+    if (now - *this->behind_since >= this->settings.peer_lead)
+    {
+        this->behind_since = now;
+        this->actions.emplace_back(read_log_now{log_offset{this->configured.applied().value() + 1}});
+    }
+}
+
 auto control_core::tick_snapshot(time_point now) -> void
 {
     if (!this->log_reachable || !this->configured.is_complete() || this->configured.entries().empty())
@@ -782,27 +829,15 @@
     this->update_owners(now);
     this->remember_exceptions(usage.exceptions);
     this->tick_owned(usage, now);
+    this->tick_reports(now);
     this->tick_peers(usage, now);
+    this->tick_log_lead(now);
     this->tick_snapshot(now);
     this->update_view();
 }
 
 // What operators see.
 
-auto control_core::owned_engines() const -> std::vector<owned_engine>
-{
-    std::vector<owned_engine> result;
-    for (const auto id : this->owner.ids())
-    {
-        const auto* item = this->declaration_of(id);
-        if (item != nullptr && item->kind == upstream_kind::engine)
-        {
-            result.push_back({id, item->address, static_cast<std::uint16_t>(item->port)});
-        }
-    }
-    return result;
-}
-
 auto control_core::overview(time_point now) const -> std::vector<upstream_overview>
 {
     std::vector<upstream_overview> result;
--- a/src/core/control_event.cpp
+++ b/src/core/control_event.cpp
@@ -35,7 +35,7 @@
     }
     auto operator()(const control_bytes_spent& item) const -> void
     {
-        this->core.on_control_bytes(item.bytes, this->now);
+        this->core.on_control_bytes(item.kind, item.bytes, this->now);
     }
     auto operator()(const stop_requested&) const -> void { this->core.start_leaving(); }
 };
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -74,7 +74,7 @@
             nlohmann::json result = {{"log_reachable", core.log_is_reachable()},
                                      {"configuration_offset", core.config().applied().value()},
                                      {"configuration_complete", core.config().is_complete()},
-                                     {"control_bytes", core.control_bytes()},
+                                     {"control_bytes", core.traffic().total()},
                                      {"hosts", nlohmann::json::array()},
                                      {"upstreams", nlohmann::json::array()},
                                      {"zones", nlohmann::json::object()}};
@@ -215,7 +215,7 @@
     }
     log_client client(this->context.settings.platform);
     const auto appended = client.append("config", {change->to_json()});
-    this->context.control.post(control_bytes_spent{client.take_bytes()});
+    this->context.control.post(control_bytes_spent{control_traffic::log, client.take_bytes()});
     if (appended == append_result::not_appended)
     {
         reply(response, 503, {{"result", "not-appended"}, {"reason", "the platform's log cannot be reached"}});
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -14,8 +14,8 @@
 constexpr duration tick_interval = std::chrono::milliseconds(25);
 constexpr std::size_t exceptions_a_tick = 256;
 constexpr std::size_t most_helpers = 64;
-/// Bytes of one report of an engine with all overhead.
-constexpr std::size_t report_bytes = 800;
+/// Bytes of one report of an engine over a kept connection, with all overhead.
+constexpr std::size_t report_bytes = 570;
 constexpr std::size_t host_list_overhead = 700;
 constexpr duration retry_pause = std::chrono::milliseconds(250);
 constexpr std::int64_t report_timeout_ms = 500;
@@ -80,7 +80,6 @@
     this->thread = std::thread([this] { this->run(); });
     this->reader = std::thread([this] { this->read_configuration_loop(); });
     this->timers.subscribe(this->settings.host_list_interval, [this] { this->poll_hosts(); });
-    this->timers.subscribe(this->settings.report_interval, [this] { this->poll_reports(); });
     this->helpers.enqueue([this] { this->poll_hosts(); });
     return std::nullopt;
 }
@@ -176,7 +175,7 @@
     }
     this->applied = this->core->config().applied().value();
     this->figures.set_configuration(static_cast<double>(this->applied.load()));
-    this->figures.set_control_bytes(static_cast<double>(this->core->control_bytes()));
+    this->figures.set_control_bytes(this->core->traffic());
     this->publish_directory();
     for (const auto& question : questions)
     {
@@ -204,10 +203,13 @@
     {
         this->helpers.enqueue([this, document = snapshot->snapshot] { this->append_snapshot_now(document); });
     }
-    else if (const auto* poll = std::get_if<poll_report_now>(&action))
+    else if (const auto* poll = std::get_if<poll_report>(&action))
     {
-        const auto engine = poll->engine;
-        this->helpers.enqueue([this, engine] { this->poll_report(engine.id, engine.address, engine.port); });
+        this->helpers.enqueue([this, engine = poll->engine] { this->read_report(engine); });
+    }
+    else if (const auto* read = std::get_if<read_log_now>(&action))
+    {
+        this->helpers.enqueue([this, from = read->from] { this->read_records_now(from); });
     }
     else if (const auto* item = std::get_if<note_event>(&action))
     {
@@ -221,7 +223,7 @@
     // A snapshot whose answer is lost may stand twice, which is harmless.
     log_client client(this->settings.platform);
     (void)client.append(configuration_stream, {snapshot});
-    this->post(control_bytes_spent{client.take_bytes()});
+    this->post(control_bytes_spent{control_traffic::log, client.take_bytes()});
 }
 
 auto control_service::publish_directory() -> void
@@ -269,7 +271,7 @@
     while (!this->stopping)
     {
         const auto page = client.read(configuration_stream, next, this->settings.configuration_wait);
-        this->post(control_bytes_spent{client.take_bytes()});
+        this->post(control_bytes_spent{control_traffic::log, client.take_bytes()});
         if (!page)
         {
             this->post(log_read_failed{});
@@ -291,7 +293,7 @@
     const auto hosts_read = read_host_list(this->settings.platform, this->settings.host.name);
     if (!hosts_read)
     {
-        this->post(control_bytes_spent{host_list_overhead});
+        this->post(control_bytes_spent{control_traffic::host_list, host_list_overhead});
         return;
     }
     host_list_read item;
@@ -303,38 +305,51 @@
             item.leaving.push_back(where.name);
         }
     }
-    this->post(control_bytes_spent{host_list_overhead + item.live.size() * 110});
+    this->post(control_bytes_spent{control_traffic::host_list, host_list_overhead + item.live.size() * 110});
     this->post(std::move(item));
     this->wake();
 }
 
-auto control_service::poll_reports() -> void
+auto control_service::read_records_now(log_offset from) -> void
 {
-    if (this->stopping)
-    {
-        return;
-    }
-    const auto owned = this->inspect([](const control_core& state) { return state.owned_engines(); });
-    for (const auto& item : owned)
+    log_client client(this->settings.platform);
+    const auto page = client.read(configuration_stream, from, duration{});
+    this->post(control_bytes_spent{control_traffic::log, client.take_bytes()});
+    if (page && !page->records.empty())
     {
-        this->helpers.enqueue([this, item] { this->poll_report(item.id, item.address, item.port); });
+        this->post(log_records_read{page->records});
+        this->wake();
     }
 }
 
-auto control_service::poll_report(upstream_id id, const std::string& address, std::uint16_t port) -> void
+auto control_service::read_report(const owned_engine& engine) -> void
 {
-    httplib::Client client(address, port);
-    client.set_connection_timeout(std::chrono::milliseconds(report_timeout_ms));
-    client.set_read_timeout(std::chrono::milliseconds(report_timeout_ms));
-    client.set_interface(this->settings.host.address);
-    const auto answer = client.Get("/report");
-    this->post(control_bytes_spent{report_bytes});
+    std::unique_ptr<httplib::Client> client;
+    {
+        const std::lock_guard lock(this->report_mutex);
+        client = std::move(this->report_clients[engine.id]);
+    }
+    if (!client)
+    {
+        client = std::make_unique<httplib::Client>(engine.address, engine.port);
+        client->set_keep_alive(true);
+        client->set_connection_timeout(std::chrono::milliseconds(report_timeout_ms));
+        client->set_read_timeout(std::chrono::milliseconds(report_timeout_ms));
+        client->set_interface(this->settings.host.address);
+    }
+    const auto answer = client->Get("/report");
+    this->post(control_bytes_spent{control_traffic::reports, report_bytes});
     const auto report = answer && answer->status == 200 ? parse_report(answer->body) : std::nullopt;
-    if (report)
+    if (!report)
     {
-        this->post(upstream_reported{id, *report});
-        this->wake();
+        return;
+    }
+    {
+        const std::lock_guard lock(this->report_mutex);
+        this->report_clients[engine.id] = std::move(client);
     }
+    this->post(upstream_reported{engine.id, *report});
+    this->wake();
 }
 
 } // namespace poplardrift
--- a/src/daemon/control_service.hpp
+++ b/src/daemon/control_service.hpp
@@ -68,8 +68,8 @@
     auto publish_directory() -> void;
     auto read_configuration_loop() -> void;
     auto poll_hosts() -> void;
-    auto poll_reports() -> void;
-    auto poll_report(upstream_id id, const std::string& address, std::uint16_t port) -> void;
+    auto read_report(const owned_engine& engine) -> void;
+    auto read_records_now(log_offset from) -> void;
     auto append_snapshot_now(const nlohmann::json& snapshot) -> void;
 
     daemon_settings settings;
@@ -94,6 +94,8 @@
     std::uint64_t directory_revision = 0;
     std::function<void(const host_directory&)> directory_listener;
     std::atomic<std::uint64_t> applied{0};
+    std::mutex report_mutex;
+    std::map<upstream_id, std::unique_ptr<httplib::Client>> report_clients; ///< idle connections
 };
 
 } // namespace poplardrift
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -25,7 +25,7 @@
           slots(settings.admission, [this] { this->control.wake(); }),
           control(settings, this->incarnation, this->slots, this->log, this->figures),
           transactions(settings, this->incarnation, this->log, this->figures,
-                       [this](std::size_t bytes) { this->control.post(control_bytes_spent{bytes}); }),
+                       [this](std::size_t bytes) { this->control.post(control_bytes_spent{control_traffic::transactions, bytes}); }),
           context(this->settings, this->slots, this->control, this->transactions, this->log, this->figures),
           front(this->context, settings.host.name + "-" + std::to_string(this->incarnation.value() % 1'000'000'000)),
           admin(this->context)
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -38,9 +38,8 @@
     std::size_t most_header_bytes = 16 << 10;        ///< all headers of one request
     duration leave_notice = std::chrono::seconds(5); ///< from not ready to no new connections
     duration idle_connection = std::chrono::seconds(5); ///< idle caller connections are closed
-    duration configuration_wait = std::chrono::seconds(2); ///< wait of one read of the log
-    duration report_interval = std::chrono::seconds(1); ///< between reports of an owned engine
-    duration host_list_interval = std::chrono::seconds(2);
+    duration configuration_wait = std::chrono::seconds(10); ///< wait of one read of the log
+    duration host_list_interval = std::chrono::seconds(4);
     duration claim_batch = std::chrono::milliseconds(4); ///< claims are gathered for that long
     tls_settings callers;            ///< towards callers
     tls_settings hosts;              ///< between hosts, both sides
--- a/src/gossip/byte_budget.cpp
+++ b/src/gossip/byte_budget.cpp
@@ -1,10 +1,17 @@
 #include "poplardrift/gossip/byte_budget.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace poplardrift
 {
 
+auto to_text(control_traffic kind) -> std::string_view
+{
+    static constexpr std::string_view names[] = {"heartbeats", "urgent", "log", "host_list", "reports", "transactions"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
 byte_budget::byte_budget(byte_budget_settings settings, time_point now)
     : settings(settings), balance(settings.burst_bytes), last(now)
 {
@@ -30,16 +37,21 @@
 
 auto byte_budget::fits(std::size_t payload, time_point now) -> bool { return this->room(now) >= payload; }
 
-auto byte_budget::spend(std::size_t payload, time_point now) -> void
+auto byte_budget::total() const -> std::uint64_t
+{
+    return std::accumulate(this->spent.begin(), this->spent.end(), std::uint64_t{0});
+}
+
+auto byte_budget::spend(std::size_t payload, control_traffic kind, time_point now) -> void
 {
-    this->spend_raw(payload + this->settings.message_overhead, now);
+    this->spend_raw(payload + this->settings.message_overhead, kind, now);
 }
 
-auto byte_budget::spend_raw(std::size_t bytes, time_point now) -> void
+auto byte_budget::spend_raw(std::size_t bytes, control_traffic kind, time_point now) -> void
 {
     this->refill(now);
     this->balance -= static_cast<double>(bytes);
-    this->spent += bytes;
+    this->spent[static_cast<std::size_t>(kind)] += bytes;
 }
 
 } // namespace poplardrift
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -49,10 +49,18 @@
     return pid;
 }
 
-auto read_metric(const std::string& text, const std::string& name) -> double
+/// Values of a metric by its `kind` label.
+auto read_kinds(const std::string& text, const std::string& name) -> std::map<std::string, double>
 {
-    const auto at = text.find("\n" + name + " ");
-    return at == std::string::npos ? 0.0 : std::strtod(text.c_str() + at + name.size() + 2, nullptr);
+    std::map<std::string, double> result;
+    const auto start = "\n" + name + "{kind=\"";
+    for (auto at = text.find(start); at != std::string::npos; at = text.find(start, at + 1))
+    {
+        const auto from = at + start.size();
+        const auto to = text.find("\"} ", from);
+        result[text.substr(from, to - from)] = std::strtod(text.c_str() + to + 3, nullptr);
+    }
+    return result;
 }
 
 } // namespace
@@ -84,9 +92,9 @@
     http.Post(path, body.dump(), "application/json");
 }
 
-auto experiment::control_bytes() -> std::map<std::string, double>
+auto experiment::control_bytes() -> bytes_by_host
 {
-    std::map<std::string, double> result;
+    bytes_by_host result;
     for (const auto& host : this->client["hosts"])
     {
         httplib::Client http(host["address"].get<std::string>(), host["http_port"].get<int>());
@@ -94,7 +102,7 @@
         const auto answer = http.Get("/metrics");
         if (answer)
         {
-            result[host["name"]] = read_metric(answer->body, "poplardrift_control_bytes");
+            result[host["name"]] = read_kinds(answer->body, "poplardrift_control_bytes");
         }
     }
     return result;
@@ -343,7 +351,7 @@
     this->figures["bookings"] = ends;
 }
 
-auto experiment::judge(const std::map<std::string, double>& bytes_before, double seconds) -> void
+auto experiment::judge(const bytes_by_host& bytes_before, double seconds) -> void
 {
     this->figures["experiment"] = this->plan.at("name");
     this->figures["placement"] = this->client["placement"];
@@ -352,12 +360,24 @@
     this->judge_bookings();
     const auto stats = this->emulator_get("/stats");
     double most_bytes = 0;
-    for (const auto& [host, bytes] : this->control_bytes())
+    for (const auto& [host, kinds] : this->control_bytes())
     {
-        const auto before = bytes_before.find(host);
-        // A host that was started anew counts from zero.
-        const auto from = before == bytes_before.end() || before->second > bytes ? 0.0 : before->second;
-        most_bytes = std::max(most_bytes, (bytes - from) / seconds);
+        double sum = 0;
+        nlohmann::json shown;
+        for (const auto& [kind, bytes] : kinds)
+        {
+            const auto found = bytes_before.find(host);
+            const auto before = found == bytes_before.end() || !found->second.contains(kind) ? 0.0 : found->second.at(kind);
+            // A host that was started anew counts from zero.
+            const auto spent = (bytes - (before > bytes ? 0.0 : before)) / seconds;
+            shown[kind] = spent;
+            sum += spent;
+        }
+        if (sum > most_bytes)
+        {
+            most_bytes = sum;
+            this->figures["control_bytes_by_kind"] = shown;
+        }
     }
     this->figures["control_bytes_per_host_second"] = most_bytes;
     this->figures["skew_max_over_mean"] = stats.value("skew_max_over_mean", 0.0);
--- a/src/load/experiment.hpp
+++ b/src/load/experiment.hpp
@@ -28,11 +28,13 @@
     auto do_event(const nlohmann::json& what) -> void;
     auto sample_loop() -> void;
     auto set_zone(const std::string& zone, bool in_service) -> void;
-    auto wait_warm() -> void;
-    [[nodiscard]] auto control_bytes() -> std::map<std::string, double>;
+    /// Control bytes by host and kind.
+    using bytes_by_host = std::map<std::string, std::map<std::string, double>>;
+
+    [[nodiscard]] auto control_bytes() -> bytes_by_host;
     [[nodiscard]] auto emulator_get(const std::string& path) -> nlohmann::json;
     auto emulator_post(const std::string& path, const nlohmann::json& body) -> void;
-    auto judge(const std::map<std::string, double>& bytes_before, double seconds) -> void;
+    auto judge(const bytes_by_host& bytes_before, double seconds) -> void;
     auto judge_chats() -> void;
     auto judge_bookings() -> void;
     [[nodiscard]] auto seconds_now() const -> double;
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -50,9 +50,8 @@
                   .Add({})),
       control_bytes(&prometheus::BuildGauge()
                          .Name("poplardrift_control_bytes")
-                         .Help("Control bytes caused by this host since its start, overhead counted")
-                         .Register(this->registry)
-                         .Add({})),
+                         .Help("Control bytes caused by this host since its start, overhead counted, by kind")
+                         .Register(this->registry)),
       configuration(&prometheus::BuildGauge()
                          .Name("poplardrift_configuration_offset")
                          .Help("Offset of the log up to which the configuration is in force")
@@ -82,6 +81,15 @@
 
 auto metrics::count_event(const std::string& name) -> void { this->events->Add({{"event", name}}).Increment(); }
 
+auto metrics::set_control_bytes(const byte_budget& traffic) -> void
+{
+    for (std::size_t kind = 0; kind < control_traffic_kinds; ++kind)
+    {
+        const std::string name(poplardrift::to_text(static_cast<control_traffic>(kind)));
+        this->control_bytes->Add({{"kind", name}}).Set(static_cast<double>(traffic.by_kind()[kind]));
+    }
+}
+
 auto metrics::to_text() const -> std::string { return prometheus::TextSerializer().Serialize(this->registry.Collect()); }
 
 } // namespace poplardrift
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "poplardrift/base/time.hpp"
+#include "poplardrift/gossip/byte_budget.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -36,7 +36,7 @@
     auto count_event(const std::string& name) -> void;
     auto set_in_flight(double value) -> void { this->in_flight->Set(value); }
     auto set_queued(double value) -> void { this->queued->Set(value); }
-    auto set_control_bytes(double value) -> void { this->control_bytes->Set(value); }
+    auto set_control_bytes(const byte_budget& traffic) -> void;
     auto set_configuration(double offset) -> void { this->configuration->Set(offset); }
     [[nodiscard]] auto to_text() const -> std::string;
 
@@ -49,7 +49,7 @@
     prometheus::Family<prometheus::Counter>* events;
     prometheus::Gauge* in_flight;
     prometheus::Gauge* queued;
-    prometheus::Gauge* control_bytes;
+    prometheus::Family<prometheus::Gauge>* control_bytes;
     prometheus::Gauge* configuration;
     std::mutex mutex;
     std::unordered_map<std::string, route_metrics> by_route;
