--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -210,7 +210,7 @@
         std::map<upstream_id, upstream_status> told; ///< statuses as last sent
         std::set<upstream_id> unanswered; ///< its reports that want a grant
         std::set<upstream_id> greeted;    ///< its upstreams that have answered a report of ours
-        std::map<pool_id, std::uint32_t> loads;
+        std::map<pool_id, pool_load> loads;
         time_point loads_at{};
         log_offset configuration;
         bool configuration_differs = false; ///< same offset, other content
@@ -275,7 +275,7 @@
         -> slot_grant;
     [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t;
-    [[nodiscard]] auto pool_in_flight(pool_id pool, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto fleet_load(pool_id pool, time_point now) const -> pool_load;
     [[nodiscard]] auto declaration_of(upstream_id id) const -> const upstream_declaration*;
     [[nodiscard]] auto state_of(upstream_id id) const -> upstream_state;
     [[nodiscard]] auto digest() const -> std::uint32_t;
@@ -293,13 +293,14 @@
     std::map<upstream_id, recent_sign> signs;
     std::map<heard_sign, std::uint32_t> heard_signs; ///< with the count last heard
     std::map<heard_sign, time_point> sign_times;     ///< of all hosts
-    std::map<pool_id, std::uint32_t> own_loads;
+    std::map<pool_id, pool_load> own_loads;
     std::map<upstream_id, time_point> self_granted;
     std::map<upstream_id, time_point> polled; ///< when each report was last asked for
     std::optional<time_point> behind_since;   ///< since when another host has folded more
     std::uint64_t self_sequence = 0;
     std::vector<control_action> actions;
     std::uint64_t seen_members = 0;
+    time_point members_changed;
     std::uint64_t seen_configuration = 0;
     log_offset noted_audit;
     std::uint64_t view_revision = 0;
--- a/include/poplardrift/gossip/messages.hpp
+++ b/include/poplardrift/gossip/messages.hpp
@@ -59,7 +59,8 @@
 struct pool_load
 {
     pool_id pool;
-    std::uint32_t in_flight = 0; ///< at warm upstreams
+    std::uint32_t warm = 0; ///< at warm upstreams
+    std::uint32_t all = 0;  ///< at all upstreams
 };
 
 /// A conversation that last ran at another upstream than its first choice.
--- a/include/poplardrift/transactions/transaction_core.hpp
+++ b/include/poplardrift/transactions/transaction_core.hpp
@@ -168,6 +168,8 @@
     [[nodiscard]] auto lookup(workspace_id workspace, const std::string& key) const -> key_lookup;
     /// Offset up to which the stream has been folded.
     [[nodiscard]] auto applied() const noexcept -> log_offset { return this->book.applied(); }
+    /// True while a claim of this process waits to be read back.
+    [[nodiscard]] auto has_open_claims() const noexcept -> bool { return !this->claims.empty(); }
     [[nodiscard]] auto is_recovered() const noexcept -> bool { return this->recovered; }
 
     [[nodiscard]] auto take_actions() -> std::vector<transaction_action>;
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -658,12 +658,14 @@
     std::vector<pool_load> result;
     for (const auto& pool : this->current->pools)
     {
-        pool_load load{pool.id, 0};
+        pool_load load{pool.id, 0, 0};
         const auto& state = this->pools.at(pool.id);
         for (std::size_t index = 0; index < pool.upstreams.size(); ++index)
         {
-            const auto warm = pool.upstreams[index].state == upstream_state::warm && pool.upstreams[index].eligible;
-            load.in_flight += warm ? state.slots[index]->in_use : 0;
+            const auto& upstream = pool.upstreams[index];
+            const auto in_use = upstream.eligible ? state.slots[index]->in_use : 0;
+            load.all += in_use;
+            load.warm += upstream.state == upstream_state::warm ? in_use : 0;
         }
         result.push_back(load);
     }
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -67,7 +67,7 @@
                            time_point now)
     : settings(settings), incarnation(incarnation),
       hosts(settings.membership, std::move(self), incarnation), configured(settings.configuration),
-      budget(settings.budget, now), owner(settings.slots, settings.warmup), snapshot_seen(now)
+      budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now), snapshot_seen(now)
 {
     this->hosts.set_listener(this);
 }
@@ -243,6 +243,7 @@
     {
         return;
     }
+    this->members_changed = this->seen_members == 0 ? this->members_changed : now;
     this->seen_members = this->hosts.revision();
     const auto self = this->hosts.self();
     for (const auto& [id, path] : this->paths)
@@ -283,22 +284,24 @@
     std::erase_if(this->known, [&](const auto& item) { return !this->paths.contains(item.first); });
 }
 
-auto control_core::pool_in_flight(pool_id pool, time_point now) const -> std::uint32_t
+auto control_core::fleet_load(pool_id pool, time_point now) const -> pool_load
 {
     const auto own = this->own_loads.find(pool);
-    auto total = own == this->own_loads.end() ? 0 : own->second;
+    auto total = own == this->own_loads.end() ? pool_load{pool, 0, 0} : own->second;
     for (const auto& [id, state] : this->peers)
     {
         const auto load = state.loads.find(pool);
-        const auto fresh = now - state.loads_at < load_validity;
-        total += load != state.loads.end() && fresh ? load->second : 0;
+        if (load != state.loads.end() && now - state.loads_at < load_validity)
+        {
+            total.warm += load->second.warm;
+            total.all += load->second.all;
+        }
     }
     return total;
 }
 
 auto control_core::mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t
 {
-    // Upstreams in cold start cannot take their share, so they do not count towards the mean.
     double warm_weight = 0.0;
     double all_weight = 0.0;
     for (const auto& [path, other] : this->parsed.upstreams)
@@ -311,11 +314,14 @@
         warm_weight += state == upstream_state::warm ? other.weight : 0.0;
         all_weight += state == upstream_state::warm || state == upstream_state::cold ? other.weight : 0.0;
     }
-    const auto own_state = this->state_of(make_upstream_id(item.path));
-    const auto counted = own_state == upstream_state::warm ? warm_weight : warm_weight + item.weight;
-    const auto weights = warm_weight > 0.0 ? counted : std::max(all_weight, item.weight);
-    return bound_by_mean(this->parsed.limits.load_bound,
-                         this->pool_in_flight(make_pool_id(item.pool), now), item.weight / weights);
+    const auto load = this->fleet_load(make_pool_id(item.pool), now);
+    const auto multiple = this->parsed.limits.load_bound;
+    // Upstreams in cold start cannot take their share, so a warm one is compared with warm ones.
+    if (this->state_of(make_upstream_id(item.path)) == upstream_state::warm)
+    {
+        return bound_by_mean(multiple, load.warm, item.weight / std::max(warm_weight, item.weight));
+    }
+    return bound_by_mean(multiple, load.all, item.weight / std::max(all_weight, item.weight));
 }
 
 auto control_core::listed_hosts() const -> std::vector<host_id>
@@ -338,7 +344,9 @@
 {
     const auto* item = this->declaration_of(id);
     POPLARDRIFT_ASSERT(item != nullptr);
-    const auto complete = this->hosts.knows_fleet() && this->owner.has_heard_all(id, this->listed_hosts());
+    // Hosts may differ for a while on who exists, and so on who owns what.
+    const auto agreed = this->hosts.knows_fleet() && now - this->members_changed >= this->settings.slots.disagreement;
+    const auto complete = agreed && this->owner.has_heard_all(id, this->listed_hosts());
     // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
     // enough: they may be alive and grant its slots.
     const auto& self_zone = this->hosts.find(this->hosts.self())->where.zone;
@@ -392,7 +400,7 @@
 {
     for (const auto& load : usage.loads)
     {
-        this->own_loads[load.pool] = load.in_flight;
+        this->own_loads[load.pool] = load;
     }
     std::map<upstream_id, slot_use> by_upstream;
     for (const auto& use : usage.uses)
@@ -435,7 +443,7 @@
     }
     for (const auto& load : message.loads)
     {
-        state.loads[load.pool] = load.in_flight;
+        state.loads[load.pool] = load;
     }
     state.loads_at = now;
     this->update_owners(now);
--- a/src/daemon/transaction_service.cpp
+++ b/src/daemon/transaction_service.cpp
@@ -9,11 +9,11 @@
 {
 
 constexpr const char* transaction_stream = "transactions";
-constexpr duration read_wait = std::chrono::seconds(5);
+/// Between reads of others' records while this host claims nothing.
+constexpr duration idle_read_interval = std::chrono::seconds(2);
 constexpr duration retry_pause = std::chrono::milliseconds(200);
-/// A claim that the long read has not brought by then is read directly: the long read's connection
-/// may have gone silent.
-constexpr duration read_back_patience = std::chrono::milliseconds(150);
+/// Records of outcomes wait that long for a claim to travel with.
+constexpr duration outcome_linger = std::chrono::milliseconds(150);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t most_records_a_batch = 500;
 
@@ -42,7 +42,7 @@
         this->stopping = true;
     }
     this->outgoing_changed.notify_all();
-    this->folded.notify_all();
+    this->stop_requested.notify_all();
     if (this->writer.joinable())
     {
         this->writer.join();
@@ -171,6 +171,12 @@
     return this->outgoing.empty() && !this->writing;
 }
 
+auto transaction_service::has_claim() const -> bool
+{
+    return std::any_of(this->outgoing.begin(), this->outgoing.end(),
+                       [](const auto& item) { return item.number.has_value(); });
+}
+
 auto transaction_service::write_loop() -> void
 {
     log_client client(this->settings.platform);
@@ -184,6 +190,7 @@
             {
                 return;
             }
+            this->outgoing_changed.wait_for(lock, outcome_linger, [&] { return this->has_claim() || this->stopping; });
         }
         // Gather what comes in the meantime: the log takes few appends, but large ones.
         std::this_thread::sleep_for(this->settings.claim_batch);
@@ -236,11 +243,10 @@
         std::this_thread::sleep_for(retry_pause);
         return;
     }
-    const auto goal = this->last_seen;
-    this->folded.wait_for(lock, read_back_patience, [&] { return this->last_seen > goal || this->stopping; });
-    const auto late = this->last_seen == goal && !this->stopping;
     lock.unlock();
-    if (late)
+    // What the log has decided is read back at once.
+    const auto claims = std::any_of(batch.begin(), batch.end(), [](const auto& item) { return item.number.has_value(); });
+    if (claims)
     {
         this->read_back(client);
     }
@@ -262,6 +268,7 @@
     this->core.on_log_reachable(static_cast<bool>(page));
     if (!page)
     {
+        this->behind = false;
         this->drain();
         return false;
     }
@@ -284,6 +291,7 @@
             this->core.on_record(item.offset, item.time, *record, now);
         }
     }
+    this->behind = !page->records.empty() && this->last_seen.value() + 1 < page->next.value();
     if (this->last_seen.value() + 1 >= page->next.value())
     {
         this->core.on_recovered();
@@ -296,7 +304,6 @@
         this->core.on_recovered();
     }
     this->drain();
-    this->folded.notify_all();
     return true;
 }
 
@@ -309,7 +316,7 @@
             std::unique_lock lock(this->mutex);
             while (!this->stopping)
             {
-                this->folded.wait_for(lock, tick_interval);
+                this->stop_requested.wait_for(lock, tick_interval);
                 this->core.on_tick(monotonic_now());
                 this->drain();
             }
@@ -317,7 +324,6 @@
     while (true)
     {
         log_offset from;
-        duration wait{};
         {
             const std::lock_guard lock(this->mutex);
             if (this->stopping)
@@ -325,14 +331,13 @@
                 break;
             }
             from = log_offset{this->last_seen.value() + 1};
-            wait = this->core.is_recovered() ? read_wait : duration{};
         }
-        const auto good = this->take_page(client.read(transaction_stream, from, wait));
+        const auto good = this->take_page(client.read(transaction_stream, from, duration{}));
         this->on_bytes(client.take_bytes());
-        if (!good)
-        {
-            std::this_thread::sleep_for(retry_pause);
-        }
+        std::unique_lock lock(this->mutex);
+        const auto hurry = !good || this->core.has_open_claims();
+        const auto pause = this->behind ? duration{} : hurry ? retry_pause : idle_read_interval;
+        this->stop_requested.wait_for(lock, pause, [&] { return this->stopping; });
     }
     ticker.join();
 }
--- a/src/daemon/transaction_service.hpp
+++ b/src/daemon/transaction_service.hpp
@@ -50,6 +50,7 @@
     /// Carries out what the core wants. Called with the lock held.
     auto drain() -> void;
     auto deliver(request_id id, transaction_verdict verdict) -> void;
+    [[nodiscard]] auto has_claim() const -> bool;
     auto write_loop() -> void;
     auto read_loop() -> void;
     auto write_batch(log_client& client, std::vector<append_transaction_record> batch) -> void;
@@ -65,8 +66,9 @@
     std::map<request_id, wait_handle*> waits;
     std::deque<append_transaction_record> outgoing;
     std::condition_variable outgoing_changed;
-    std::condition_variable folded;
+    std::condition_variable stop_requested;
     bool writing = false;
+    bool behind = false; ///< the log has more records than the last read brought
     bool stopping = false;
     log_offset last_seen;
     std::thread writer;
--- a/src/gossip/codec.cpp
+++ b/src/gossip/codec.cpp
@@ -44,7 +44,7 @@
 
 auto pack(packer& out, const pool_load& item) -> void
 {
-    out.pack_array(2).pack(item.pool.value()).pack(item.in_flight);
+    out.pack_array(3).pack(item.pool.value()).pack(item.warm).pack(item.all);
 }
 
 auto pack(packer& out, const placement_exception& item) -> void
@@ -142,7 +142,8 @@
 auto unpack(array_reader in, pool_load& item) -> void
 {
     item.pool = pool_id{in.next<std::uint32_t>()};
-    item.in_flight = in.next<std::uint32_t>();
+    item.warm = in.next<std::uint32_t>();
+    item.all = in.next<std::uint32_t>();
 }
 
 auto unpack(array_reader in, placement_exception& item) -> void
