--- a/include/poplardrift/admission/admission.hpp
+++ b/include/poplardrift/admission/admission.hpp
@@ -104,6 +104,17 @@
     std::uint32_t held = 0;
 };
 
+/// How requests have got their places so far.
+struct placement_counts
+{
+    std::uint64_t preferred = 0;       ///< at once, where wanted
+    std::uint64_t preferred_waited = 0; ///< where wanted, after a wait
+    std::uint64_t elsewhere = 0;       ///< at another upstream, after a wait
+    std::uint64_t refused = 0;
+    std::uint64_t left_out = 0;        ///< waits that the owner's grant left out
+    std::uint64_t unanswered = 0;      ///< waits whose owner did not answer in time
+};
+
 /// Decides where each request of this host goes: within the slots that owners have granted, with
 /// affinity, and with queues that share what there is among workspaces. Free of I/O; traffic
 /// threads call it under a short lock, so nothing here blocks, and the path without a wait
@@ -152,6 +163,7 @@
     [[nodiscard]] auto uses(time_point now) const -> std::vector<slot_use>;
     /// Requests in flight by pool, at warm upstreams.
     [[nodiscard]] auto loads() const -> std::vector<pool_load>;
+    [[nodiscard]] auto counts() const noexcept -> const placement_counts& { return this->tally; }
     [[nodiscard]] auto in_flight() const noexcept -> std::uint32_t { return this->total_in_flight; }
     [[nodiscard]] auto queued() const noexcept -> std::uint32_t { return this->total_queued; }
 
@@ -173,6 +185,7 @@
     {
         placement_request wish;
         upstream_id target;        ///< whose owner was asked
+        upstream_id first_target;  ///< where the request should best go
         bool takes_any = false;    ///< patience for the target is over
         time_point next_choice{};  ///< when the target is thought over
     };
@@ -246,6 +259,7 @@
     std::vector<placement_exception> outgoing_exceptions;
     std::vector<wait_ended> ended;
     std::set<host_id> asks;
+    placement_counts tally;
     std::uint64_t arrivals = 0;
     std::uint32_t total_in_flight = 0;
     std::uint32_t total_queued = 0;
--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -29,6 +29,7 @@
     warmup_settings warmup;
     byte_budget_settings budget;
     configuration_settings configuration;
+    duration start_quiet = std::chrono::seconds(6); ///< a new process grants nothing new for that long
     duration heartbeat = std::chrono::milliseconds(600);      ///< between messages to one host
     duration urgent_interval = std::chrono::milliseconds(4);  ///< shortest pause between messages
     duration silent_link = std::chrono::seconds(3);  ///< without acknowledgement: dial anew
@@ -193,6 +194,8 @@
     [[nodiscard]] auto overview(time_point now) const -> std::vector<upstream_overview>;
     /// Configuration offsets of all hosts as last heard, this one among them.
     [[nodiscard]] auto configuration_offsets() const -> std::map<std::string, log_offset>;
+    /// True while a message that cannot wait is held back by the shortest pause between messages.
+    [[nodiscard]] auto has_urgent() const noexcept -> bool { return this->urgent_held; }
     [[nodiscard]] auto log_is_reachable() const noexcept -> bool { return this->log_reachable; }
     [[nodiscard]] auto incarnation_of(host_id host) const -> incarnation_id;
     /// Why this host should take no requests; empty when it should.
@@ -305,6 +308,8 @@
     log_offset noted_audit;
     std::uint64_t view_revision = 0;
     bool view_is_stale = true;
+    bool urgent_held = false;
+    time_point started;
     bool leaving = false;
     bool log_reachable = false;
     bool was_complete = true;
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -299,6 +299,7 @@
     }
     if (this->has_free_slot(*pool.state->slots[*target], now))
     {
+        ++this->tally.preferred;
         return this->take_slot(pool, *target, wish);
     }
     return this->enqueue(pool, *target, wish, now);
@@ -337,7 +338,10 @@
         this->ended.push_back({least->second.wish.id, refused{refusal::queue_full}});
         this->drop_waiter(queue, least);
     }
-    waiter item{wish, upstream_id{}, false, now + this->settings.ask_patience};
+    waiter item;
+    item.wish = wish;
+    item.first_target = pool.view->upstreams[target].id;
+    item.next_choice = now + this->settings.ask_patience;
     this->aim_at(pool, item, target, true);
     queue.emplace(waiter_key{-wish.priority, ++this->arrivals}, item);
     ++this->total_queued;
@@ -392,6 +396,8 @@
             return;
         }
         const auto wish = best->second.wish;
+        const auto wanted = best->second.first_target == pool.view->upstreams[index].id;
+        ++(wanted ? this->tally.preferred_waited : this->tally.elsewhere);
         this->drop_waiter(*best_queue, best);
         this->ended.push_back({wish.id, this->take_slot(pool, index, wish)});
     }
@@ -507,6 +513,7 @@
         for (auto& [key, item] : queue)
         {
             const auto left_out = item.target == upstream && !item.takes_any;
+            this->tally.left_out += left_out ? 1 : 0;
             item.next_choice = left_out ? now : item.next_choice;
         }
     }
@@ -562,11 +569,13 @@
 auto admission::widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<placed>
 {
     const auto first_time = !item.takes_any;
+    this->tally.unanswered += first_time && now >= item.next_choice ? 1 : 0;
     item.takes_any = true;
     item.next_choice = now + target_interval;
     const auto found = this->scan(pool, item.wish, now);
     if (found.spare && this->has_free_slot(*pool.state->slots[*found.spare], now))
     {
+        ++this->tally.elsewhere;
         return this->take_slot(pool, *found.spare, item.wish);
     }
     const auto target = this->choose_target(pool, item, now);
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -67,7 +67,7 @@
                            time_point now)
     : settings(settings), incarnation(incarnation),
       hosts(settings.membership, std::move(self), incarnation), configured(settings.configuration),
-      budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now), snapshot_seen(now)
+      budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now), started(now), snapshot_seen(now)
 {
     this->hosts.set_listener(this);
 }
@@ -345,14 +345,16 @@
     const auto* item = this->declaration_of(id);
     POPLARDRIFT_ASSERT(item != nullptr);
     // Hosts may differ for a while on who exists, and so on who owns what.
-    const auto agreed = this->hosts.knows_fleet() && now - this->members_changed >= this->settings.slots.disagreement;
+    // Hosts that start together may each be the only one that they know.
+    const auto settled = this->hosts.knows_fleet() && now - this->started >= this->settings.start_quiet;
+    const auto agreed = settled && now - this->members_changed >= this->settings.slots.disagreement;
     const auto complete = agreed && this->owner.has_heard_all(id, this->listed_hosts());
     // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
     // enough: they may be alive and grant its slots.
     const auto& self_zone = this->hosts.find(this->hosts.self())->where.zone;
     const auto safe_to_wait = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
                               this->hosts.zone_has_no_listed_host(item->zone);
-    const auto may_wait_out = this->hosts.knows_fleet() && safe_to_wait;
+    const auto may_wait_out = settled && safe_to_wait;
     return this->owner.grant(id, holder, complete, may_wait_out, sequence, now);
 }
 
@@ -732,6 +734,7 @@
     const auto urgent = state.urgent && room && since >= this->settings.urgent_interval;
     if (!due && !urgent)
     {
+        this->urgent_held = this->urgent_held || (state.urgent && room);
         return;
     }
     state.urgent = false;
@@ -743,6 +746,7 @@
 
 auto control_core::tick_peers(const host_usage& usage, time_point now) -> void
 {
+    this->urgent_held = false;
     for (const auto& id : usage.asks)
     {
         if (this->peers.contains(id))
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -12,6 +12,11 @@
 constexpr const char* configuration_stream = "config";
 /// Longest pause between two ticks of the control state.
 constexpr duration tick_interval = std::chrono::milliseconds(25);
+/// The same while a message is held back by the shortest pause between messages.
+constexpr duration urgent_interval = std::chrono::milliseconds(2);
+/// A process that has just started reads the host list that often, for that long.
+constexpr duration early_host_list_interval = std::chrono::seconds(1);
+constexpr duration early_time = std::chrono::seconds(10);
 constexpr std::size_t exceptions_a_tick = 256;
 constexpr std::size_t most_helpers = 64;
 /// Bytes of one report of an engine over a kept connection, with all overhead.
@@ -80,6 +85,14 @@
     this->thread = std::thread([this] { this->run(); });
     this->reader = std::thread([this] { this->read_configuration_loop(); });
     this->timers.subscribe(this->settings.host_list_interval, [this] { this->poll_hosts(); });
+    this->timers.subscribe(early_host_list_interval,
+                           [this, begin = monotonic_now()]
+                           {
+                               if (monotonic_now() - begin < early_time)
+                               {
+                                   this->poll_hosts();
+                               }
+                           });
     this->helpers.enqueue([this] { this->poll_hosts(); });
     return std::nullopt;
 }
@@ -132,7 +145,8 @@
     {
         {
             std::unique_lock lock(this->mutex);
-            this->changed.wait_for(lock, tick_interval, [&] { return this->woken; });
+            const auto pause = this->core->has_urgent() ? urgent_interval : tick_interval;
+            this->changed.wait_for(lock, pause, [&] { return this->woken; });
             this->woken = false;
         }
         this->step();
@@ -159,6 +173,7 @@
         usage = collect_usage(*access, exceptions_a_tick, monotonic_now());
         this->figures.set_in_flight(access->in_flight());
         this->figures.set_queued(access->queued());
+        this->figures.set_placements(access->counts());
     }
     this->core->on_tick(usage, monotonic_now());
     const auto actions = this->core->take_actions();
--- a/src/emulator/engine.cpp
+++ b/src/emulator/engine.cpp
@@ -167,8 +167,8 @@
 {
     return !this->is_cold() && !this->faults.down && !this->faults.leaving && !this->faults.silent &&
            wall_clock_ms() - this->warm_since_ms.load() > settle_ms &&
-           wall_clock_ms() > this->down_until_ms.load() && !this->around.is_late_for(this->zone) &&
-           !this->around.is_late_for(this->own_name);
+           wall_clock_ms() > this->down_until_ms.load() && !this->around.is_out(this->zone) &&
+           !this->around.is_out(this->own_name);
 }
 
 auto engine::turn_cold() -> void
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -100,9 +100,18 @@
     else
     {
         this->out_since_ms.erase(name);
+        this->back_since_ms[name] = wall_clock_ms();
     }
 }
 
+auto world::is_out(const std::string& name) const -> bool
+{
+    const std::lock_guard lock(this->mutex);
+    const auto back = this->back_since_ms.find(name);
+    const auto just_back = back != this->back_since_ms.end() && wall_clock_ms() - back->second < out_grace_ms;
+    return this->out_since_ms.contains(name) || just_back;
+}
+
 auto world::is_late_for(const std::string& name) const -> bool
 {
     const std::lock_guard lock(this->mutex);
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -57,6 +57,9 @@
 
     /// Zones (and upstreams, by name) that should get no new work, with when that began.
     auto set_out(const std::string& name, bool out) -> void;
+    /// True while something is taken out, and for a short time after its return, in which routers
+    /// learn of it.
+    [[nodiscard]] auto is_out(const std::string& name) const -> bool;
     /// True when work that arrives now breaks the promise to something taken out.
     [[nodiscard]] auto is_late_for(const std::string& name) const -> bool;
 
@@ -70,6 +73,7 @@
     mutable std::mutex mutex;
     std::set<std::pair<std::string, std::string>> cuts;
     std::map<std::string, std::int64_t> out_since_ms;
+    std::map<std::string, std::int64_t> back_since_ms;
     violation_counts counts;
     std::atomic<double> one_way_latency_ms{0.0};
 };
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -103,6 +103,7 @@
         if (answer)
         {
             result[host["name"]] = read_kinds(answer->body, "poplardrift_control_bytes");
+            this->placements[host["name"]] = read_kinds(answer->body, "poplardrift_placements");
         }
     }
     return result;
@@ -373,6 +374,11 @@
             shown[kind] = spent;
             sum += spent;
         }
+        for (const auto& [kind, count] : this->placements[host])
+        {
+            auto& all = this->figures["placements"][kind];
+            all = (all.is_null() ? 0.0 : all.get<double>()) + count;
+        }
         if (sum > most_bytes)
         {
             most_bytes = sum;
--- a/src/load/experiment.hpp
+++ b/src/load/experiment.hpp
@@ -46,6 +46,7 @@
     placement_oracle oracle;
     callers people;
     nlohmann::json figures;
+    bytes_by_host placements; ///< requests by host and by how they got their place
     double begin_seconds = 0;
     std::atomic<bool> ended{false};
     std::atomic<int> running{0};
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -52,6 +52,10 @@
                          .Name("poplardrift_control_bytes")
                          .Help("Control bytes caused by this host since its start, overhead counted, by kind")
                          .Register(this->registry)),
+      placements(&prometheus::BuildGauge()
+                      .Name("poplardrift_placements")
+                      .Help("Requests of this host by how they got their place")
+                      .Register(this->registry)),
       configuration(&prometheus::BuildGauge()
                          .Name("poplardrift_configuration_offset")
                          .Help("Offset of the log up to which the configuration is in force")
@@ -81,6 +85,17 @@
 
 auto metrics::count_event(const std::string& name) -> void { this->events->Add({{"event", name}}).Increment(); }
 
+auto metrics::set_placements(const placement_counts& counts) -> void
+{
+    const auto set = [&](const char* kind, std::uint64_t value)
+    { this->placements->Add({{"kind", kind}}).Set(static_cast<double>(value)); };
+    set("preferred", counts.preferred);
+    set("preferred_waited", counts.preferred_waited);
+    set("elsewhere", counts.elsewhere);
+    set("left_out", counts.left_out);
+    set("unanswered", counts.unanswered);
+}
+
 auto metrics::set_control_bytes(const byte_budget& traffic) -> void
 {
     for (std::size_t kind = 0; kind < control_traffic_kinds; ++kind)
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplardrift/admission/admission.hpp"
 #include "poplardrift/gossip/byte_budget.hpp"
 
 #include <prometheus/counter.h>
@@ -36,6 +37,7 @@
     auto count_event(const std::string& name) -> void;
     auto set_in_flight(double value) -> void { this->in_flight->Set(value); }
     auto set_queued(double value) -> void { this->queued->Set(value); }
+    auto set_placements(const placement_counts& counts) -> void;
     auto set_control_bytes(const byte_budget& traffic) -> void;
     auto set_configuration(double offset) -> void { this->configuration->Set(offset); }
     [[nodiscard]] auto to_text() const -> std::string;
@@ -50,6 +52,7 @@
     prometheus::Gauge* in_flight;
     prometheus::Gauge* queued;
     prometheus::Family<prometheus::Gauge>* control_bytes;
+    prometheus::Family<prometheus::Gauge>* placements;
     prometheus::Gauge* configuration;
     std::mutex mutex;
     std::unordered_map<std::string, route_metrics> by_route;
