--- a/include/poplardrift/admission/admission.hpp
+++ b/include/poplardrift/admission/admission.hpp
@@ -38,6 +38,9 @@
     std::size_t exception_capacity = 1 << 17;              ///< conversations remembered
     duration ejection = std::chrono::seconds(2);           ///< shortest local ejection
     duration longest_ejection = std::chrono::seconds(60);  ///< longest local ejection
+    host_id self;                                          ///< this host
+    std::uint32_t most_forwards = 3;                       ///< owners that one request is sent to
+    duration owner_rest = std::chrono::seconds(1);         ///< an owner that fails is left alone so long
     std::uint32_t failures_to_eject = 3;                   ///< in a row
     double most_ejected = 0.5;                             ///< share of a pool that may be ejected
 };
@@ -57,6 +60,9 @@
     std::int32_t priority = 0;        ///< higher goes first within the workspace
     time_point deadline{};            ///< end of the wait for a slot
     std::array<upstream_id, most_excluded> excluded{}; ///< tried before; zero: unused
+    std::optional<upstream_id> pinned; ///< another host sent it for a slot of this upstream only
+    bool may_forward = false;         ///< the request may go through the host that owns an upstream
+    std::uint32_t forwards = 0;       ///< owners that had no slot for it
 };
 
 /// The request holds a slot of this upstream until `release`.
@@ -65,6 +71,13 @@
     upstream_id upstream;
 };
 
+/// The owner of the upstream decides: send the request through it. No slot is held here.
+struct forward_to_owner
+{
+    host_id owner;
+    upstream_id upstream;
+};
+
 /// The request waits; an event will tell how it ends.
 struct waiting
 {
@@ -75,6 +88,7 @@
     no_upstream,   ///< none of the pool may take work
     queue_full,    ///< this host's queue, or the workspace's part of it
     queue_timeout, ///< no slot came free in time
+    no_slot,       ///< the pinned upstream has no slot now
 };
 
 struct refused
@@ -82,7 +96,9 @@
     refusal reason = refusal::no_upstream;
 };
 
-using placement_result = std::variant<placed, waiting, refused>;
+using placement_result = std::variant<placed, forward_to_owner, waiting, refused>;
+/// How a wait can end.
+using wait_result = std::variant<placed, forward_to_owner, refused>;
 
 /// Text of a refusal, for logs and problem details.
 [[nodiscard]] auto to_text(refusal reason) -> std::string_view;
@@ -91,7 +107,7 @@
 struct wait_ended
 {
     request_id id;
-    std::variant<placed, refused> result;
+    wait_result result;
 };
 
 /// Use of one upstream's slots, for the report to its owner.
@@ -110,6 +126,9 @@
     std::uint64_t preferred = 0;       ///< at once, where wanted
     std::uint64_t preferred_waited = 0; ///< where wanted, after a wait
     std::uint64_t elsewhere = 0;       ///< at another upstream, after a wait
+    std::uint64_t forwarded = 0;       ///< through the owner of the one that was wanted
+    std::uint64_t forwarded_elsewhere = 0; ///< through the owner of another one
+    std::uint64_t denied = 0;          ///< forwards for which the owner had no slot
     std::uint64_t refused = 0;
     std::uint64_t left_out = 0;        ///< waits that the owner's grant left out
     std::uint64_t unanswered = 0;      ///< waits whose owner did not answer in time
@@ -130,6 +149,13 @@
 
     /// Asks for an upstream.
     [[nodiscard]] auto request(const placement_request& wish, time_point now) -> placement_result;
+    /// The owner had no slot for a forwarded request, or could not be reached: the next place.
+    [[nodiscard]] auto on_denied(placement_request& wish, const forward_to_owner& tried, bool reached,
+                                 time_point now) -> placement_result;
+    /// The owner took a forwarded request in.
+    auto on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void;
+    /// A forwarded request ended, so that its owner has a slot free.
+    auto on_forward_ended(upstream_id upstream, time_point now) -> void;
     /// Gives a slot back.
     auto release(upstream_id upstream, workspace_id workspace, time_point now) -> void;
     /// Ends a wait from the caller's side. False when it had ended before.
@@ -176,6 +202,7 @@
         std::uint32_t wanted = 0;
         std::uint32_t published_free = 0; ///< slots that the owner says nobody has
         time_point valid_until{};
+        time_point next_probe{};          ///< when a waiting request may try the owner unasked
         std::uint32_t failures = 0;
         std::uint32_t ejections = 0;
         time_point ejected_until{};
@@ -238,11 +265,29 @@
     [[nodiscard]] auto within_local_bound(const pool_ref& pool, std::size_t index) const -> bool;
     auto take_slot(const pool_ref& pool, std::size_t index, const placement_request& wish) -> placed;
     auto learn_place(const pool_ref& pool, std::size_t index, conversation_id conversation) -> void;
+    [[nodiscard]] auto place_elsewhere(const pool_ref& pool, const placement_request& wish, std::size_t target,
+                                       time_point now) -> placement_result;
+    [[nodiscard]] auto may_have_slot(const pool_ref& pool, std::size_t index, time_point now) const -> bool;
+    [[nodiscard]] auto is_reachable_owner(host_id owner, time_point now) const -> bool;
+    [[nodiscard]] auto place_pinned(const pool_ref& pool, const placement_request& wish, time_point now)
+        -> placement_result;
+    auto forward(const pool_ref& pool, std::size_t index) -> forward_to_owner;
+    auto forward_waiters(const pool_ref& pool, time_point now) -> void;
+    [[nodiscard]] auto index_of(const pool_ref& pool, upstream_id id) const -> std::optional<std::size_t>;
     [[nodiscard]] auto enqueue(const pool_ref& pool, std::size_t target, const placement_request& wish,
                                time_point now) -> placement_result;
     auto aim_at(const pool_ref& pool, waiter& item, std::size_t index, bool ask) -> void;
     [[nodiscard]] auto choose_target(const pool_ref& pool, const waiter& item, time_point now) const
         -> std::optional<std::size_t>;
+    /// A waiting request and the queue that it is in.
+    struct waiter_ref
+    {
+        workspace_queue* queue = nullptr;
+        workspace_queue::iterator position;
+    };
+
+    [[nodiscard]] auto next_waiter(const pool_ref& pool, std::size_t index, time_point now, bool by_forward)
+        -> waiter_ref;
     auto serve_waiters(const pool_ref& pool, std::size_t index, time_point now) -> void;
     auto widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<placed>;
     auto tick_pool(const pool_ref& pool, time_point now) -> void;
@@ -259,6 +304,7 @@
     std::vector<placement_exception> outgoing_exceptions;
     std::vector<wait_ended> ended;
     std::set<host_id> asks;
+    std::map<host_id, time_point> failed_owners; ///< with the end of their rest
     placement_counts tally;
     std::uint64_t arrivals = 0;
     std::uint32_t total_in_flight = 0;
--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -173,6 +173,8 @@
     auto on_log_records(const std::vector<log_record>& records, time_point now) -> void;
     auto on_log_unreachable(time_point now) -> void;
     auto on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now) -> void;
+    /// Another host's load, told along with a forwarded request.
+    auto on_load(host_id from, const pool_load& load, time_point now) -> void;
     /// This host saw that an upstream turned cold or fails.
     auto on_local_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void;
     /// Control bytes that the shell caused by other means, such as probes.
@@ -297,7 +299,6 @@
     std::map<heard_sign, std::uint32_t> heard_signs; ///< with the count last heard
     std::map<heard_sign, time_point> sign_times;     ///< of all hosts
     std::map<pool_id, pool_load> own_loads;
-    std::map<upstream_id, time_point> self_granted;
     std::map<upstream_id, time_point> polled; ///< when each report was last asked for
     std::optional<time_point> behind_since;   ///< since when another host has folded more
     std::uint64_t self_sequence = 0;
--- a/include/poplardrift/core/control_event.hpp
+++ b/include/poplardrift/core/control_event.hpp
@@ -47,6 +47,13 @@
     upstream_state suspected = upstream_state::cold;
 };
 
+/// Another host told its load along with a forwarded request.
+struct load_heard
+{
+    host_id from;
+    pool_load load;
+};
+
 /// The shell caused control traffic by other means than messages between hosts.
 struct control_bytes_spent
 {
@@ -61,7 +68,7 @@
 
 /// Everything that the control state is told from outside.
 using control_event = std::variant<host_list_read, peer_message_received, log_records_read, log_read_failed,
-                                   upstream_reported, sign_seen, control_bytes_spent, stop_requested>;
+                                   upstream_reported, sign_seen, load_heard, control_bytes_spent, stop_requested>;
 
 /// Hands an event to the control state.
 auto handle_event(control_core& core, const control_event& what, time_point now) -> void;
--- a/include/poplardrift/slots/slot_ledger.hpp
+++ b/include/poplardrift/slots/slot_ledger.hpp
@@ -43,6 +43,11 @@
     [[nodiscard]] auto grant(host_id holder, std::uint32_t limit, bool may_add, message_sequence sequence,
                              time_point now) -> slot_grant;
 
+    /// The same for the owner itself, which keeps what nobody else is to have: it can give that up
+    /// without a message.
+    [[nodiscard]] auto grant_rest(host_id self, std::uint32_t limit, bool may_add, message_sequence sequence,
+                                  time_point now) -> slot_grant;
+
     /// Drops a host that is gone for good: its requests ended with its connections.
     auto forget(host_id holder) -> void;
     /// Ages out leases. Call it now and then.
@@ -76,6 +81,8 @@
     };
 
     [[nodiscard]] auto commitment(const holder_account& holder, time_point now) const -> std::uint32_t;
+    auto promise(holder_account& account, std::uint32_t slots, bool may_add, message_sequence sequence, time_point now)
+        -> slot_grant;
     [[nodiscard]] auto target_of(const holder_account& holder, std::uint32_t limit,
                                  std::uint32_t free_slots) const -> std::uint32_t;
 
--- a/include/poplardrift/slots/slot_owner.hpp
+++ b/include/poplardrift/slots/slot_owner.hpp
@@ -43,8 +43,9 @@
     /// What the holder gets now. `host_count_complete` says that every listed host has reported, so
     /// that no promise of a former owner is unknown; `may_wait_out` that, failing this, waiting for
     /// such promises to run out is enough.
-    [[nodiscard]] auto grant(upstream_id id, host_id holder, bool host_count_complete, bool may_wait_out,
-                             message_sequence sequence, time_point now) -> slot_grant;
+    /// With `takes_rest`, the holder is the owner itself.
+    [[nodiscard]] auto grant(upstream_id id, host_id holder, bool takes_rest, bool host_count_complete,
+                             bool may_wait_out, message_sequence sequence, time_point now) -> slot_grant;
     /// True when all these hosts have reported to this owner.
     [[nodiscard]] auto has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const -> bool;
 
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -14,6 +14,8 @@
 
 /// Pause between two choices of a waiting request's target, as long as a heartbeat.
 constexpr duration target_interval = std::chrono::milliseconds(500);
+/// Pause between two requests that try an owner without word of a free slot.
+constexpr duration probe_interval = std::chrono::milliseconds(150);
 /// Places kept for telling other hosts; older ones are dropped first.
 constexpr std::size_t most_outgoing_exceptions = 4096;
 
@@ -34,6 +36,8 @@
         return "the queue is full";
     case refusal::queue_timeout:
         return "no slot came free in time";
+    case refusal::no_slot:
+        return "the upstream has no slot now";
     }
     POPLARDRIFT_ASSERT(false);
     return "";
@@ -162,6 +166,18 @@
     return found;
 }
 
+auto admission::index_of(const pool_ref& pool, upstream_id id) const -> std::optional<std::size_t>
+{
+    const auto& upstreams = pool.view->upstreams;
+    const auto at = std::lower_bound(upstreams.begin(), upstreams.end(), id,
+                                     [](const auto& item, upstream_id key) { return item.id < key; });
+    if (at == upstreams.end() || at->id != id)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(at - upstreams.begin());
+}
+
 auto admission::preferred(const pool_ref& pool, const candidates& found, const placement_request& wish,
                           time_point now) -> std::optional<std::size_t>
 {
@@ -169,22 +185,11 @@
     {
         return found.spare ? found.spare : found.usable;
     }
-    const auto position_of = [&](upstream_id id) -> std::optional<std::size_t>
-    {
-        const auto& upstreams = pool.view->upstreams;
-        const auto at = std::lower_bound(upstreams.begin(), upstreams.end(), id,
-                                         [](const auto& item, upstream_id key) { return item.id < key; });
-        if (at == upstreams.end() || at->id != id)
-        {
-            return std::nullopt;
-        }
-        return static_cast<std::size_t>(at - upstreams.begin());
-    };
     // The caller's word first, then what hosts told, then the first choice.
     const auto told = wish.hint ? wish.hint : this->exceptions.find(wish.conversation);
     if (told)
     {
-        const auto index = position_of(*told);
+        const auto index = this->index_of(pool, *told);
         if (index && this->is_usable(pool, *index, wish, now))
         {
             return index;
@@ -285,6 +290,10 @@
     {
         return refused{refusal::no_upstream};
     }
+    if (wish.pinned)
+    {
+        return this->place_pinned(pool, wish, now);
+    }
     if (this->settings.policy != placement_policy::affinity_within_bounds)
     {
         const auto index = this->pick_baseline(pool, wish, now);
@@ -302,9 +311,153 @@
         ++this->tally.preferred;
         return this->take_slot(pool, *target, wish);
     }
+    // Whoever waits goes first, so that each workspace gets its share.
+    const auto owner = pool.view->upstreams[*target].owner;
+    const auto others_wait = std::any_of(pool.state->queues.begin(), pool.state->queues.end(),
+                                         [](const auto& item) { return !item.second.empty(); });
+    if (wish.may_forward && !others_wait && owner != this->settings.self && this->is_reachable_owner(owner, now))
+    {
+        ++this->tally.forwarded;
+        return this->forward(pool, *target);
+    }
+    if (wish.may_forward && !others_wait)
+    {
+        return this->place_elsewhere(pool, wish, *target, now);
+    }
     return this->enqueue(pool, *target, wish, now);
 }
 
+auto admission::place_pinned(const pool_ref& pool, const placement_request& wish, time_point now)
+    -> placement_result
+{
+    const auto index = this->index_of(pool, *wish.pinned);
+    const auto free = index && this->is_usable(pool, *index, wish, now) &&
+                      this->has_free_slot(*pool.state->slots[*index], now);
+    if (free)
+    {
+        return this->take_slot(pool, *index, wish);
+    }
+    return refused{refusal::no_slot};
+}
+
+auto admission::is_reachable_owner(host_id owner, time_point now) const -> bool
+{
+    const auto failed = this->failed_owners.find(owner);
+    return owner != host_id{} && (failed == this->failed_owners.end() || now >= failed->second);
+}
+
+auto admission::may_have_slot(const pool_ref& pool, std::size_t index, time_point now) const -> bool
+{
+    const auto& slot = *pool.state->slots[index];
+    const auto owner = pool.view->upstreams[index].owner;
+    const auto told_free = slot.published_free > 0 && owner != this->settings.self;
+    return this->has_free_slot(slot, now) || (told_free && this->is_reachable_owner(owner, now));
+}
+
+auto admission::forward(const pool_ref& pool, std::size_t index) -> forward_to_owner
+{
+    auto& slot = *pool.state->slots[index];
+    slot.published_free -= slot.published_free > 0 ? 1 : 0;
+    return {pool.view->upstreams[index].owner, pool.view->upstreams[index].id};
+}
+
+auto admission::place_elsewhere(const pool_ref& pool, const placement_request& wish, std::size_t target,
+                                time_point now) -> placement_result
+{
+    const auto best = best_upstream(*pool.view, wish.conversation,
+                                    [&](std::size_t index, const auto&)
+                                    {
+                                        return this->may_have_slot(pool, index, now) &&
+                                               this->is_usable(pool, index, wish, now);
+                                    });
+    if (!best)
+    {
+        return this->enqueue(pool, target, wish, now);
+    }
+    if (this->has_free_slot(*pool.state->slots[*best], now))
+    {
+        ++this->tally.elsewhere;
+        return this->take_slot(pool, *best, wish);
+    }
+    ++this->tally.forwarded_elsewhere;
+    return this->forward(pool, *best);
+}
+
+auto admission::on_denied(placement_request& wish, const forward_to_owner& tried, bool reached, time_point now)
+    -> placement_result
+{
+    ++this->tally.denied;
+    ++wish.forwards;
+    this->slots[tried.upstream].published_free = 0;
+    if (!reached)
+    {
+        this->failed_owners[tried.owner] = now + this->settings.owner_rest;
+    }
+    const auto pool = this->find_pool(wish.pool);
+    if (pool.view == nullptr)
+    {
+        return refused{refusal::no_upstream};
+    }
+    const auto target = this->preferred(pool, this->scan(pool, wish, now), wish, now);
+    if (!target)
+    {
+        return refused{refusal::no_upstream};
+    }
+    if (wish.forwards >= this->settings.most_forwards)
+    {
+        return this->enqueue(pool, *target, wish, now);
+    }
+    return this->place_elsewhere(pool, wish, *target, now);
+}
+
+auto admission::on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void
+{
+    // The owner tells the other hosts where the conversation runs.
+    if (wish.conversation != conversation_id{})
+    {
+        this->exceptions.store(wish.conversation, upstream);
+    }
+}
+
+auto admission::on_forward_ended(upstream_id upstream, time_point now) -> void
+{
+    auto& slot = this->slots[upstream];
+    ++slot.published_free;
+    if (this->total_queued > 0)
+    {
+        const auto pool = this->find_pool(slot.pool);
+        if (pool.view != nullptr)
+        {
+            this->forward_waiters(pool, now);
+        }
+    }
+}
+
+auto admission::forward_waiters(const pool_ref& pool, time_point now) -> void
+{
+    for (std::size_t index = 0; index < pool.view->upstreams.size(); ++index)
+    {
+        auto& slot = *pool.state->slots[index];
+        const auto owner = pool.view->upstreams[index].owner;
+        const auto usable = owner != this->settings.self && this->is_reachable_owner(owner, now);
+        // Without word of a free slot, one request at a time finds out.
+        const auto probe = usable && slot.published_free == 0 && now >= slot.next_probe;
+        for (bool first = true; usable && (slot.published_free > 0 || (probe && first)); first = false)
+        {
+            slot.next_probe = now + probe_interval;
+            const auto next = this->next_waiter(pool, index, now, true);
+            if (next.queue == nullptr)
+            {
+                break;
+            }
+            const auto id = next.position->second.wish.id;
+            this->drop_waiter(*next.queue, next.position);
+            ++this->tally.forwarded_elsewhere;
+            this->ended.push_back({id, this->forward(pool, index)});
+        }
+    }
+}
+
 auto admission::aim_at(const pool_ref& pool, waiter& item, std::size_t index, bool ask) -> void
 {
     if (item.target != upstream_id{})
@@ -358,47 +511,50 @@
     return queue.erase(position);
 }
 
-auto admission::serve_waiters(const pool_ref& pool, std::size_t index, time_point now) -> void
+auto admission::next_waiter(const pool_ref& pool, std::size_t index, time_point now, bool by_forward)
+    -> waiter_ref
 {
-    auto& queues = pool.state->queues;
-    while (this->has_free_slot(*pool.state->slots[index], now))
+    // The workspace with the least in flight for its share goes first, so that a surging one is held
+    // to its share while others want theirs.
+    waiter_ref best;
+    double best_use = 0.0;
+    for (auto& [workspace, queue] : pool.state->queues)
     {
-        // The workspace with the least in flight for its share goes first, so that a surging one is
-        // held to its share while others want theirs.
-        workspace_queue* best_queue = nullptr;
-        workspace_queue::iterator best;
-        double best_use = 0.0;
-        for (auto& [workspace, queue] : queues)
+        const auto fits = [&](const auto& item)
         {
-            const auto use = (this->workspace_in_flight[workspace] + 1) /
-                             (queue.empty() ? 1.0 : queue.begin()->second.wish.share);
-            if (best_queue != nullptr && use >= best_use)
-            {
-                continue;
-            }
-            const auto fits = [&](const auto& item)
-            {
-                const auto& candidate = item.second;
-                const auto wants_it =
-                    candidate.takes_any || candidate.target == pool.view->upstreams[index].id;
-                return wants_it && this->is_usable(pool, index, candidate.wish, now);
-            };
-            const auto first = std::find_if(queue.begin(), queue.end(), fits);
-            if (first != queue.end())
-            {
-                best_queue = &queue;
-                best = first;
-                best_use = use;
-            }
+            const auto& candidate = item.second;
+            const auto wants_it = candidate.takes_any || candidate.target == pool.view->upstreams[index].id;
+            return wants_it && (!by_forward || candidate.wish.may_forward) &&
+                   this->is_usable(pool, index, candidate.wish, now);
+        };
+        const auto first = std::find_if(queue.begin(), queue.end(), fits);
+        if (first == queue.end())
+        {
+            continue;
+        }
+        const auto use = (this->workspace_in_flight[workspace] + 1) / first->second.wish.share;
+        if (best.queue == nullptr || use < best_use)
+        {
+            best = {&queue, first};
+            best_use = use;
         }
-        if (best_queue == nullptr)
+    }
+    return best;
+}
+
+auto admission::serve_waiters(const pool_ref& pool, std::size_t index, time_point now) -> void
+{
+    while (this->has_free_slot(*pool.state->slots[index], now))
+    {
+        const auto next = this->next_waiter(pool, index, now, false);
+        if (next.queue == nullptr)
         {
             return;
         }
-        const auto wish = best->second.wish;
-        const auto wanted = best->second.first_target == pool.view->upstreams[index].id;
+        const auto wish = next.position->second.wish;
+        const auto wanted = next.position->second.first_target == pool.view->upstreams[index].id;
         ++(wanted ? this->tally.preferred_waited : this->tally.elsewhere);
-        this->drop_waiter(*best_queue, best);
+        this->drop_waiter(*next.queue, next.position);
         this->ended.push_back({wish.id, this->take_slot(pool, index, wish)});
     }
 }
@@ -614,6 +770,7 @@
     {
         this->tick_queue(pool, queue, now);
     }
+    this->forward_waiters(pool, now);
     std::erase_if(pool.state->queues, [](const auto& item) { return item.second.empty(); });
 }
 
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -15,8 +15,6 @@
 constexpr duration load_validity = std::chrono::seconds(4);
 /// Pause between two updates of the configuration to the same host.
 constexpr duration update_interval = std::chrono::seconds(1);
-/// Part of a lease after which this host renews slots that it grants to itself.
-constexpr std::int64_t renewals_a_lease = 6;
 /// Snapshots go out this often within the log's retention.
 constexpr std::int64_t snapshots_a_retention = 3;
 /// Each host waits that much longer than the one before it, so that mostly one appends.
@@ -314,6 +312,11 @@
         warm_weight += state == upstream_state::warm ? other.weight : 0.0;
         all_weight += state == upstream_state::warm || state == upstream_state::cold ? other.weight : 0.0;
     }
+    // The bound is a promise about engines; a plain service is limited by what it bears alone.
+    if (item.kind == upstream_kind::service)
+    {
+        return static_cast<std::uint32_t>(item.capacity);
+    }
     const auto load = this->fleet_load(make_pool_id(item.pool), now);
     const auto multiple = this->parsed.limits.load_bound;
     // Upstreams in cold start cannot take their share, so a warm one is compared with warm ones.
@@ -355,7 +358,7 @@
     const auto safe_to_wait = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
                               this->hosts.zone_has_no_listed_host(item->zone);
     const auto may_wait_out = settled && safe_to_wait;
-    return this->owner.grant(id, holder, complete, may_wait_out, sequence, now);
+    return this->owner.grant(id, holder, holder == this->hosts.self(), complete, may_wait_out, sequence, now);
 }
 
 auto control_core::set_status(const upstream_status& status) -> void
@@ -382,13 +385,6 @@
 
 auto control_core::grant_to_self(upstream_id id, const slot_use& use, time_point now) -> void
 {
-    auto& granted = this->self_granted[id];
-    const auto due = now - granted >= this->settings.slots.lease / renewals_a_lease;
-    if (use.wanted == 0 && !due)
-    {
-        return;
-    }
-    granted = now;
     // What this host is told, it acts on at once: each message acknowledges the one before.
     const message_sequence sequence{++this->self_sequence};
     const message_sequence acknowledged{sequence.value() - 1};
@@ -565,6 +561,16 @@
     this->apply_sign(this->hosts.self(), upstream, suspected, now);
 }
 
+auto control_core::on_load(host_id from, const pool_load& load, time_point now) -> void
+{
+    const auto found = this->peers.find(from);
+    if (found != this->peers.end())
+    {
+        found->second.loads[load.pool] = load;
+        found->second.loads_at = now;
+    }
+}
+
 auto control_core::on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now)
     -> void
 {
--- a/src/core/control_event.cpp
+++ b/src/core/control_event.cpp
@@ -33,6 +33,10 @@
     {
         this->core.on_local_sign(item.upstream, item.suspected, this->now);
     }
+    auto operator()(const load_heard& item) const -> void
+    {
+        this->core.on_load(item.from, item.load, this->now);
+    }
     auto operator()(const control_bytes_spent& item) const -> void
     {
         this->core.on_control_bytes(item.kind, item.bytes, this->now);
--- a/src/daemon/admission_service.cpp
+++ b/src/daemon/admission_service.cpp
@@ -45,16 +45,34 @@
     return request_id{++this->requests};
 }
 
-auto admission_service::acquire(const placement_request& wish) -> std::variant<placed, refused>
+auto admission_service::acquire(const placement_request& wish) -> wait_result
 {
     std::unique_lock lock(this->mutex);
     const auto result = this->core.request(wish, monotonic_now());
+    return this->wait_for(wish, result, lock);
+}
+
+auto admission_service::acquire_after_denial(placement_request& wish, const forward_to_owner& tried, bool reached)
+    -> wait_result
+{
+    std::unique_lock lock(this->mutex);
+    const auto result = this->core.on_denied(wish, tried, reached, monotonic_now());
+    return this->wait_for(wish, result, lock);
+}
+
+auto admission_service::wait_for(const placement_request& wish, const placement_result& first,
+                                 std::unique_lock<std::mutex>& lock) -> wait_result
+{
     this->tell_ended();
-    if (const auto* place = std::get_if<placed>(&result))
+    if (const auto* place = std::get_if<placed>(&first))
     {
         return *place;
     }
-    if (const auto* refusal = std::get_if<refused>(&result))
+    if (const auto* forward = std::get_if<forward_to_owner>(&first))
+    {
+        return *forward;
+    }
+    if (const auto* refusal = std::get_if<refused>(&first))
     {
         return *refusal;
     }
@@ -74,6 +92,19 @@
     return *handle.result;
 }
 
+auto admission_service::on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->core.on_forward_accepted(wish, upstream);
+}
+
+auto admission_service::on_forward_ended(upstream_id upstream) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->core.on_forward_ended(upstream, monotonic_now());
+    this->tell_ended();
+}
+
 auto admission_service::release(upstream_id upstream, workspace_id workspace) -> void
 {
     const std::lock_guard lock(this->mutex);
--- a/src/daemon/admission_service.hpp
+++ b/src/daemon/admission_service.hpp
@@ -41,7 +41,12 @@
     /// The present view; traffic threads keep it for one request.
     [[nodiscard]] auto view() -> std::shared_ptr<const routing_view>;
     /// Waits for a slot until the wish's deadline. The slot is held until `release`.
-    [[nodiscard]] auto acquire(const placement_request& wish) -> std::variant<placed, refused>;
+    [[nodiscard]] auto acquire(const placement_request& wish) -> wait_result;
+    /// The owner had no slot for a forwarded request, or could not be reached; waits for the next place.
+    [[nodiscard]] auto acquire_after_denial(placement_request& wish, const forward_to_owner& tried, bool reached)
+        -> wait_result;
+    auto on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void;
+    auto on_forward_ended(upstream_id upstream) -> void;
     auto release(upstream_id upstream, workspace_id workspace) -> void;
     /// To be asked right before sending.
     [[nodiscard]] auto still_valid(upstream_id upstream) -> bool;
@@ -55,9 +60,12 @@
     struct wait_handle
     {
         std::condition_variable changed;
-        std::optional<std::variant<placed, refused>> result;
+        std::optional<wait_result> result;
     };
 
+    /// Waits for the end of a placement that is not final.
+    [[nodiscard]] auto wait_for(const placement_request& wish, const placement_result& first,
+                                std::unique_lock<std::mutex>& lock) -> wait_result;
     /// Wakes those whose wait has ended. Called with the lock held.
     auto tell_ended() -> void;
 
--- a/src/daemon/caller_request.hpp
+++ b/src/daemon/caller_request.hpp
@@ -40,6 +40,7 @@
     std::shared_ptr<const routing_view> view;
     const route_view* route = nullptr;
     const workspace_view* workspace = nullptr;
+    std::string api_key;
     time_point arrived{};
     time_point deadline{};
     std::int32_t priority = 0;
--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -1,5 +1,6 @@
 #include "daemon/chat_relay.hpp"
 
+#include "daemon/forwarding.hpp"
 #include "net/clock.hpp"
 
 namespace poplardrift
@@ -13,6 +14,13 @@
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 constexpr int not_found = 404;
+/// An owner that does not answer a connection by then is passed over.
+constexpr duration owner_connect_timeout = std::chrono::milliseconds(300);
+
+auto priority_text(std::int32_t priority) -> const char*
+{
+    return priority > 0 ? "high" : priority < 0 ? "low" : "normal";
+}
 
 } // namespace
 
@@ -32,54 +40,90 @@
 
 // Slots.
 
-auto chat_relay::acquire_slot() -> bool
+auto chat_relay::make_wish() -> placement_request
 {
     const auto& caller = this->asked.caller;
-    while (true)
+    placement_request result;
+    result.id = this->context.slots.next_request();
+    result.pool = caller.view->pools[caller.route->pool.value()].id;
+    result.workspace = caller.workspace->id;
+    result.share = caller.workspace->declared.share;
+    result.max_queued = caller.workspace->declared.max_queued;
+    result.conversation = this->asked.conversation;
+    result.hint = this->asked.hint;
+    result.priority = caller.priority;
+    result.deadline = std::min(monotonic_now() + caller.route->declared.queue_timeout, caller.deadline);
+    result.excluded = this->excluded;
+    result.pinned = this->asked.pinned;
+    result.may_forward = !this->asked.pinned.has_value();
+    return result;
+}
+
+auto chat_relay::find_upstream(upstream_id id) -> bool
+{
+    // The view may have changed during the wait.
+    const auto view = this->context.slots.view();
+    for (const auto& pool : view->pools)
     {
-        const auto now = monotonic_now();
-        placement_request wish;
-        wish.id = this->context.slots.next_request();
-        wish.pool = caller.view->pools[caller.route->pool.value()].id;
-        wish.workspace = caller.workspace->id;
-        wish.share = caller.workspace->declared.share;
-        wish.max_queued = caller.workspace->declared.max_queued;
-        wish.conversation = this->asked.conversation;
-        wish.hint = this->asked.hint;
-        wish.priority = caller.priority;
-        wish.deadline = std::min(now + caller.route->declared.queue_timeout, caller.deadline);
-        wish.excluded = this->excluded;
-        const auto result = this->context.slots.acquire(wish);
-        if (const auto* refusal = std::get_if<refused>(&result))
-        {
-            const auto full = refusal->reason == refusal::queue_full;
-            this->fail(full ? too_many_requests : service_unavailable, std::string(to_text(refusal->reason)),
-                       this->committed ? request_outcome::unknown : request_outcome::not_run, 1);
-            return false;
-        }
-        const auto place = std::get<placed>(result);
-        this->holds_slot = true;
-        // The view may have changed during the wait.
-        const auto view = this->context.slots.view();
-        for (const auto& pool : view->pools)
+        for (const auto& item : pool.upstreams)
         {
-            for (const auto& item : pool.upstreams)
+            if (item.id == id)
             {
-                if (item.id == place.upstream)
-                {
-                    this->upstream = item;
-                }
+                this->upstream = item;
+                return true;
             }
         }
-        if (this->upstream.id == place.upstream && this->context.slots.still_valid(place.upstream))
+    }
+    this->upstream.id = id;
+    return false;
+}
+
+auto chat_relay::take_place(const wait_result& result) -> bool
+{
+    this->through.reset();
+    if (const auto* refusal = std::get_if<refused>(&result))
+    {
+        this->no_slot = refusal->reason == refusal::no_slot;
+        const auto full = refusal->reason == refusal::queue_full;
+        this->fail(full ? too_many_requests : service_unavailable, std::string(to_text(refusal->reason)),
+                   this->committed ? request_outcome::unknown : request_outcome::not_run, 1);
+        return false;
+    }
+    if (const auto* forward = std::get_if<forward_to_owner>(&result))
+    {
+        this->through = *forward;
+        return this->find_upstream(forward->upstream);
+    }
+    const auto place = std::get<placed>(result);
+    this->holds_slot = true;
+    return this->find_upstream(place.upstream);
+}
+
+auto chat_relay::acquire_slot() -> bool
+{
+    while (true)
+    {
+        this->wish = this->make_wish();
+        if (!this->take_place(this->context.slots.acquire(this->wish)))
+        {
+            this->release_slot();
+            return false;
+        }
+        // The process may have been paused since the slot was given.
+        if (this->through || this->context.slots.still_valid(this->upstream.id))
         {
             return true;
         }
-        this->upstream.id = place.upstream;
         this->release_slot();
     }
 }
 
+auto chat_relay::next_after_denial(bool reached) -> bool
+{
+    const auto tried = *this->through;
+    return this->take_place(this->context.slots.acquire_after_denial(this->wish, tried, reached));
+}
+
 auto chat_relay::release_slot() -> void
 {
     if (this->holds_slot)
@@ -135,6 +179,10 @@
             this->caller_gone = true;
             return;
         }
+        if (this->no_slot || (end == attempt_end::out_of_time && this->why && !this->is_out_of_time()))
+        {
+            return;
+        }
         if (end == attempt_end::out_of_time)
         {
             this->fail(gateway_timeout, "the deadline has passed", request_outcome::unknown, 0);
@@ -153,14 +201,22 @@
 auto chat_relay::attempt_at_slot() -> attempt_end
 {
     auto end = this->exchange(false, false);
+    while (end == attempt_end::denied || end == attempt_end::owner_failed)
+    {
+        if (!this->next_after_denial(end == attempt_end::denied))
+        {
+            return attempt_end::out_of_time;
+        }
+        end = this->exchange(false, false);
+    }
     // A kept connection may have gone stale; a new one tells.
     if (end == attempt_end::try_resume && this->stream_id.empty())
     {
         end = this->exchange(false, true);
     }
-    if (end != attempt_end::try_resume)
+    if (end != attempt_end::try_resume || this->through)
     {
-        return end;
+        return end == attempt_end::try_resume ? attempt_end::try_elsewhere : end;
     }
     // The engine may still hold the answer: go on after the last event that the caller has.
     const auto resumed = this->exchange(true, true);
@@ -188,8 +244,8 @@
     request.headers = this->asked.forwarded;
     request.headers.emplace("x-request-id", this->asked.caller.id);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(this->asked.caller.deadline - monotonic_now());
-    request.headers.emplace("x-deadline-ms", std::to_string(left.count()));
-    request.headers.emplace("x-priority", std::to_string(this->asked.caller.priority));
+    request.headers.emplace("x-deadline-ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    request.headers.emplace("x-priority", priority_text(this->asked.caller.priority));
     const auto last = this->sequencer.last();
     if (last > 0 || resume)
     {
@@ -197,12 +253,36 @@
     }
     request.body = resume ? "{}" : last > 0 ? this->body_to_continue() : this->asked.body;
     request.headers.emplace("content-type", "application/json");
+    if (this->through)
+    {
+        this->add_forward_headers(request);
+    }
     return request;
 }
 
+auto chat_relay::add_forward_headers(httplib::Request& request) const -> void
+{
+    request.headers.emplace("authorization", "Bearer " + this->asked.caller.api_key);
+    request.headers.emplace("x-poplardrift-via",
+                            format_via({this->upstream.id, this->asked.conversation, this->asked.caller.id},
+                                       this->context.settings.host_secret));
+    request.headers.emplace("x-poplardrift-load", this->context.load_text(this->asked.caller));
+}
+
+auto chat_relay::note_owner_load(const httplib::Response& response) -> void
+{
+    this->context.hear_load(response.get_header_value("x-poplardrift-load"));
+}
+
 auto chat_relay::on_headers(const httplib::Response& response) -> bool
 {
     this->status = response.status;
+    if (this->through)
+    {
+        this->note_owner_load(response);
+        this->no_slot = response.has_header("x-poplardrift-no-slot");
+        this->owner_accepted = !this->no_slot;
+    }
     this->content_type = response.get_header_value("content-type");
     // An answer belongs to its request.
     const auto echoed = response.get_header_value("x-request-id");
@@ -221,6 +301,10 @@
         return false;
     }
     this->stream_id = response.get_header_value("x-stream-id");
+    if (this->through)
+    {
+        this->context.slots.on_forward_accepted(this->wish, this->upstream.id);
+    }
     if (!this->committed)
     {
         this->committed = true;
@@ -275,7 +359,16 @@
     exchange_timeouts timeouts;
     timeouts.progress = std::min(route.progress_timeout,
                                  std::max<duration>(this->asked.caller.deadline - monotonic_now(), std::chrono::milliseconds(1)));
-    auto connection = this->context.upstreams.take(this->upstream.address, this->upstream.port, timeouts, fresh);
+    auto address = this->upstream.address;
+    auto port = this->upstream.port;
+    if (this->through && !this->context.find_host(this->through->owner, address, port))
+    {
+        return attempt_end::owner_failed;
+    }
+    timeouts.connect = this->through ? owner_connect_timeout : timeouts.connect;
+    auto connection = this->context.upstreams.take(address, port, timeouts, fresh);
+    this->no_slot = false;
+    this->owner_accepted = false;
     this->splitter = sse_splitter();
     this->sequencer.start_connection();
     this->body.clear();
@@ -289,13 +382,26 @@
     auto error = httplib::Error::Success;
     const auto answered = connection.client->send(request, response, error);
     const auto end = this->judge(response, answered, error, connection.reused);
-    if (answered && (end == attempt_end::complete || end == attempt_end::engine_refused))
+    if (this->owner_accepted)
+    {
+        this->context.slots.on_forward_ended(this->upstream.id);
+    }
+    if (answered && (end == attempt_end::denied || end == attempt_end::complete || end == attempt_end::engine_refused))
     {
         this->context.upstreams.give_back(std::move(connection));
     }
     return end;
 }
 
+auto chat_relay::note_result(bool succeeded) -> void
+{
+    // What an owner saw of its engine, it notes itself.
+    if (!this->through)
+    {
+        this->context.on_upstream_result(this->upstream, succeeded);
+    }
+}
+
 auto chat_relay::judge_status(int answer_status) -> attempt_end
 {
     const auto busy = answer_status == too_many_requests || answer_status >= 500;
@@ -303,8 +409,8 @@
     {
         this->fail(bad_gateway, "the engine answered " + std::to_string(answer_status),
                    this->committed ? request_outcome::unknown : request_outcome::not_run, 1);
-        this->context.on_upstream_result(this->upstream, false);
-        if (answer_status == service_unavailable)
+        this->note_result(false);
+        if (answer_status == service_unavailable && !this->through)
         {
             this->context.on_cold_sign(this->upstream);
         }
@@ -321,6 +427,15 @@
     {
         return attempt_end::caller_gone;
     }
+    if (this->no_slot)
+    {
+        this->no_slot = false;
+        return attempt_end::denied;
+    }
+    if (this->through && !answered && this->status == 0 && is_never_sent(error))
+    {
+        return attempt_end::owner_failed;
+    }
     if (this->is_out_of_time())
     {
         return attempt_end::out_of_time;
@@ -329,7 +444,7 @@
                        (this->asked.stream ? this->sequencer.is_complete() : !this->mismatched);
     if (whole)
     {
-        this->context.on_upstream_result(this->upstream, true);
+        this->note_result(true);
         return attempt_end::complete;
     }
     if (answered && this->status != 200)
@@ -341,7 +456,11 @@
     this->fail(bad_gateway, "the engine's answer broke off: " + httplib::to_string(error), what, 1);
     if (!stale)
     {
-        this->context.on_upstream_result(this->upstream, false);
+        this->note_result(false);
+    }
+    if (this->through)
+    {
+        return stale ? attempt_end::try_resume : attempt_end::try_elsewhere;
     }
     if (this->status == 200 || (!stale && is_never_sent(error)))
     {
@@ -373,6 +492,10 @@
         this->context.figures.count_request(route, "caller-gone");
         return;
     }
+    if (this->asked.pinned && this->no_slot)
+    {
+        return;
+    }
     const auto refused_it = !this->committed;
     this->context.figures.count_request(route, std::string(to_text(this->why->what)));
     const auto code = !refused_it                                    ? event_code::stream_broken
--- a/src/daemon/chat_relay.hpp
+++ b/src/daemon/chat_relay.hpp
@@ -21,6 +21,7 @@
     bool stream = false;
     conversation_id conversation;
     std::optional<upstream_id> hint;
+    std::optional<upstream_id> pinned; ///< another host forwarded it for this upstream only
     httplib::Headers forwarded;      ///< headers that go on to the engine
 };
 
@@ -53,6 +54,8 @@
     /// Where the chat runs, for the affinity hint.
     [[nodiscard]] auto place() const -> upstream_id { return this->upstream.id; }
     [[nodiscard]] auto request() const -> const chat_request& { return this->asked; }
+    /// True when the pinned upstream had no slot, so that nothing was sent.
+    [[nodiscard]] auto had_no_slot() const -> bool { return this->no_slot; }
 
 private:
     enum class attempt_end : std::uint8_t
@@ -61,11 +64,19 @@
         caller_gone,
         engine_refused, ///< the engine's own answer goes to the caller
         try_elsewhere,
+        denied,         ///< the owner had no slot: nothing was sent to the engine
+        owner_failed,   ///< the owner could not be reached: likewise
         try_resume,     ///< broke midway; the engine may still hold the answer
         out_of_time,
     };
 
     [[nodiscard]] auto acquire_slot() -> bool;
+    [[nodiscard]] auto make_wish() -> placement_request;
+    [[nodiscard]] auto take_place(const wait_result& result) -> bool;
+    [[nodiscard]] auto find_upstream(upstream_id id) -> bool;
+    auto add_forward_headers(httplib::Request& request) const -> void;
+    [[nodiscard]] auto next_after_denial(bool reached) -> bool;
+    auto note_owner_load(const httplib::Response& response) -> void;
     auto release_slot() -> void;
     auto exclude_upstream() -> void;
     auto run_attempts() -> void;
@@ -77,6 +88,7 @@
     [[nodiscard]] auto on_bytes(std::string_view bytes) -> bool;
     [[nodiscard]] auto judge(const httplib::Response& response, bool answered, httplib::Error error, bool reused)
         -> attempt_end;
+    auto note_result(bool succeeded) -> void;
     [[nodiscard]] auto judge_status(int answer_status) -> attempt_end;
     auto note_event_times() -> void;
     auto finish() -> void;
@@ -88,6 +100,8 @@
     const route_metrics& times;
     commit_function commit;
     write_function write;
+    placement_request wish;      ///< of the present attempt
+    std::optional<forward_to_owner> through; ///< the host that the present attempt goes through
     upstream_view upstream;      ///< of the present attempt
     std::array<upstream_id, placement_request::most_excluded> excluded{};
     std::size_t excluded_count = 0;
@@ -103,6 +117,8 @@
     bool caller_gone = false;
     bool mismatched = false;     ///< the answer was another request's
     bool holds_slot = false;
+    bool no_slot = false;
+    bool owner_accepted = false;
     time_point last_event{};
     std::optional<problem> why;
 };
--- /dev/null
+++ b/src/daemon/forwarding.cpp
@@ -0,0 +1,84 @@
+#include "daemon/forwarding.hpp"
+
+#include "poplardrift/base/crypto.hpp"
+
+#include <charconv>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+constexpr std::size_t mac_digits = 24;
+
+auto mac_of(std::string_view body, std::string_view secret) -> std::string
+{
+    return to_hex(hmac_sha256(secret, "via:" + std::string(body))).substr(0, mac_digits);
+}
+
+/// Takes the text up to the next dot.
+auto take_field(std::string_view& rest) -> std::string_view
+{
+    const auto end = std::min(rest.find('.'), rest.size());
+    const auto field = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    return field;
+}
+
+auto take_number(std::string_view& rest) -> std::optional<std::uint64_t>
+{
+    const auto field = take_field(rest);
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(field.data(), field.data() + field.size(), value);
+    const auto whole = parsed.ec == std::errc{} && parsed.ptr == field.data() + field.size();
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+auto format_via(const forwarded_request& item, std::string_view host_secret) -> std::string
+{
+    const auto body = std::to_string(item.upstream.value()) + "." + std::to_string(item.conversation.value()) + "." + item.request;
+    return mac_of(body, host_secret) + "." + body;
+}
+
+auto parse_via(std::string_view text, std::string_view host_secret) -> std::optional<forwarded_request>
+{
+    auto rest = text;
+    const auto mac = take_field(rest);
+    if (!equal_constant_time(mac, mac_of(rest, host_secret)))
+    {
+        return std::nullopt;
+    }
+    const auto upstream = take_number(rest);
+    const auto conversation = take_number(rest);
+    if (!upstream || !conversation)
+    {
+        return std::nullopt;
+    }
+    return forwarded_request{upstream_id{static_cast<std::uint32_t>(*upstream)}, conversation_id{*conversation}, std::string(rest)};
+}
+
+auto format_load(const told_load& item) -> std::string
+{
+    return std::to_string(item.from.value()) + "." + std::to_string(item.load.pool.value()) + "." +
+           std::to_string(item.load.warm) + "." + std::to_string(item.load.all);
+}
+
+auto parse_load(std::string_view text) -> std::optional<told_load>
+{
+    auto rest = text;
+    const auto from = take_number(rest);
+    const auto pool = take_number(rest);
+    const auto warm = take_number(rest);
+    const auto all = take_number(rest);
+    if (!from || !pool || !warm || !all)
+    {
+        return std::nullopt;
+    }
+    const auto narrow = [](std::uint64_t value) { return static_cast<std::uint32_t>(value); };
+    return told_load{host_id{narrow(*from)}, {pool_id{narrow(*pool)}, narrow(*warm), narrow(*all)}};
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/daemon/forwarding.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "poplardrift/base/ids.hpp"
+#include "poplardrift/gossip/messages.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplardrift
+{
+
+/// What a host tells an upstream's owner about a request that it forwards to it.
+struct forwarded_request
+{
+    upstream_id upstream;
+    conversation_id conversation;
+    std::string request; ///< id that the request has at the first host
+};
+
+/// Value of the `x-poplardrift-via` header, authenticated by the hosts' secret.
+[[nodiscard]] auto format_via(const forwarded_request& item, std::string_view host_secret) -> std::string;
+/// Nothing when the value is malformed or not authentic.
+[[nodiscard]] auto parse_via(std::string_view text, std::string_view host_secret) -> std::optional<forwarded_request>;
+
+/// A host's load in one pool, told along with forwarded requests and their answers.
+struct told_load
+{
+    host_id from;
+    pool_load load;
+};
+
+[[nodiscard]] auto format_load(const told_load& item) -> std::string;
+[[nodiscard]] auto parse_load(std::string_view text) -> std::optional<told_load>;
+
+} // namespace poplardrift
--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -1,5 +1,6 @@
 #include "daemon/http_front.hpp"
 
+#include "daemon/forwarding.hpp"
 #include "net/clock.hpp"
 #include "net/growing_task_queue.hpp"
 #include "net/resumable_task.hpp"
@@ -205,6 +206,7 @@
         return false;
     }
     caller.workspace = this->workspace_of(request, *caller.view);
+    caller.api_key = api_key_of(request);
     if (caller.workspace == nullptr)
     {
         this->refuse(response, not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"), caller.id);
@@ -278,6 +280,20 @@
     asked.stream = stream != body.end() && stream->get<bool>();
     asked.conversation = identify_conversation(caller.workspace->id, request.get_header_value("x-conversation-id"), body);
     asked.hint = parse_affinity_hint(request.get_header_value("x-poplardrift-affinity"), asked.conversation, this->context.settings.host_secret);
+    if (request.has_header("x-poplardrift-via"))
+    {
+        const auto via = parse_via(request.get_header_value("x-poplardrift-via"), this->context.settings.host_secret);
+        if (!via)
+        {
+            this->refuse(response, not_run(bad_request, "Bad request", "the request is not forwarded by a host of this fleet"), caller.id);
+            return;
+        }
+        asked.pinned = via->upstream;
+        asked.conversation = via->conversation;
+        asked.caller.id = via->request;
+        this->context.hear_load(request.get_header_value("x-poplardrift-load"));
+        response.set_header("x-poplardrift-load", this->context.load_text(caller));
+    }
     asked.forwarded = pass_headers(request, {"accept", "traceparent", "tracestate"});
     auto relay = std::make_shared<chat_relay>(this->context, std::move(asked));
     if (relay->request().stream)
@@ -292,6 +308,10 @@
 auto http_front::answer_whole(chat_relay& relay, httplib::Response& response) -> void
 {
     const auto& caller = relay.request().caller;
+    if (relay.had_no_slot())
+    {
+        response.set_header("x-poplardrift-no-slot", "1");
+    }
     if (relay.fault())
     {
         reply_problem(response, *relay.fault(), caller.id);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -241,6 +241,7 @@
     {
         return outcome<daemon_settings>::failure(join_errors(errors));
     }
+    settings.admission.self = make_host_id(settings.host.name);
     settings.platform.source = settings.host.address;
     settings.transactions.host_secret = settings.host_secret;
     settings.control.configuration.host_secret = settings.host_secret;
--- a/src/daemon/traffic_context.cpp
+++ b/src/daemon/traffic_context.cpp
@@ -1,5 +1,6 @@
 #include "daemon/traffic_context.hpp"
 
+#include "daemon/forwarding.hpp"
 #include "net/clock.hpp"
 
 namespace poplardrift
@@ -46,6 +47,41 @@
     this->control.wake();
 }
 
+auto traffic_context::load_text(const caller_request& caller) -> std::string
+{
+    const auto pool = caller.view->pools[caller.route->pool.value()].id;
+    told_load item{make_host_id(this->settings.host.name), {pool, 0, 0}};
+    {
+        auto access = this->slots.access();
+        for (const auto& load : access->loads())
+        {
+            item.load = load.pool == pool ? load : item.load;
+        }
+    }
+    return format_load(item);
+}
+
+auto traffic_context::hear_load(const std::string& text) -> void
+{
+    if (const auto item = parse_load(text))
+    {
+        this->control.post(load_heard{item->from, item->load});
+    }
+}
+
+auto traffic_context::find_host(host_id id, std::string& address, std::uint16_t& port) -> bool
+{
+    const auto directory = this->control.directory();
+    const auto found = directory->hosts.find(id);
+    if (found == directory->hosts.end())
+    {
+        return false;
+    }
+    address = found->second.where.address;
+    port = found->second.where.http_port;
+    return !address.empty();
+}
+
 auto traffic_context::on_request(double retry_share) -> void
 {
     const std::lock_guard lock(this->mutex);
--- a/src/daemon/traffic_context.hpp
+++ b/src/daemon/traffic_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/admission_service.hpp"
+#include "daemon/caller_request.hpp"
 #include "daemon/control_service.hpp"
 #include "daemon/transaction_service.hpp"
 #include "daemon/upstream_pool.hpp"
@@ -31,6 +32,12 @@
     auto on_upstream_result(const upstream_view& upstream, bool succeeded) -> void;
     /// An upstream refused or broke off: it may have turned cold.
     auto on_cold_sign(const upstream_view& upstream) -> void;
+    /// This host's load in the request's pool, as text for other hosts.
+    [[nodiscard]] auto load_text(const caller_request& caller) -> std::string;
+    /// Takes another host's load as it stands in a header; nonsense is passed over.
+    auto hear_load(const std::string& text) -> void;
+    /// Where another host takes forwarded requests. False when it is not known.
+    [[nodiscard]] auto find_host(host_id id, std::string& address, std::uint16_t& port) -> bool;
     auto on_request(double retry_share) -> void;
     [[nodiscard]] auto take_retry() -> bool;
     /// Requests that are being answered now.
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -92,6 +92,9 @@
     set("preferred", counts.preferred);
     set("preferred_waited", counts.preferred_waited);
     set("elsewhere", counts.elsewhere);
+    set("forwarded", counts.forwarded);
+    set("forwarded_elsewhere", counts.forwarded_elsewhere);
+    set("denied", counts.denied);
     set("left_out", counts.left_out);
     set("unanswered", counts.unanswered);
 }
--- a/src/slots/slot_ledger.cpp
+++ b/src/slots/slot_ledger.cpp
@@ -117,6 +117,30 @@
     const auto available = limit > others ? limit - others : 0;
     const auto free_slots = available > account.in_use ? available - account.in_use : 0;
     auto slots = std::min(available, this->target_of(account, limit, free_slots));
+    return this->promise(account, slots, may_add, sequence, now);
+}
+
+auto slot_ledger::grant_rest(host_id self, std::uint32_t limit, bool may_add, message_sequence sequence,
+                             time_point now) -> slot_grant
+{
+    auto& account = this->holders[self];
+    std::uint32_t others = 0;
+    std::uint32_t others_in_use = 0;
+    for (const auto& [id, item] : this->holders)
+    {
+        others_in_use += id == self ? 0 : item.in_use;
+    }
+    const auto free_slots = limit > others_in_use ? limit - others_in_use : 0;
+    for (const auto& [id, item] : this->holders)
+    {
+        others += id == self ? 0 : std::max(this->commitment(item, now), this->target_of(item, limit, free_slots));
+    }
+    return this->promise(account, limit > others ? limit - others : 0, may_add, sequence, now);
+}
+
+auto slot_ledger::promise(holder_account& account, std::uint32_t slots, bool may_add, message_sequence sequence,
+                          time_point now) -> slot_grant
+{
     if (!may_add)
     {
         // Only what the holder already has is renewed.
--- a/src/slots/slot_owner.cpp
+++ b/src/slots/slot_owner.cpp
@@ -113,14 +113,16 @@
     item.limit = std::min(item.condition.limit(), bound);
 }
 
-auto slot_owner::grant(upstream_id id, host_id holder, bool host_count_complete, bool may_wait_out,
-                       message_sequence sequence, time_point now) -> slot_grant
+auto slot_owner::grant(upstream_id id, host_id holder, bool takes_rest, bool host_count_complete,
+                       bool may_wait_out, message_sequence sequence, time_point now) -> slot_grant
 {
     const auto found = this->owned.find(id);
     POPLARDRIFT_ASSERT(found != this->owned.end());
     auto& item = found->second;
     const auto waited = may_wait_out && item.ledger.former_promises_over(now);
-    auto result = item.ledger.grant(holder, item.limit, host_count_complete || waited, sequence, now);
+    const auto may_add = host_count_complete || waited;
+    auto result = takes_rest ? item.ledger.grant_rest(holder, item.limit, may_add, sequence, now)
+                             : item.ledger.grant(holder, item.limit, may_add, sequence, now);
     result.upstream = id;
     return result;
 }
@@ -134,8 +136,9 @@
 auto slot_owner::status(upstream_id id, time_point now) const -> upstream_status
 {
     const auto& item = this->at(id);
-    const auto promised = item.ledger.promised(now);
-    const auto free_slots = item.limit > promised ? item.limit - promised : 0;
+    // What the owner holds idle itself is free for others too.
+    const auto in_use = item.ledger.in_use();
+    const auto free_slots = item.limit > in_use ? item.limit - in_use : 0;
     return {id, item.condition.state(), item.condition.limit(), free_slots, item.condition.incarnation()};
 }
 
