--- a/include/poplardrift/admission/admission.hpp
+++ b/include/poplardrift/admission/admission.hpp
@@ -62,6 +62,8 @@
     std::array<upstream_id, most_excluded> excluded{}; ///< tried before; zero: unused
     std::optional<upstream_id> pinned; ///< another host sent it for a slot of this upstream only
     bool may_forward = false;         ///< the request may go through the host that owns an upstream
+    bool is_new = false;              ///< no upstream can hold anything of the conversation yet
+    duration patience{};              ///< what waiting for the wanted upstream is worth
     std::uint32_t forwards = 0;       ///< owners that had no slot for it
 };
 
@@ -199,7 +201,8 @@
         pool_id pool;
         std::uint32_t granted = 0;
         std::uint32_t in_use = 0;
-        std::uint32_t wanted = 0;
+        std::uint32_t wanted = 0; ///< waiting requests that aim at it
+        std::uint32_t asked = 0;  ///< of which a slot is asked of the owner by message
         std::uint32_t published_free = 0; ///< slots that the owner says nobody has
         time_point valid_until{};
         time_point next_probe{};          ///< when a waiting request may try the owner unasked
@@ -267,6 +270,9 @@
     auto learn_place(const pool_ref& pool, std::size_t index, conversation_id conversation) -> void;
     [[nodiscard]] auto place_elsewhere(const pool_ref& pool, const placement_request& wish, std::size_t target,
                                        time_point now) -> placement_result;
+    [[nodiscard]] auto roomier_choice(const pool_ref& pool, const placement_request& wish, std::size_t first,
+                                      time_point now) const -> std::size_t;
+    [[nodiscard]] auto has_wide_waiter(const pool_ref& pool) const -> bool;
     [[nodiscard]] auto may_have_slot(const pool_ref& pool, std::size_t index, time_point now) const -> bool;
     [[nodiscard]] auto is_reachable_owner(host_id owner, time_point now) const -> bool;
     [[nodiscard]] auto place_pinned(const pool_ref& pool, const placement_request& wish, time_point now)
@@ -289,7 +295,7 @@
     [[nodiscard]] auto next_waiter(const pool_ref& pool, std::size_t index, time_point now, bool by_forward)
         -> waiter_ref;
     auto serve_waiters(const pool_ref& pool, std::size_t index, time_point now) -> void;
-    auto widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<placed>;
+    auto widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<wait_result>;
     auto tick_pool(const pool_ref& pool, time_point now) -> void;
     auto tick_queue(const pool_ref& pool, workspace_queue& queue, time_point now) -> void;
     auto drop_waiter(workspace_queue& queue, workspace_queue::iterator position) -> workspace_queue::iterator;
--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -29,6 +29,8 @@
     warmup_settings warmup;
     byte_budget_settings budget;
     configuration_settings configuration;
+    std::uint32_t load_margin = 4;     ///< requests by which the fleet's load is taken lower, at most
+    double load_margin_share = 0.15;   ///< the same as a share of the load
     duration start_quiet = std::chrono::seconds(6); ///< a new process grants nothing new for that long
     duration heartbeat = std::chrono::milliseconds(600);      ///< between messages to one host
     duration urgent_interval = std::chrono::milliseconds(4);  ///< shortest pause between messages
@@ -280,6 +282,7 @@
         -> slot_grant;
     [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto load_margin(std::uint32_t load) const -> std::uint32_t;
     [[nodiscard]] auto fleet_load(pool_id pool, time_point now) const -> pool_load;
     [[nodiscard]] auto declaration_of(upstream_id id) const -> const upstream_declaration*;
     [[nodiscard]] auto state_of(upstream_id id) const -> upstream_state;
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -178,6 +178,22 @@
     return static_cast<std::size_t>(at - upstreams.begin());
 }
 
+auto admission::roomier_choice(const pool_ref& pool, const placement_request& wish, std::size_t first,
+                               time_point now) const -> std::size_t
+{
+    const auto second = best_upstream(*pool.view, wish.conversation,
+                                      [&](std::size_t index, const auto&)
+                                      { return index != first && this->is_usable(pool, index, wish, now); });
+    const auto room = [&](std::size_t index) -> std::int64_t
+    {
+        const auto& slot = *pool.state->slots[index];
+        const auto own = pool.view->upstreams[index].owner == this->settings.self;
+        const auto free_here = slot.granted > slot.in_use ? slot.granted - slot.in_use : 0;
+        return own ? free_here : std::max<std::int64_t>(free_here, slot.published_free);
+    };
+    return second && room(*second) > room(first) ? *second : first;
+}
+
 auto admission::preferred(const pool_ref& pool, const candidates& found, const placement_request& wish,
                           time_point now) -> std::optional<std::size_t>
 {
@@ -185,6 +201,10 @@
     {
         return found.spare ? found.spare : found.usable;
     }
+    if (wish.is_new && found.usable)
+    {
+        return this->roomier_choice(pool, wish, *found.usable, now);
+    }
     // The caller's word first, then what hosts told, then the first choice.
     const auto told = wish.hint ? wish.hint : this->exceptions.find(wish.conversation);
     if (told)
@@ -311,22 +331,30 @@
         ++this->tally.preferred;
         return this->take_slot(pool, *target, wish);
     }
-    // Whoever waits goes first, so that each workspace gets its share.
+    // The wanted upstream is at its bound, and this host knows it exactly.
     const auto owner = pool.view->upstreams[*target].owner;
-    const auto others_wait = std::any_of(pool.state->queues.begin(), pool.state->queues.end(),
-                                         [](const auto& item) { return !item.second.empty(); });
+    // Whoever waits for any upstream goes first, so that each workspace gets its share.
+    const auto others_wait = this->has_wide_waiter(pool);
     if (wish.may_forward && !others_wait && owner != this->settings.self && this->is_reachable_owner(owner, now))
     {
         ++this->tally.forwarded;
         return this->forward(pool, *target);
     }
-    if (wish.may_forward && !others_wait)
+    if (wish.may_forward && !others_wait && wish.patience == duration{})
     {
         return this->place_elsewhere(pool, wish, *target, now);
     }
     return this->enqueue(pool, *target, wish, now);
 }
 
+auto admission::has_wide_waiter(const pool_ref& pool) const -> bool
+{
+    const auto is_wide = [](const auto& item) { return item.second.takes_any; };
+    return std::any_of(pool.state->queues.begin(), pool.state->queues.end(),
+                       [&](const auto& item)
+                       { return std::any_of(item.second.begin(), item.second.end(), is_wide); });
+}
+
 auto admission::place_pinned(const pool_ref& pool, const placement_request& wish, time_point now)
     -> placement_result
 {
@@ -337,6 +365,10 @@
     {
         return this->take_slot(pool, *index, wish);
     }
+    if (index && wish.patience > duration{} && this->is_usable(pool, *index, wish, now))
+    {
+        return this->enqueue(pool, *index, wish, now);
+    }
     return refused{refusal::no_slot};
 }
 
@@ -465,10 +497,12 @@
         auto& former = this->slots[item.target];
         POPLARDRIFT_ASSERT(former.wanted > 0);
         --former.wanted;
+        former.asked -= item.wish.may_forward ? 0 : 1;
     }
     item.target = pool.view->upstreams[index].id;
     ++pool.state->slots[index]->wanted;
-    if (ask && pool.view->upstreams[index].owner != host_id{})
+    pool.state->slots[index]->asked += item.wish.may_forward ? 0 : 1;
+    if (ask && !item.wish.may_forward && pool.view->upstreams[index].owner != host_id{})
     {
         this->asks.insert(pool.view->upstreams[index].owner);
     }
@@ -494,7 +528,7 @@
     waiter item;
     item.wish = wish;
     item.first_target = pool.view->upstreams[target].id;
-    item.next_choice = now + this->settings.ask_patience;
+    item.next_choice = now + std::max(wish.patience, this->settings.ask_patience);
     this->aim_at(pool, item, target, true);
     queue.emplace(waiter_key{-wish.priority, ++this->arrivals}, item);
     ++this->total_queued;
@@ -507,6 +541,7 @@
     auto& slot = this->slots[position->second.target];
     POPLARDRIFT_ASSERT(slot.wanted > 0 && this->total_queued > 0);
     --slot.wanted;
+    slot.asked -= position->second.wish.may_forward ? 0 : 1;
     --this->total_queued;
     return queue.erase(position);
 }
@@ -524,7 +559,8 @@
         {
             const auto& candidate = item.second;
             const auto wants_it = candidate.takes_any || candidate.target == pool.view->upstreams[index].id;
-            return wants_it && (!by_forward || candidate.wish.may_forward) &&
+            const auto elsewhere = by_forward && candidate.wish.pinned.has_value();
+            return !elsewhere && wants_it && (!by_forward || candidate.wish.may_forward) &&
                    this->is_usable(pool, index, candidate.wish, now);
         };
         const auto first = std::find_if(queue.begin(), queue.end(), fits);
@@ -722,17 +758,29 @@
     return best;
 }
 
-auto admission::widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<placed>
+auto admission::widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<wait_result>
 {
     const auto first_time = !item.takes_any;
-    this->tally.unanswered += first_time && now >= item.next_choice ? 1 : 0;
+    this->tally.unanswered += first_time ? 1 : 0;
     item.takes_any = true;
     item.next_choice = now + target_interval;
-    const auto found = this->scan(pool, item.wish, now);
-    if (found.spare && this->has_free_slot(*pool.state->slots[*found.spare], now))
+    const auto best = best_upstream(*pool.view, item.wish.conversation,
+                                    [&](std::size_t index, const auto&)
+                                    {
+                                        const auto fits = item.wish.may_forward
+                                                              ? this->may_have_slot(pool, index, now)
+                                                              : this->has_free_slot(*pool.state->slots[index], now);
+                                        return fits && this->is_usable(pool, index, item.wish, now);
+                                    });
+    if (best && this->has_free_slot(*pool.state->slots[*best], now))
     {
         ++this->tally.elsewhere;
-        return this->take_slot(pool, *found.spare, item.wish);
+        return this->take_slot(pool, *best, item.wish);
+    }
+    if (best)
+    {
+        ++this->tally.forwarded_elsewhere;
+        return this->forward(pool, *best);
     }
     const auto target = this->choose_target(pool, item, now);
     if (target)
@@ -747,9 +795,11 @@
     for (auto position = queue.begin(); position != queue.end();)
     {
         auto& item = position->second;
-        if (now >= item.wish.deadline)
+        const auto given_up = item.wish.pinned && now >= item.next_choice;
+        if (now >= item.wish.deadline || given_up)
         {
-            this->ended.push_back({item.wish.id, refused{refusal::queue_timeout}});
+            const auto reason = given_up ? refusal::no_slot : refusal::queue_timeout;
+            this->ended.push_back({item.wish.id, refused{reason}});
             position = this->drop_waiter(queue, position);
             continue;
         }
@@ -809,10 +859,10 @@
         {
             const auto& slot = *state.slots[index];
             const auto held = now < slot.valid_until ? slot.granted : 0;
-            if (slot.in_use + slot.wanted + held > 0)
+            if (slot.in_use + slot.asked + held > 0)
             {
                 const auto& upstream = pool.upstreams[index];
-                result.push_back({upstream.id, upstream.owner, slot.in_use, slot.wanted, held});
+                result.push_back({upstream.id, upstream.owner, slot.in_use, slot.asked, held});
             }
         }
     }
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -298,6 +298,16 @@
     return total;
 }
 
+auto control_core::load_margin(std::uint32_t load) const -> std::uint32_t
+{
+    if (this->peers.empty())
+    {
+        return 0;
+    }
+    const auto share = static_cast<std::uint32_t>(this->settings.load_margin_share * load);
+    return std::min(this->settings.load_margin, share);
+}
+
 auto control_core::mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t
 {
     double warm_weight = 0.0;
@@ -317,7 +327,10 @@
     {
         return static_cast<std::uint32_t>(item.capacity);
     }
-    const auto load = this->fleet_load(make_pool_id(item.pool), now);
+    // Loads are heard late. Taking them a little lower keeps the bound when they have fallen.
+    auto load = this->fleet_load(make_pool_id(item.pool), now);
+    load.warm -= this->load_margin(load.warm);
+    load.all -= this->load_margin(load.all);
     const auto multiple = this->parsed.limits.load_bound;
     // Upstreams in cold start cannot take their share, so a warm one is compared with warm ones.
     if (this->state_of(make_upstream_id(item.path)) == upstream_state::warm)
--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -17,6 +17,10 @@
 /// An owner that does not answer a connection by then is passed over.
 constexpr duration owner_connect_timeout = std::chrono::milliseconds(300);
 
+/// Time that a returning chat waits for the engine that holds its prompt, by the prompt's size.
+constexpr duration affinity_patience_a_kilobyte = std::chrono::milliseconds(8);
+constexpr duration longest_affinity_patience = std::chrono::milliseconds(150);
+
 auto priority_text(std::int32_t priority) -> const char*
 {
     return priority > 0 ? "high" : priority < 0 ? "low" : "normal";
@@ -56,6 +60,10 @@
     result.excluded = this->excluded;
     result.pinned = this->asked.pinned;
     result.may_forward = !this->asked.pinned.has_value();
+    result.is_new = this->asked.is_new;
+    // What a cached prompt saves grows with its length, and so does what waiting for it is worth.
+    const auto worth = affinity_patience_a_kilobyte * static_cast<std::int64_t>(this->asked.body.size()) / 1024;
+    result.patience = this->asked.is_new ? duration{} : std::min(worth, longest_affinity_patience);
     return result;
 }
 
--- a/src/daemon/chat_relay.hpp
+++ b/src/daemon/chat_relay.hpp
@@ -21,6 +21,7 @@
     bool stream = false;
     conversation_id conversation;
     std::optional<upstream_id> hint;
+    bool is_new = false;         ///< its first turn: no engine holds anything of it
     std::optional<upstream_id> pinned; ///< another host forwarded it for this upstream only
     httplib::Headers forwarded;      ///< headers that go on to the engine
 };
--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -53,6 +53,13 @@
     return result;
 }
 
+/// True when the assistant has said nothing yet.
+auto is_first_turn(const nlohmann::json& messages) -> bool
+{
+    return std::none_of(messages.begin(), messages.end(), [](const auto& item)
+                        { return item.is_object() && item.value("role", nlohmann::json()) == "assistant"; });
+}
+
 /// Counts a request as active for as long as it lives.
 class active_request final
 {
@@ -278,6 +285,7 @@
     asked.caller = caller;
     asked.body = request.body;
     asked.stream = stream != body.end() && stream->get<bool>();
+    asked.is_new = is_first_turn(*messages);
     asked.conversation = identify_conversation(caller.workspace->id, request.get_header_value("x-conversation-id"), body);
     asked.hint = parse_affinity_hint(request.get_header_value("x-poplardrift-affinity"), asked.conversation, this->context.settings.host_secret);
     if (request.has_header("x-poplardrift-via"))
--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -90,9 +90,9 @@
         http.Post("/control", [this](const auto& request, auto& response) { this->control(request, response); });
         http.Get("/stats", [this](const auto&, auto& response) { reply(response, 200, this->stats()); });
         http.Post("/stats/reset",
-                  [this](const auto&, auto& response)
+                  [this](const auto& request, auto& response)
                   {
-                      this->reset();
+                      this->reset(request.has_param("keep_violations"));
                       reply(response, 200, {{"reset", true}});
                   });
         http.Get(R"(/bookings/(.+))",
@@ -152,6 +152,7 @@
     [[nodiscard]] auto stats() -> nlohmann::json
     {
         nlohmann::json result = {{"violations", this->around.violations().to_json()},
+                                 {"violation_times_ms", this->around.violations().times_to_json()},
                                  {"skew_max_over_mean", this->group.highest_skew()},
                                  {"bookings", this->ledger.size()},
                                  {"doubled", this->ledger.doubled()},
@@ -173,9 +174,12 @@
         return result;
     }
 
-    auto reset() -> void
+    auto reset(bool keep_violations) -> void
     {
-        this->around.violations().reset();
+        if (!keep_violations)
+        {
+            this->around.violations().reset();
+        }
         this->group.reset();
         this->store.reset_stats();
         for (auto& item : this->engines)
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -16,6 +16,7 @@
 /// A request that waits for the end of a cut is given up after this.
 constexpr int longest_cut_ms = 120'000;
 constexpr double poll_ms = 20.0;
+constexpr std::size_t most_violation_times = 1000;
 
 } // namespace
 
@@ -23,6 +24,16 @@
 {
     const std::lock_guard lock(this->mutex);
     ++this->counts[promise];
+    if (this->times.size() < most_violation_times)
+    {
+        this->times.emplace_back(wall_clock_ms(), promise);
+    }
+}
+
+auto violation_counts::times_to_json() const -> nlohmann::json
+{
+    const std::lock_guard lock(this->mutex);
+    return nlohmann::json(this->times);
 }
 
 auto violation_counts::to_json() const -> nlohmann::json
@@ -35,6 +46,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->counts.clear();
+    this->times.clear();
 }
 
 world::world(const nlohmann::json& settings)
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -29,12 +29,15 @@
 {
 public:
     auto add(const std::string& promise) -> void;
+    /// When the first ones happened, in milliseconds since 1970.
+    [[nodiscard]] auto times_to_json() const -> nlohmann::json;
     [[nodiscard]] auto to_json() const -> nlohmann::json;
     auto reset() -> void;
 
 private:
     mutable std::mutex mutex;
     std::map<std::string, std::int64_t> counts;
+    std::vector<std::pair<std::int64_t, std::string>> times; ///< of the first ones
 };
 
 /// What all stand-ins share: who is where, which zones are cut off from each other, and what has
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -254,7 +254,16 @@
     this->emulator_post("/stats/reset", nlohmann::json::object());
     const auto bytes_before = this->control_bytes();
     this->begin_seconds = to_seconds(monotonic_now().time_since_epoch());
+    this->begin_ms = static_cast<double>(wall_clock_ms());
     this->people.set_begin(this->begin_seconds);
+    const auto warm_seconds = this->plan.value("warm_seconds", 0.0);
+    std::thread([this, warm_seconds]
+                {
+                    // What happens while engines warm up for the first time is no part of the skew.
+                    std::this_thread::sleep_for(std::chrono::duration<double>(warm_seconds));
+                    this->emulator_post("/stats/reset?keep_violations=1", nlohmann::json::object());
+                })
+        .detach();
     std::thread sampler([this] { this->sample_loop(); });
     this->schedule_loop();
     const auto seconds = this->seconds_now();
@@ -278,10 +287,20 @@
     std::vector<double> gaps;
     std::map<std::string, std::vector<double>> by_workspace;
     nlohmann::json complaints = nlohmann::json::array();
+    const auto warm_seconds = this->plan.value("warm_seconds", 0.0);
+    std::map<int, std::vector<double>> by_window;
     for (const auto& sample : this->results.chats())
     {
         ++ends[end_name(sample.end)];
         if (sample.end == request_end::done)
+        {
+            by_window[static_cast<int>(sample.at_seconds / 5) * 5].push_back(sample.first_token_seconds);
+        }
+        if (sample.end == request_end::done && sample.at_seconds < warm_seconds)
+        {
+            continue;
+        }
+        if (sample.end == request_end::done)
         {
             first_tokens.push_back(sample.first_token_seconds);
             by_workspace[sample.workspace].push_back(sample.first_token_seconds);
@@ -304,6 +323,10 @@
     this->figures["first_token_p99_seconds"] = percentile(first_tokens, 0.99);
     this->figures["between_tokens_p95_seconds"] = percentile(gaps, 0.95);
     this->figures["complaints"] = complaints;
+    for (auto& [window, values] : by_window)
+    {
+        this->figures["first_token_p95_by_time"][std::to_string(window)] = percentile(values, 0.95);
+    }
     for (auto& [name, values] : by_workspace)
     {
         this->figures["by_workspace"][name] = {{"done", values.size()}, {"first_token_p95_seconds", percentile(values, 0.95)}};
@@ -403,6 +426,12 @@
     add("falsely_not_run", this->figures["falsely_not_run"]);
     add("done_without_effect", this->figures["done_without_effect"]);
     this->figures["violations"] = violations;
+    for (const auto& item : stats.value("violation_times_ms", nlohmann::json::array()))
+    {
+        const auto second = static_cast<int>((item[0].get<double>() - this->begin_ms) / 1000.0);
+        auto& count = this->figures["violation_times"][std::to_string(second)];
+        count = (count.is_null() ? 0 : count.get<int>()) + 1;
+    }
     this->figures["requests"] = this->results.chats().size() + this->results.bookings().size();
     this->figures["requests_lost"] = lost;
 }
--- a/src/load/experiment.hpp
+++ b/src/load/experiment.hpp
@@ -48,6 +48,7 @@
     nlohmann::json figures;
     bytes_by_host placements; ///< requests by host and by how they got their place
     double begin_seconds = 0;
+    double begin_ms = 0; ///< wall clock
     std::atomic<bool> ended{false};
     std::atomic<int> running{0};
 };
