--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -704,7 +704,8 @@
     {
         for (auto& [key, item] : queue)
         {
-            const auto left_out = item.target == upstream && !item.takes_any;
+            const auto asked = !item.wish.may_forward && !item.wish.pinned;
+            const auto left_out = asked && item.target == upstream && !item.takes_any;
             this->tally.left_out += left_out ? 1 : 0;
             item.next_choice = left_out ? now : item.next_choice;
         }
