--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -388,7 +388,7 @@
     for (const auto& item : body.at("upstreams"))
     {
         std::cout << "  upstream " << std::left << std::setw(36) << item.at("path").get<std::string>() << std::setw(9)
-                  << item.at("state").get<std::string>() << "limit " << std::setw(6) << item.at("limit") << "owner "
+                  << item.at("state").get<std::string>() << "limit " << std::setw(6) << item.at("limit").get<int>() << "owner "
                   << item.at("owner").get<std::string>() << "\n";
     }
     return exit_code::ok;
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -113,7 +113,7 @@
 {
     // The experiment's operator uses the operators' tool, as a person would.
     const auto folder = this->client["folder"].get<std::string>();
-    std::string command = "build/bin/poplardriftctl";
+    std::string command = "${POPLARDRIFT_BIN:-build/bin}/poplardriftctl";
     for (const auto& host : this->client["hosts"])
     {
         command += " --admin " + host["address"].get<std::string>() + ":" + std::to_string(this->client["admin_port"].get<int>());
