--- /dev/null
+++ b/src/leases/order_core_test.cpp
@@ -0,0 +1,171 @@
+#include "poplardrift/leases/order_core.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace poplardrift;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const host_id host_a{1};
+const host_id host_b{2};
+const upstream_id engine_id{7};
+const time_point start{};
+
+auto make_engine(const std::string& declared, const std::string& reported, std::uint32_t in_use) -> managed_engine
+{
+    return {engine_id, "/assist/upstreams/e1", "127.0.0.1", 80, declared, reported, in_use};
+}
+
+/// The log's lease stream with hosts that read it.
+struct lease_log
+{
+    std::uint64_t offset = 0;
+    std::vector<std::pair<log_time, lease_record>> records;
+
+    auto append(const lease_record& record, time_point now, std::vector<order_core*> readers) -> void
+    {
+        const auto time = std::chrono::duration_cast<log_time>(now.time_since_epoch());
+        ++this->offset;
+        for (auto* reader : readers)
+        {
+            reader->on_record(log_offset{this->offset}, time, record);
+        }
+    }
+};
+
+/// Carries out appends and returns the orders that were to be sent.
+auto carry_out(order_core& core, lease_log& log, time_point now, std::vector<order_core*> readers) -> std::vector<send_order>
+{
+    std::vector<send_order> orders;
+    for (const auto& action : core.take_actions())
+    {
+        if (const auto* append = std::get_if<append_lease>(&action))
+        {
+            log.append(append->record, now, readers);
+        }
+        if (const auto* order = std::get_if<send_order>(&action))
+        {
+            orders.push_back(*order);
+        }
+    }
+    return orders;
+}
+
+/// Ticks until an order comes out or time is over.
+auto run_until_order(order_core& core, lease_log& log, const managed_engine& engine, time_point& now,
+                     std::vector<order_core*> readers) -> std::vector<send_order>
+{
+    for (int step = 0; step < 40; ++step)
+    {
+        core.on_tick({engine}, now);
+        auto orders = carry_out(core, log, now, readers);
+        if (!orders.empty())
+        {
+            return orders;
+        }
+        now += 250ms;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("an order goes out under a lease, a place at the weight store, and after the drain")
+{
+    order_core core({}, host_a, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    CHECK(run_until_order(core, log, make_engine("big", "base", 3), now, {&core}).empty());
+    const auto orders = run_until_order(core, log, make_engine("big", "base", 0), now, {&core});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].fencing > log_offset{});
+    CHECK(orders[0].valid_until > now);
+    // The engine reports its new model: all is given back.
+    core.on_tick({make_engine("big", "big", 0)}, now);
+    CHECK_FALSE(core.is_busy());
+}
+
+TEST_CASE("of two hosts that both feel responsible, one gets the lease")
+{
+    order_core first({}, host_a, incarnation_id{1});
+    order_core second({}, host_b, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    const auto engine = make_engine("big", "base", 0);
+    CHECK(run_until_order(first, log, engine, now, {&first, &second}).size() == 1);
+    auto later = now;
+    for (; later < now + 5s; later += 250ms)
+    {
+        second.on_tick({engine}, later);
+        CHECK(carry_out(second, log, later, {&first, &second}).empty());
+    }
+}
+
+TEST_CASE("a holder that was paused past its lease sends nothing")
+{
+    order_core core({}, host_a, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    // It holds the lease and waits for the drain.
+    CHECK(run_until_order(core, log, make_engine("big", "base", 1), now, {&core}).empty());
+    const auto before = log.offset;
+    now += 60s;
+    core.on_tick({make_engine("big", "base", 0)}, now);
+    const auto orders = carry_out(core, log, now, {&core});
+    CHECK(orders.empty());
+    CHECK(log.offset > before);
+}
+
+TEST_CASE("a later holder has a higher fencing number")
+{
+    order_core first({}, host_a, incarnation_id{1});
+    order_core second({}, host_b, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    const auto engine = make_engine("big", "base", 0);
+    const auto former = run_until_order(first, log, engine, now, {&first, &second});
+    REQUIRE(former.size() == 1);
+    now += 30s;
+    const auto present = run_until_order(second, log, engine, now, {&first, &second});
+    REQUIRE(present.size() == 1);
+    CHECK(present[0].fencing > former[0].fencing);
+    CHECK(former[0].valid_until < now);
+}
+
+TEST_CASE("the whole fleet loads no more models at once than the weight store bears")
+{
+    order_core first({}, host_a, incarnation_id{1});
+    order_core second({}, host_b, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    const auto engine = make_engine("big", "base", 0);
+    auto other = engine;
+    other.id = upstream_id{8};
+    other.path = "/assist/upstreams/e2";
+    CHECK(run_until_order(first, log, engine, now, {&first, &second}).size() == 1);
+    auto later = now;
+    for (; later < now + 5s; later += 250ms)
+    {
+        second.on_tick({other}, later);
+        CHECK(carry_out(second, log, later, {&first, &second}).empty());
+    }
+}
+
+TEST_CASE("a refused order is tried again only after a pause, and under a new lease")
+{
+    order_core core({}, host_a, incarnation_id{1});
+    lease_log log;
+    auto now = start;
+    const auto engine = make_engine("big", "base", 0);
+    const auto first = run_until_order(core, log, engine, now, {&core});
+    REQUIRE(first.size() == 1);
+    core.on_order_result(engine_id, order_result::refused, now);
+    core.on_tick({engine}, now + 1s);
+    CHECK(carry_out(core, log, now + 1s, {&core}).empty());
+    now += 3s;
+    const auto second = run_until_order(core, log, engine, now, {&core});
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].fencing > first[0].fencing);
+}
