--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -6,6 +6,7 @@
 #include "poplardrift/gossip/byte_budget.hpp"
 #include "poplardrift/gossip/messages.hpp"
 #include "poplardrift/gossip/peer_link.hpp"
+#include "poplardrift/leases/order_core.hpp"
 #include "poplardrift/membership/membership.hpp"
 #include "poplardrift/slots/slot_owner.hpp"
 
@@ -194,6 +195,8 @@
     {
         this->budget.spend_raw(bytes, kind, now);
     }
+    /// Stops granting slots of an engine that is being changed, or grants them again.
+    auto hold_engine(upstream_id upstream, bool held) -> void { this->owner.set_held(upstream, held); }
     /// A planned stop begins: other hosts take over what this one owns.
     auto start_leaving() -> void;
     /// Lets time pass and takes the host's use of slots. Call it every few milliseconds.
@@ -205,6 +208,8 @@
     [[nodiscard]] auto config() const -> const configuration& { return this->configured; }
     [[nodiscard]] auto declared() const -> const declarations& { return this->parsed; }
     [[nodiscard]] auto members() const -> const membership& { return this->hosts; }
+    /// Engines that this host owns, with their declared and reported models.
+    [[nodiscard]] auto managed_engines(time_point now) const -> std::vector<managed_engine>;
     [[nodiscard]] auto overview(time_point now) const -> std::vector<upstream_overview>;
     /// Configuration offsets of all hosts as last heard, this one among them.
     [[nodiscard]] auto configuration_offsets() const -> std::map<std::string, log_offset>;
--- a/include/poplardrift/slots/slot_owner.hpp
+++ b/include/poplardrift/slots/slot_owner.hpp
@@ -38,6 +38,8 @@
     /// A host's process is gone: its requests ended with it.
     auto forget_holder(host_id holder) -> void;
 
+    /// Grants nothing while the engine is being changed.
+    auto set_held(upstream_id id, bool held) -> void;
     /// Lets an upstream's warm-up go on and sets the bound that grants keep.
     auto update(upstream_id id, std::uint32_t bound, time_point now) -> void;
     /// What the holder gets now. `host_count_complete` says that every listed host has reported, so
@@ -60,6 +62,7 @@
         slot_ledger ledger;
         warmup condition;
         std::uint32_t limit = 0;
+        bool held = false;
     };
 
     [[nodiscard]] auto at(upstream_id id) const -> const owned_upstream&;
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -885,6 +885,23 @@
 
 // What operators see.
 
+auto control_core::managed_engines(time_point now) const -> std::vector<managed_engine>
+{
+    std::vector<managed_engine> result;
+    for (const auto id : this->owner.ids())
+    {
+        const auto* item = this->declaration_of(id);
+        if (item == nullptr || item->kind != upstream_kind::engine || item->model.empty())
+        {
+            continue;
+        }
+        const auto& report = this->owner.condition(id).last_report();
+        result.push_back({id, item->path, item->address, static_cast<std::uint16_t>(item->port), item->model,
+                          report ? report->model : "", this->owner.promised(id, now)});
+    }
+    return result;
+}
+
 auto control_core::overview(time_point now) const -> std::vector<upstream_overview>
 {
     std::vector<upstream_overview> result;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admin_api.hpp"
 #include "daemon/http_front.hpp"
+#include "daemon/order_service.hpp"
 #include "net/clock.hpp"
 
 #include <CLI/CLI.hpp>
@@ -26,6 +27,7 @@
           control(settings, this->incarnation, this->slots, this->log, this->figures),
           transactions(settings, this->incarnation, this->log, this->figures,
                        [this](std::size_t bytes) { this->control.post(control_bytes_spent{control_traffic::transactions, bytes}); }),
+          orders(settings, this->incarnation, this->control, this->log),
           context(this->settings, this->slots, this->control, this->transactions, this->log, this->figures),
           front(this->context, settings.host.name + "-" + std::to_string(this->incarnation.value() % 1'000'000'000)),
           admin(this->context)
@@ -41,6 +43,7 @@
             return fault;
         }
         this->transactions.start();
+        this->orders.start();
         if (!this->front.start())
         {
             return this->settings.host.address + ":" + std::to_string(this->settings.host.http_port) + ": cannot listen";
@@ -68,6 +71,7 @@
         }
         this->log.write(event_code::daemon_stopped, std::to_string(this->context.active.load()) + " requests were cut off");
         this->admin.stop();
+        this->orders.stop();
         this->transactions.stop();
         this->control.stop();
     }
@@ -80,6 +84,7 @@
     admission_service slots;
     control_service control;
     transaction_service transactions;
+    order_service orders;
     traffic_context context;
     http_front front;
     admin_api admin;
--- /dev/null
+++ b/src/daemon/order_service.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "daemon/control_service.hpp"
+#include "poplardrift/leases/order_core.hpp"
+
+#include <thread>
+
+namespace poplardrift
+{
+
+/// The thread that carries out orders to the engines that this host owns. It reads the log's lease
+/// stream only while an engine's model differs from its declaration.
+class order_service final
+{
+public:
+    order_service(const daemon_settings& settings, incarnation_id incarnation, control_service& control, event_log& log);
+    ~order_service() { this->stop(); }
+    order_service(const order_service&) = delete;
+    auto operator=(const order_service&) -> order_service& = delete;
+
+    auto start() -> void;
+    auto stop() -> void;
+
+private:
+    auto step() -> void;
+    auto read_leases() -> void;
+    auto carry_out(const order_action& action) -> void;
+    [[nodiscard]] auto send(const send_order& order) -> order_result;
+
+    daemon_settings settings;
+    control_service& control;
+    event_log& log;
+    order_core core;
+    log_client client;
+    log_offset next{1};
+    timer_service timers;
+};
+
+} // namespace poplardrift
--- a/src/slots/slot_owner.cpp
+++ b/src/slots/slot_owner.cpp
@@ -48,7 +48,7 @@
     }
     const auto needs_reports = declared.kind == upstream_kind::engine;
     owned_upstream item{slot_ledger(this->slots, now),
-                        warmup(this->conditions, cold, most, needs_reports), cold};
+                        warmup(this->conditions, cold, most, needs_reports), cold, false};
     if (published)
     {
         item.condition.inherit(*published);
@@ -103,6 +103,15 @@
     }
 }
 
+auto slot_owner::set_held(upstream_id id, bool held) -> void
+{
+    const auto found = this->owned.find(id);
+    if (found != this->owned.end())
+    {
+        found->second.held = held;
+    }
+}
+
 auto slot_owner::update(upstream_id id, std::uint32_t bound, time_point now) -> void
 {
     const auto found = this->owned.find(id);
@@ -110,7 +119,7 @@
     auto& item = found->second;
     item.ledger.expire(now);
     item.condition.on_tick(item.ledger.in_use(), bound, now);
-    item.limit = std::min(item.condition.limit(), bound);
+    item.limit = item.held ? 0 : std::min(item.condition.limit(), bound);
 }
 
 auto slot_owner::grant(upstream_id id, host_id holder, bool takes_rest, bool host_count_complete,
