--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -265,6 +265,7 @@
     auto on_member_changed(const member& changed, member_status before) -> void override;
     auto note(event_code code, std::string detail) -> void;
     auto peer(host_id id, time_point now) -> peer_state&;
+    auto make_all_urgent() -> void;
 
     auto accept_reports(host_id from, peer_state& from_state, const peer_message& message, time_point now)
         -> void;
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -97,6 +97,11 @@
 auto control_core::start_leaving() -> void
 {
     this->leaving = true;
+    this->make_all_urgent();
+}
+
+auto control_core::make_all_urgent() -> void
+{
     for (auto& [id, state] : this->peers)
     {
         state.urgent = true;
@@ -423,7 +428,12 @@
         const auto* item = this->declaration_of(id);
         POPLARDRIFT_ASSERT(item != nullptr);
         this->owner.update(id, this->mean_bound(*item, now), now);
+        const auto before = this->state_of(id);
         this->set_status(this->owner.status(id, now));
+        if (before == upstream_state::warm && this->state_of(id) != upstream_state::warm)
+        {
+            this->make_all_urgent();
+        }
         const auto use = by_upstream.find(id);
         this->grant_to_self(id, use == by_upstream.end() ? slot_use{id, {}, 0, 0, 0} : use->second, now);
     }
@@ -566,10 +576,7 @@
     auto& own = this->signs[upstream];
     own.sign = {upstream, suspected, own.sign.count + 1};
     own.told = now;
-    for (auto& [id, state] : this->peers)
-    {
-        state.urgent = true;
-    }
+    this->make_all_urgent();
     this->apply_sign(this->hosts.self(), upstream, suspected, now);
 }
 
