A lost owner's engines are taken over at once when they are warm

A broken connection makes a host suspect after 0.3 s; the new owner grants once it has heard the alive hosts and the engine's report, and sets aside what runs unknown.

--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -180,6 +180,8 @@
     auto on_host_list(const std::vector<host_address>& live, const std::vector<std::string>& leaving,
                       time_point now) -> void;
     auto on_peer_message(const peer_message& message, time_point now) -> void;
+    /// The connection to another host ended, or stands again.
+    auto on_connection(host_id to, bool stands, time_point now) -> void { this->hosts.on_connection(to, stands, now); }
     /// Records of the configuration's stream, in order. An empty list says that the log answers.
     auto on_log_records(const std::vector<log_record>& records, time_point now) -> void;
     auto on_log_unreachable(time_point now) -> void;
@@ -303,6 +305,7 @@
     [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
         -> slot_grant;
     [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
+    [[nodiscard]] auto alive_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t;
     [[nodiscard]] auto load_margin(std::uint32_t load) const -> std::uint32_t;
     [[nodiscard]] auto fleet_load(pool_id pool, time_point now) const -> pool_load;
--- a/include/poplardrift/core/control_event.hpp
+++ b/include/poplardrift/core/control_event.hpp
@@ -62,6 +62,13 @@
     std::size_t bytes = 0;
 };
 
+/// The connection to another host ended, or stands again.
+struct connection_changed
+{
+    host_id to;
+    bool stands = false;
+};
+
 /// An engine is being changed and gets no new work, or takes work again.
 struct engine_held
 {
@@ -77,7 +84,7 @@
 /// Everything that the control state is told from outside.
 using control_event = std::variant<host_list_read, peer_message_received, log_records_read, log_read_failed,
                                    upstream_reported, sign_seen, load_heard, control_bytes_spent,
-                                   engine_held, stop_requested>;
+                                   engine_held, connection_changed, stop_requested>;
 
 /// Hands an event to the control state.
 auto handle_event(control_core& core, const control_event& what, time_point now) -> void;
--- a/include/poplardrift/membership/membership.hpp
+++ b/include/poplardrift/membership/membership.hpp
@@ -42,12 +42,14 @@
     bool listed = false;     ///< in the platform's host list as last read
     time_point last_heard{};
     bool ever_heard = false;
+    std::optional<time_point> broken; ///< when the connection to it ended and was not made again
 };
 
 /// Settings of membership.
 struct membership_settings
 {
     duration suspicion_timeout = std::chrono::seconds(2); ///< silence until a host is suspect
+    duration broken_timeout = std::chrono::milliseconds(300); ///< the same once its connection broke
     duration flap_window = std::chrono::seconds(30);      ///< over which returns are counted
     std::int64_t flap_limit = 3;   ///< returns within the window before damping starts
     duration damping = std::chrono::seconds(10); ///< a flapping host stays suspect that long
@@ -76,6 +78,8 @@
                       time_point now) -> void;
     /// A message from a host. False when it comes from a former incarnation.
     auto on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now) -> bool;
+    /// The connection to a host ended, or stands again.
+    auto on_connection(host_id to, bool stands, time_point now) -> void;
     /// Lets silence turn into suspicion.
     auto on_tick(time_point now) -> void;
 
--- a/include/poplardrift/slots/slot_owner.hpp
+++ b/include/poplardrift/slots/slot_owner.hpp
@@ -51,6 +51,8 @@
     /// True when all these hosts have reported to this owner.
     [[nodiscard]] auto has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const -> bool;
 
+    /// True when the upstream has reported since this host owns it.
+    [[nodiscard]] auto has_fresh_report(upstream_id id, time_point now) const -> bool;
     [[nodiscard]] auto status(upstream_id id, time_point now) const -> upstream_status;
     [[nodiscard]] auto condition(upstream_id id) const -> const warmup&;
     [[nodiscard]] auto in_use(upstream_id id) const -> std::uint32_t;
@@ -63,8 +65,13 @@
         warmup condition;
         std::uint32_t limit = 0;
         bool held = false;
+        time_point since{};
     };
 
+    /// Requests that the upstream reports beyond those that this owner knows of, while promises of a
+    /// former owner may stand.
+    [[nodiscard]] auto unknown_use(const owned_upstream& item, time_point now) const -> std::uint32_t;
+
     [[nodiscard]] auto at(upstream_id id) const -> const owned_upstream&;
 
     slot_settings slots;
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Time after which another host's word on its load no longer counts.
-constexpr duration load_validity = std::chrono::seconds(4);
+constexpr duration load_validity = std::chrono::milliseconds(1500);
 /// Pause between two updates of the configuration to the same host.
 constexpr duration update_interval = std::chrono::seconds(1);
 /// Snapshots go out this often within the log's retention.
@@ -360,6 +360,19 @@
     return result;
 }
 
+auto control_core::alive_hosts() const -> std::vector<host_id>
+{
+    std::vector<host_id> result;
+    for (const auto& [id, item] : this->hosts.members())
+    {
+        if (item.status == member_status::alive && id != this->hosts.self())
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 auto control_core::grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
     -> slot_grant
 {
@@ -376,7 +389,13 @@
     const auto safe_to_wait = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
                               this->hosts.zone_has_no_listed_host(item->zone);
     const auto may_wait_out = settled && safe_to_wait;
-    return this->owner.grant(id, holder, holder == this->hosts.self(), complete, may_wait_out, sequence, now);
+    // A warm engine whose owner was lost need not wait for that host to be struck off the list: what
+    // that one may still have running shows in the engine's own report and is set aside.
+    const auto warm_takeover = settled && this->state_of(id) == upstream_state::warm &&
+                               this->owner.has_fresh_report(id, now) &&
+                               this->owner.has_heard_all(id, this->alive_hosts());
+    return this->owner.grant(id, holder, holder == this->hosts.self(), complete || warm_takeover, may_wait_out,
+                             sequence, now);
 }
 
 auto control_core::set_status(const upstream_status& status) -> void
--- a/src/core/control_event.cpp
+++ b/src/core/control_event.cpp
@@ -42,6 +42,10 @@
         this->core.on_control_bytes(item.kind, item.bytes, this->now);
     }
     auto operator()(const engine_held& item) const -> void { this->core.hold_engine(item.upstream, item.held); }
+    auto operator()(const connection_changed& item) const -> void
+    {
+        this->core.on_connection(item.to, item.stands, this->now);
+    }
     auto operator()(const stop_requested&) const -> void { this->core.start_leaving(); }
 };
 
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -66,7 +66,9 @@
                     }
                     this->post(peer_message_received{std::move(*message)});
                     this->wake();
-                }),
+                },
+                [this](const std::string& host, bool stands)
+                { this->post(connection_changed{make_host_id(host), stands}); }),
       helpers(most_helpers),
       core(std::make_unique<control_core>(settings.control, settings.host, incarnation, monotonic_now())),
       hosts(std::make_shared<host_directory>()), fleet_loads(std::make_shared<std::vector<known_load>>())
--- a/src/daemon/peer_transport.cpp
+++ b/src/daemon/peer_transport.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-peer_transport::peer_transport(const host_address& self, const tls_settings& tls, receiver receive)
-    : self(self), tls(tls), receive(std::move(receive))
+peer_transport::peer_transport(const host_address& self, const tls_settings& tls, receiver receive,
+                               connection_listener listener)
+    : self(self), tls(tls), receive(std::move(receive)), listener(std::move(listener))
 {
 }
 
@@ -93,12 +94,26 @@
     }
 }
 
-auto peer_transport::dial(const std::string& url) -> outgoing
+auto peer_transport::on_pipe(nng_pipe pipe, nng_pipe_ev what, void* watch) -> void
+{
+    (void)pipe;
+    const auto& item = *static_cast<pipe_watch*>(watch);
+    item.transport->listener(item.host, what == NNG_PIPE_EV_ADD_POST);
+}
+
+auto peer_transport::dial(const std::string& host, const std::string& url) -> outgoing
 {
     outgoing item;
     item.url = url;
     const auto opened = nng_push0_open(&item.socket);
     POPLARDRIFT_ASSERT(opened == 0);
+    auto& watch = this->watches[host];
+    if (!watch)
+    {
+        watch = std::make_unique<pipe_watch>(pipe_watch{this, host});
+    }
+    nng_pipe_notify(item.socket, NNG_PIPE_EV_ADD_POST, &peer_transport::on_pipe, watch.get());
+    nng_pipe_notify(item.socket, NNG_PIPE_EV_REM_POST, &peer_transport::on_pipe, watch.get());
     nng_socket_set_int(item.socket, NNG_OPT_SENDBUF, send_buffer_messages);
     nng_socket_set_ms(item.socket, NNG_OPT_RECONNMINT, shortest_redial_ms);
     nng_socket_set_ms(item.socket, NNG_OPT_RECONNMAXT, longest_redial_ms);
@@ -132,7 +147,7 @@
     }
     if (found == this->connections.end())
     {
-        found = this->connections.emplace(to.name, this->dial(url)).first;
+        found = this->connections.emplace(to.name, this->dial(to.name, url)).first;
     }
     auto copy = bytes;
     nng_send(found->second.socket, copy.data(), copy.size(), NNG_FLAG_NONBLOCK);
--- a/src/daemon/peer_transport.hpp
+++ b/src/daemon/peer_transport.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -22,8 +23,11 @@
 public:
     using receiver = std::function<void(std::string_view bytes)>;
 
-    /// `receive` is called on the transport's own thread.
-    peer_transport(const host_address& self, const tls_settings& tls, receiver receive);
+    /// Told by host name when the connection to it stands or has ended.
+    using connection_listener = std::function<void(const std::string& host, bool stands)>;
+
+    /// Both functions are called on the transport's own threads.
+    peer_transport(const host_address& self, const tls_settings& tls, receiver receive, connection_listener listener);
     ~peer_transport();
     peer_transport(const peer_transport&) = delete;
     auto operator=(const peer_transport&) -> peer_transport& = delete;
@@ -37,20 +41,31 @@
     auto stop() -> void;
 
 private:
+    /// What the library's callback needs to tell whose connection changed.
+    struct pipe_watch
+    {
+        peer_transport* transport = nullptr;
+        std::string host;
+    };
+
     struct outgoing
     {
         nng_socket socket{};
         std::string url;
     };
 
+    static auto on_pipe(nng_pipe pipe, nng_pipe_ev what, void* watch) -> void;
+
     [[nodiscard]] auto url_of(const host_address& where) const -> std::string;
-    [[nodiscard]] auto dial(const std::string& url) -> outgoing;
+    [[nodiscard]] auto dial(const std::string& host, const std::string& url) -> outgoing;
     [[nodiscard]] auto make_tls(bool server) const -> ::nng_tls_config*;
     auto receive_loop() -> void;
 
     host_address self;
     tls_settings tls;
     receiver receive;
+    connection_listener listener;
+    std::map<std::string, std::unique_ptr<pipe_watch>> watches; ///< kept as long as the library may call
     nng_socket incoming{};
     bool listening = false;
     std::thread thread;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -132,6 +132,23 @@
     return true;
 }
 
+auto membership::on_connection(host_id to, bool stands, time_point now) -> void
+{
+    const auto found = this->known.find(to);
+    if (found == this->known.end())
+    {
+        return;
+    }
+    if (stands)
+    {
+        found->second.broken.reset();
+    }
+    else if (!found->second.broken)
+    {
+        found->second.broken = now;
+    }
+}
+
 auto membership::on_tick(time_point now) -> void
 {
     for (auto& [id, item] : this->known)
@@ -140,8 +157,11 @@
         {
             continue;
         }
+        // A host whose process ended breaks its connections; one that is cut off falls silent.
+        const auto broken = item.broken && now - *item.broken > this->settings.broken_timeout &&
+                            now - item.last_heard > this->settings.broken_timeout;
         const auto silent = now - item.last_heard > this->settings.suspicion_timeout;
-        if (!silent)
+        if (!silent && !broken)
         {
             continue;
         }
--- a/src/slots/slot_owner.cpp
+++ b/src/slots/slot_owner.cpp
@@ -13,6 +13,10 @@
 
 /// Guards the rounding up against the last bit of a product such as 1.25 * 8 / 10.
 constexpr double rounding_slack = 1e-9;
+/// A new owner hears the other hosts and the upstream's own report within this time.
+constexpr duration shortest_takeover = std::chrono::milliseconds(700);
+/// For which a former owner's requests may still run unknown to the new one.
+constexpr duration longest_takeover = std::chrono::seconds(10);
 
 } // namespace
 
@@ -48,7 +52,7 @@
     }
     const auto needs_reports = declared.kind == upstream_kind::engine;
     owned_upstream item{slot_ledger(this->slots, now),
-                        warmup(this->conditions, cold, most, needs_reports), cold, false};
+                        warmup(this->conditions, cold, most, needs_reports), cold, false, now};
     if (published)
     {
         item.condition.inherit(*published);
@@ -103,6 +107,23 @@
     }
 }
 
+auto slot_owner::has_fresh_report(upstream_id id, time_point now) const -> bool
+{
+    const auto& item = this->at(id);
+    return item.condition.last_report().has_value() && now - item.since > shortest_takeover;
+}
+
+auto slot_owner::unknown_use(const owned_upstream& item, time_point now) const -> std::uint32_t
+{
+    const auto& report = item.condition.last_report();
+    if (!report || now - item.since > longest_takeover)
+    {
+        return 0;
+    }
+    const auto known = item.ledger.promised(now);
+    return report->in_flight > known ? report->in_flight - known : 0;
+}
+
 auto slot_owner::set_held(upstream_id id, bool held) -> void
 {
     const auto found = this->owned.find(id);
@@ -119,7 +140,9 @@
     auto& item = found->second;
     item.ledger.expire(now);
     item.condition.on_tick(item.ledger.in_use(), bound, now);
-    item.limit = item.held ? 0 : std::min(item.condition.limit(), bound);
+    const auto limit = item.held ? 0 : std::min(item.condition.limit(), bound);
+    const auto unknown = this->unknown_use(item, now);
+    item.limit = limit > unknown ? limit - unknown : 0;
 }
 
 auto slot_owner::grant(upstream_id id, host_id holder, bool takes_rest, bool host_count_complete,
