--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -232,6 +232,14 @@
         time_point at{};
     };
 
+    /// What the bound by the mean of a pool is worked out from; made once a tick.
+    struct pool_sum
+    {
+        double warm_weight = 0.0;
+        double all_weight = 0.0;
+        pool_load load;
+    };
+
     /// What is kept for each other host.
     struct peer_state
     {
@@ -302,11 +310,13 @@
     auto add_exceptions(peer_state& state, peer_message& message, time_point now) -> void;
     auto remember_exceptions(const std::vector<placement_exception>& fresh) -> void;
     auto add_configuration(peer_state& state, peer_message& message, time_point now) -> void;
+    [[nodiscard]] auto is_settled(time_point now) const -> bool;
     [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
         -> slot_grant;
     [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto alive_hosts() const -> std::vector<host_id>;
-    [[nodiscard]] auto mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t;
+    auto weigh_pools(time_point now) -> void;
+    [[nodiscard]] auto mean_bound(const upstream_declaration& item) const -> std::uint32_t;
     [[nodiscard]] auto load_margin(std::uint32_t load) const -> std::uint32_t;
     [[nodiscard]] auto fleet_load(pool_id pool, time_point now) const -> pool_load;
     [[nodiscard]] auto declaration_of(upstream_id id) const -> const upstream_declaration*;
@@ -327,6 +337,7 @@
     std::map<heard_sign, std::uint32_t> heard_signs; ///< with the count last heard
     std::map<heard_sign, time_point> sign_times;     ///< of all hosts
     std::map<pool_id, pool_load> own_loads;
+    std::map<pool_id, pool_sum> pool_sums;
     std::map<upstream_id, time_point> polled; ///< when each report was last asked for
     std::optional<time_point> behind_since;   ///< since when another host has folded more
     std::uint64_t self_sequence = 0;
--- a/include/poplardrift/gossip/messages.hpp
+++ b/include/poplardrift/gossip/messages.hpp
@@ -81,6 +81,7 @@
     log_offset configuration;       ///< offset up to which the sender has folded
     std::uint32_t configuration_digest = 0; ///< tells whether equal offsets mean equal states
     bool leaving = false;
+    bool settled = false; ///< up for long enough to know the fleet and to own upstreams
     bool wants_configuration = false; ///< cannot read the log and asks for what it lacks
     std::vector<slot_report> reports;
     std::vector<slot_grant> grants;
--- a/include/poplardrift/membership/membership.hpp
+++ b/include/poplardrift/membership/membership.hpp
@@ -42,6 +42,7 @@
     bool listed = false;     ///< in the platform's host list as last read
     time_point last_heard{};
     bool ever_heard = false;
+    bool settled = false; ///< it says that it is up for long enough to own upstreams
     std::optional<time_point> broken; ///< when the connection to it ended and was not made again
 };
 
@@ -80,6 +81,8 @@
     auto on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now) -> bool;
     /// The connection to a host ended, or stands again.
     auto on_connection(host_id to, bool stands, time_point now) -> void;
+    /// A host, this one among them, is up for long enough to own upstreams, or is new.
+    auto set_settled(host_id host, bool settled) -> void;
     /// Lets silence turn into suspicion.
     auto on_tick(time_point now) -> void;
 
@@ -92,7 +95,7 @@
 
     /// Host that grants the slots of an upstream in `zone`: by rendezvous hashing over the alive
     /// hosts of that zone, so that a zone which is cut off keeps its own. Only when the zone has
-    /// none, over all alive hosts.
+    /// none, over all alive hosts. Hosts that have just started come last: they would grant nothing.
     [[nodiscard]] auto owner_of(upstream_id upstream, const std::string& zone) const
         -> std::optional<host_id>;
     /// True once the host list has been read or settings have named other hosts: before that, this
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -313,36 +313,44 @@
     return std::min(this->settings.load_margin, share);
 }
 
-auto control_core::mean_bound(const upstream_declaration& item, time_point now) const -> std::uint32_t
+auto control_core::weigh_pools(time_point now) -> void
 {
-    double warm_weight = 0.0;
-    double all_weight = 0.0;
-    for (const auto& [path, other] : this->parsed.upstreams)
+    this->pool_sums.clear();
+    for (const auto& [path, item] : this->parsed.upstreams)
     {
-        if (other.pool != item.pool || !is_in_service(this->parsed, other))
+        auto& sums = this->pool_sums[make_pool_id(item.pool)];
+        if (!is_in_service(this->parsed, item))
         {
             continue;
         }
         const auto state = this->state_of(make_upstream_id(path));
-        warm_weight += state == upstream_state::warm ? other.weight : 0.0;
-        all_weight += state == upstream_state::warm || state == upstream_state::cold ? other.weight : 0.0;
+        sums.warm_weight += state == upstream_state::warm ? item.weight : 0.0;
+        sums.all_weight += state == upstream_state::warm || state == upstream_state::cold ? item.weight : 0.0;
+    }
+    for (auto& [pool, sums] : this->pool_sums)
+    {
+        // Loads are heard late. Taking them a little lower keeps the bound when they have fallen.
+        sums.load = this->fleet_load(pool, now);
+        sums.load.warm -= this->load_margin(sums.load.warm);
+        sums.load.all -= this->load_margin(sums.load.all);
     }
+}
+
+auto control_core::mean_bound(const upstream_declaration& item) const -> std::uint32_t
+{
     // The bound is a promise about engines; a plain service is limited by what it bears alone.
     if (item.kind == upstream_kind::service)
     {
         return static_cast<std::uint32_t>(item.capacity);
     }
-    // Loads are heard late. Taking them a little lower keeps the bound when they have fallen.
-    auto load = this->fleet_load(make_pool_id(item.pool), now);
-    load.warm -= this->load_margin(load.warm);
-    load.all -= this->load_margin(load.all);
+    const auto& sums = this->pool_sums.at(make_pool_id(item.pool));
     const auto multiple = this->parsed.limits.load_bound;
     // Upstreams in cold start cannot take their share, so a warm one is compared with warm ones.
     if (this->state_of(make_upstream_id(item.path)) == upstream_state::warm)
     {
-        return bound_by_mean(multiple, load.warm, item.weight / std::max(warm_weight, item.weight));
+        return bound_by_mean(multiple, sums.load.warm, item.weight / std::max(sums.warm_weight, item.weight));
     }
-    return bound_by_mean(multiple, load.all, item.weight / std::max(all_weight, item.weight));
+    return bound_by_mean(multiple, sums.load.all, item.weight / std::max(sums.all_weight, item.weight));
 }
 
 auto control_core::listed_hosts() const -> std::vector<host_id>
@@ -373,6 +381,11 @@
     return result;
 }
 
+auto control_core::is_settled(time_point now) const -> bool
+{
+    return this->hosts.knows_fleet() && now - this->started >= this->settings.start_quiet;
+}
+
 auto control_core::grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
     -> slot_grant
 {
@@ -380,7 +393,7 @@
     POPLARDRIFT_ASSERT(item != nullptr);
     // Hosts may differ for a while on who exists, and so on who owns what.
     // Hosts that start together may each be the only one that they know.
-    const auto settled = this->hosts.knows_fleet() && now - this->started >= this->settings.start_quiet;
+    const auto settled = this->is_settled(now);
     const auto agreed = settled && now - this->members_changed >= this->settings.slots.disagreement;
     const auto complete = agreed && this->owner.has_heard_all(id, this->listed_hosts());
     // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
@@ -437,6 +450,7 @@
     {
         this->own_loads[load.pool] = load;
     }
+    this->weigh_pools(now);
     std::map<upstream_id, slot_use> by_upstream;
     for (const auto& use : usage.uses)
     {
@@ -446,7 +460,7 @@
     {
         const auto* item = this->declaration_of(id);
         POPLARDRIFT_ASSERT(item != nullptr);
-        this->owner.update(id, this->mean_bound(*item, now), now);
+        this->owner.update(id, this->mean_bound(*item), now);
         const auto before = this->state_of(id);
         this->set_status(this->owner.status(id, now));
         if (before == upstream_state::warm && this->state_of(id) != upstream_state::warm)
@@ -485,6 +499,7 @@
     {
         state.loads[load.pool] = {load, now};
     }
+    this->hosts.set_settled(from, message.settled);
     this->update_owners(now);
     this->accept_configuration(from, state, message, now);
     this->accept_signs(from, message, now);
@@ -762,6 +777,7 @@
     message.sender = this->hosts.self();
     message.incarnation = this->incarnation;
     message.leaving = this->leaving;
+    message.settled = this->is_settled(now);
     this->add_configuration(state, message, now);
     for (const auto& [id, item] : this->signs)
     {
@@ -899,6 +915,7 @@
 auto control_core::on_tick(const host_usage& usage, time_point now) -> void
 {
     this->hosts.on_tick(now);
+    this->hosts.set_settled(this->hosts.self(), this->is_settled(now));
     this->update_owners(now);
     this->remember_exceptions(usage.exceptions);
     this->tick_owned(usage, now);
--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -19,7 +19,7 @@
 
 /// Time that a returning chat waits for the engine that holds its prompt, by the prompt's size.
 constexpr duration affinity_patience_a_kilobyte = std::chrono::milliseconds(8);
-constexpr duration longest_affinity_patience = std::chrono::milliseconds(150);
+constexpr duration longest_affinity_patience = std::chrono::milliseconds(90);
 
 auto priority_text(std::int32_t priority) -> const char*
 {
--- a/src/daemon/transaction_service.cpp
+++ b/src/daemon/transaction_service.cpp
@@ -10,10 +10,10 @@
 
 constexpr const char* transaction_stream = "transactions";
 /// Between reads of others' records while this host claims nothing.
-constexpr duration idle_read_interval = std::chrono::seconds(2);
+constexpr duration idle_read_interval = std::chrono::seconds(4);
 constexpr duration retry_pause = std::chrono::milliseconds(200);
 /// Records of outcomes wait that long for a claim to travel with.
-constexpr duration outcome_linger = std::chrono::milliseconds(150);
+constexpr duration outcome_linger = std::chrono::milliseconds(400);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t most_records_a_batch = 500;
 
--- a/src/emulator/engine.cpp
+++ b/src/emulator/engine.cpp
@@ -108,7 +108,8 @@
     double weights = 0;
     for (const auto* member : this->members)
     {
-        if (member->counts_towards_mean())
+        // A zone that is cut off cannot know what the others carry: it is judged by itself.
+        if (member->counts_towards_mean() && !around.are_cut(member->in_zone(), at.in_zone()))
         {
             total += member->in_flight();
             weights += member->weight();
--- a/src/emulator/engine.hpp
+++ b/src/emulator/engine.hpp
@@ -85,6 +85,7 @@
     auto reset_stats() -> void;
 
     [[nodiscard]] auto name() const -> const std::string& { return this->own_name; }
+    [[nodiscard]] auto in_zone() const -> const std::string& { return this->zone; }
     [[nodiscard]] auto in_flight() const -> int { return this->running.load(); }
     [[nodiscard]] auto weight() const -> double { return this->own_weight; }
     /// True when the engine is to carry its full share: warm for long enough and in service.
--- a/src/gossip/codec.cpp
+++ b/src/gossip/codec.cpp
@@ -179,6 +179,7 @@
     const auto flags = in.next<std::uint8_t>();
     message.leaving = (flags & 1U) != 0;
     message.wants_configuration = (flags & 2U) != 0;
+    message.settled = (flags & 4U) != 0;
     unpack_all(in.next_object(), message.reports);
     unpack_all(in.next_object(), message.grants);
     unpack_all(in.next_object(), message.statuses);
@@ -205,7 +206,8 @@
     out.pack(message.acknowledged.value()).pack(message.acknowledged_incarnation.value());
     out.pack(message.configuration.value()).pack(message.configuration_digest);
     out.pack(static_cast<std::uint8_t>((message.leaving ? 1U : 0U) |
-                                       (message.wants_configuration ? 2U : 0U)));
+                                       (message.wants_configuration ? 2U : 0U) |
+                                       (message.settled ? 4U : 0U)));
     pack_all(out, message.reports);
     pack_all(out, message.grants);
     pack_all(out, message.statuses);
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,6 +1,7 @@
 #include "load/experiment.hpp"
 #include "load/fleet_files.hpp"
 #include "load/report.hpp"
+#include "load/stream_load.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -105,6 +106,15 @@
     running->add_flag("--json", json, "print the figures on one line");
     running->callback([&] { result = run_experiment(plan, client, report, json); });
 
+    stream_load_options streams;
+    auto* streaming = app.add_subcommand("streams", "open many streams at once and measure their events");
+    streaming->add_option("--target", streams.target, "ADDRESS:PORT")->required();
+    streaming->add_option("--streams", streams.streams, "open at once");
+    streaming->add_option("--tokens", streams.tokens, "events of each answer");
+    streaming->add_option("--ramp", streams.ramp_seconds, "seconds over which they are opened");
+    streaming->add_option("--key", streams.key, "API key");
+    streaming->callback([&] { std::cout << run_streams(streams).dump() << "\n"; });
+
     std::vector<std::string> files;
     auto* merging = app.add_subcommand("merge", "put results into one object; the first is the product's");
     merging->add_option("files", files, "result files")->required();
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -132,6 +132,16 @@
     return true;
 }
 
+auto membership::set_settled(host_id host, bool settled) -> void
+{
+    const auto found = this->known.find(host);
+    if (found != this->known.end() && found->second.settled != settled)
+    {
+        found->second.settled = settled;
+        ++this->revision_count;
+    }
+}
+
 auto membership::on_connection(host_id to, bool stands, time_point now) -> void
 {
     const auto found = this->known.find(to);
@@ -180,20 +190,20 @@
 {
     std::optional<host_id> best;
     std::uint64_t best_score = 0;
-    bool best_is_near = false;
+    int best_rank = -1;
     for (const auto& [id, item] : this->known)
     {
         if (item.status != member_status::alive)
         {
             continue;
         }
-        const auto near = item.where.zone == zone;
+        const auto rank = (item.settled ? 2 : 0) + (item.where.zone == zone ? 1 : 0);
         const auto score = hash_pair_64(id.value(), upstream.value());
-        if (!best || (near && !best_is_near) || (near == best_is_near && score > best_score))
+        if (rank > best_rank || (rank == best_rank && score > best_score))
         {
             best = id;
             best_score = score;
-            best_is_near = near;
+            best_rank = rank;
         }
     }
     return best;
