--- a/bench/bare_relay.cpp
+++ b/bench/bare_relay.cpp
@@ -17,8 +17,11 @@
     const std::string upstream = argv[3];
     const auto upstream_port = std::atoi(argv[4]);
     std::signal(SIGPIPE, SIG_IGN);
-    poplardrift::http_listener listener(
-        {.address = argv[1], .port = static_cast<std::uint16_t>(std::atoi(argv[2])), .most_connections = 20'000, .read_seconds = 120, .write_seconds = 120});
+    poplardrift::http_listener listener({.address = argv[1],
+                                         .port = static_cast<std::uint16_t>(std::atoi(argv[2])),
+                                         .most_connections = 20'000,
+                                         .read_seconds = 120,
+                                         .write_seconds = 120});
     listener.server().Post(
         "/v1/chat/completions",
         [&](const httplib::Request& request, httplib::Response& response)
@@ -35,8 +38,8 @@
                     asked.path = "/v1/chat/completions";
                     asked.body = body;
                     asked.headers = {{"Content-Type", "application/json"}};
-                    asked.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
-                    { return sink.write(data, size); };
+                    asked.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
+                                                 std::uint64_t) { return sink.write(data, size); };
                     httplib::Response answer;
                     auto error = httplib::Error::Success;
                     const auto good = client.send(asked, answer, error);
--- a/bench/decision_benchmark.cpp
+++ b/bench/decision_benchmark.cpp
@@ -1,6 +1,6 @@
 /// Benchmarks of the decision core at the sizes of the capacity page: time and allocations a
-/// decision, time to take a changed view, memory, bytes of a message. Prints one JSON object a size,
-/// with a hash of the decisions, so that a faster wrong answer shows.
+/// decision, time to take a changed view, memory, bytes of a message. Prints one JSON object a
+/// size, with a hash of the decisions, so that a faster wrong answer shows.
 
 #include "poplardrift/base/crypto.hpp"
 #include "poplardrift/core/host_core.hpp"
@@ -30,8 +30,14 @@
     throw std::bad_alloc();
 }
 
-auto operator delete(void* memory) noexcept -> void { std::free(memory); }
-auto operator delete(void* memory, std::size_t) noexcept -> void { std::free(memory); }
+auto operator delete(void* memory) noexcept -> void
+{
+    std::free(memory);
+}
+auto operator delete(void* memory, std::size_t) noexcept -> void
+{
+    std::free(memory);
+}
 
 namespace
 {
@@ -67,21 +73,29 @@
     change.team = "fleet";
     for (int zone = 0; zone < 9; ++zone)
     {
-        change.sets.push_back({"/fleet/zones/z" + std::to_string(zone), log_offset{}, nlohmann::json{{"in_service", true}}});
+        change.sets.push_back({"/fleet/zones/z" + std::to_string(zone), log_offset{},
+                               nlohmann::json{{"in_service", true}}});
     }
     for (int engine = 0; engine < size.engines; ++engine)
     {
         change.sets.push_back({"/assist/upstreams/e" + std::to_string(engine), log_offset{},
-                               nlohmann::json{{"address", "10.0.0.1"}, {"port", 80}, {"zone", "z" + std::to_string(engine % 9)},
-                                              {"pool", "m" + std::to_string(engine % models)}, {"capacity", 256}, {"cold_capacity", 4}}});
+                               nlohmann::json{{"address", "10.0.0.1"},
+                                              {"port", 80},
+                                              {"zone", "z" + std::to_string(engine % 9)},
+                                              {"pool", "m" + std::to_string(engine % models)},
+                                              {"capacity", 256},
+                                              {"cold_capacity", 4}}});
     }
     for (int workspace = 0; workspace < size.workspaces; ++workspace)
     {
-        change.sets.push_back({"/assist/workspaces/w" + std::to_string(workspace), log_offset{}, nlohmann::json{{"key_hashes", {std::to_string(workspace)}}}});
+        change.sets.push_back({"/assist/workspaces/w" + std::to_string(workspace), log_offset{},
+                               nlohmann::json{{"key_hashes", {std::to_string(workspace)}}}});
     }
     for (int model = 0; model < models; ++model)
     {
-        change.sets.push_back({"/assist/routes/m" + std::to_string(model), log_offset{}, nlohmann::json{{"prefix", "/m" + std::to_string(model)}, {"pool", "m" + std::to_string(model)}}});
+        change.sets.push_back({"/assist/routes/m" + std::to_string(model), log_offset{},
+                               nlohmann::json{{"prefix", "/m" + std::to_string(model)},
+                                              {"pool", "m" + std::to_string(model)}}});
     }
     change.signature = *sign_message(fleet_key, change.signed_text());
     return change.to_json();
@@ -89,7 +103,8 @@
 
 auto microseconds_since(std::chrono::steady_clock::time_point begin) -> double
 {
-    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
+        .count();
 }
 
 auto run(const fleet_size& size) -> void
@@ -105,7 +120,8 @@
     host_list_read list;
     for (int index = 0; index < size.hosts; ++index)
     {
-        list.live.push_back({"h" + std::to_string(index), "z" + std::to_string(index % 9), "10.0.0.1", 1, 2});
+        list.live.push_back(
+            {"h" + std::to_string(index), "z" + std::to_string(index % 9), "10.0.0.1", 1, 2});
     }
     host.handle(list, now);
     // A changed configuration until it is in force here.
@@ -163,18 +179,19 @@
             bytes += message->bytes.size();
         }
     }
-    const nlohmann::json result = {{"hosts", size.hosts},
-                                   {"engines", size.engines},
-                                   {"workspaces", size.workspaces},
-                                   {"engines_a_pool", pool.upstreams.size()},
-                                   {"decision_microseconds", decision_microseconds},
-                                   {"allocations_a_decision", static_cast<double>(allocated) / decisions},
-                                   {"view_microseconds", view_microseconds},
-                                   {"tick_microseconds", tick_microseconds},
-                                   {"memory_bytes", memory},
-                                   {"messages", messages},
-                                   {"bytes_a_message", messages == 0 ? 0 : bytes / messages},
-                                   {"hash", hash}};
+    const nlohmann::json result = {
+        {"hosts", size.hosts},
+        {"engines", size.engines},
+        {"workspaces", size.workspaces},
+        {"engines_a_pool", pool.upstreams.size()},
+        {"decision_microseconds", decision_microseconds},
+        {"allocations_a_decision", static_cast<double>(allocated) / decisions},
+        {"view_microseconds", view_microseconds},
+        {"tick_microseconds", tick_microseconds},
+        {"memory_bytes", memory},
+        {"messages", messages},
+        {"bytes_a_message", messages == 0 ? 0 : bytes / messages},
+        {"hash", hash}};
     std::cout << result.dump() << "\n";
 }
 
@@ -182,8 +199,9 @@
 
 auto main() -> int
 {
-    for (const auto& size : {fleet_size{5, 10, 10}, fleet_size{5, 50, 50}, fleet_size{16, 170, 75}, fleet_size{50, 500, 250},
-                             fleet_size{187, 2000, 875}, fleet_size{375, 4000, 1750}, fleet_size{750, 8000, 3500}})
+    for (const auto& size : {fleet_size{5, 10, 10}, fleet_size{5, 50, 50}, fleet_size{16, 170, 75},
+                             fleet_size{50, 500, 250}, fleet_size{187, 2000, 875},
+                             fleet_size{375, 4000, 1750}, fleet_size{750, 8000, 3500}})
     {
         run(size);
     }
--- a/include/poplardrift/admission/admission.hpp
+++ b/include/poplardrift/admission/admission.hpp
@@ -40,9 +40,9 @@
     duration longest_ejection = std::chrono::seconds(60);  ///< longest local ejection
     host_id self;                                          ///< this host
     std::uint32_t most_forwards = 3;                       ///< owners that one request is sent to
-    duration owner_rest = std::chrono::seconds(1);         ///< an owner that fails is left alone so long
-    std::uint32_t failures_to_eject = 3;                   ///< in a row
-    double most_ejected = 0.5;                             ///< share of a pool that may be ejected
+    duration owner_rest = std::chrono::seconds(1); ///< an owner that fails is left alone so long
+    std::uint32_t failures_to_eject = 3;           ///< in a row
+    double most_ejected = 0.5;                     ///< share of a pool that may be ejected
 };
 
 /// A request that asks for an upstream.
@@ -53,18 +53,18 @@
     request_id id;
     pool_id pool;
     workspace_id workspace;
-    double share = 1.0;               ///< the workspace's weight against others
-    std::int64_t max_queued = 256;    ///< most waiting requests of the workspace
-    conversation_id conversation;     ///< zero: no affinity
-    std::optional<upstream_id> hint;  ///< where the caller says that it last ran
-    std::int32_t priority = 0;        ///< higher goes first within the workspace
-    time_point deadline{};            ///< end of the wait for a slot
+    double share = 1.0;                                ///< the workspace's weight against others
+    std::int64_t max_queued = 256;                     ///< most waiting requests of the workspace
+    conversation_id conversation;                      ///< zero: no affinity
+    std::optional<upstream_id> hint;                   ///< where the caller says that it last ran
+    std::int32_t priority = 0;                         ///< higher goes first within the workspace
+    time_point deadline{};                             ///< end of the wait for a slot
     std::array<upstream_id, most_excluded> excluded{}; ///< tried before; zero: unused
     std::optional<upstream_id> pinned; ///< another host sent it for a slot of this upstream only
-    bool may_forward = false;         ///< the request may go through the host that owns an upstream
-    bool is_new = false;              ///< no upstream can hold anything of the conversation yet
-    duration patience{};              ///< what waiting for the wanted upstream is worth
-    std::uint32_t forwards = 0;       ///< owners that had no slot for it
+    bool may_forward = false;   ///< the request may go through the host that owns an upstream
+    bool is_new = false;        ///< no upstream can hold anything of the conversation yet
+    duration patience{};        ///< what waiting for the wanted upstream is worth
+    std::uint32_t forwards = 0; ///< owners that had no slot for it
 };
 
 /// The request holds a slot of this upstream until `release`.
@@ -125,15 +125,15 @@
 /// How requests have got their places so far.
 struct placement_counts
 {
-    std::uint64_t preferred = 0;       ///< at once, where wanted
-    std::uint64_t preferred_waited = 0; ///< where wanted, after a wait
-    std::uint64_t elsewhere = 0;       ///< at another upstream, after a wait
-    std::uint64_t forwarded = 0;       ///< through the owner of the one that was wanted
+    std::uint64_t preferred = 0;           ///< at once, where wanted
+    std::uint64_t preferred_waited = 0;    ///< where wanted, after a wait
+    std::uint64_t elsewhere = 0;           ///< at another upstream, after a wait
+    std::uint64_t forwarded = 0;           ///< through the owner of the one that was wanted
     std::uint64_t forwarded_elsewhere = 0; ///< through the owner of another one
-    std::uint64_t denied = 0;          ///< forwards for which the owner had no slot
+    std::uint64_t denied = 0;              ///< forwards for which the owner had no slot
     std::uint64_t refused = 0;
-    std::uint64_t left_out = 0;        ///< waits that the owner's grant left out
-    std::uint64_t unanswered = 0;      ///< waits whose owner did not answer in time
+    std::uint64_t left_out = 0;   ///< waits that the owner's grant left out
+    std::uint64_t unanswered = 0; ///< waits whose owner did not answer in time
 };
 
 /// Decides where each request of this host goes: within the slots that owners have granted, with
@@ -147,13 +147,16 @@
 
     /// Takes a new view. Waiting requests whose pool is gone are refused.
     auto set_view(std::shared_ptr<const routing_view> view, time_point now) -> void;
-    [[nodiscard]] auto view() const -> const std::shared_ptr<const routing_view>& { return this->current; }
+    [[nodiscard]] auto view() const -> const std::shared_ptr<const routing_view>&
+    {
+        return this->current;
+    }
 
     /// Asks for an upstream.
     [[nodiscard]] auto request(const placement_request& wish, time_point now) -> placement_result;
     /// The owner had no slot for a forwarded request, or could not be reached: the next place.
-    [[nodiscard]] auto on_denied(placement_request& wish, const forward_to_owner& tried, bool reached,
-                                 time_point now) -> placement_result;
+    [[nodiscard]] auto on_denied(placement_request& wish, const forward_to_owner& tried,
+                                 bool reached, time_point now) -> placement_result;
     /// The owner took a forwarded request in.
     auto on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void;
     /// A forwarded request ended, so that its owner has a slot free.
@@ -170,7 +173,8 @@
     auto on_result(upstream_id upstream, bool succeeded, time_point now) -> bool;
 
     /// A grant from the upstream's owner.
-    auto on_grant(upstream_id upstream, std::uint32_t slots, time_point valid_until, time_point now) -> void;
+    auto on_grant(upstream_id upstream, std::uint32_t slots, time_point valid_until, time_point now)
+        -> void;
     /// The owner's word on slots that nobody has; tells waiting requests where to ask.
     auto on_free_slots(upstream_id upstream, std::uint32_t free_slots) -> void;
     /// Slots of an upstream that this host may still use.
@@ -203,11 +207,11 @@
         pool_id pool;
         std::uint32_t granted = 0;
         std::uint32_t in_use = 0;
-        std::uint32_t wanted = 0; ///< waiting requests that aim at it
-        std::uint32_t asked = 0;  ///< of which a slot is asked of the owner by message
+        std::uint32_t wanted = 0;         ///< waiting requests that aim at it
+        std::uint32_t asked = 0;          ///< of which a slot is asked of the owner by message
         std::uint32_t published_free = 0; ///< slots that the owner says nobody has
         time_point valid_until{};
-        time_point next_probe{};          ///< when a waiting request may try the owner unasked
+        time_point next_probe{}; ///< when a waiting request may try the owner unasked
         std::uint32_t failures = 0;
         std::uint32_t ejections = 0;
         time_point ejected_until{};
@@ -216,10 +220,10 @@
     struct waiter
     {
         placement_request wish;
-        upstream_id target;        ///< whose owner was asked
-        upstream_id first_target;  ///< where the request should best go
-        bool takes_any = false;    ///< patience for the target is over
-        time_point next_choice{};  ///< when the target is thought over
+        upstream_id target;       ///< whose owner was asked
+        upstream_id first_target; ///< where the request should best go
+        bool takes_any = false;   ///< patience for the target is over
+        time_point next_choice{}; ///< when the target is thought over
     };
 
     /// Order within a workspace: higher priority first, then arrival.
@@ -234,9 +238,9 @@
 
     struct pool_state
     {
-        std::vector<slot_state*> slots; ///< in the order of the view's upstreams
+        std::vector<slot_state*> slots;                 ///< in the order of the view's upstreams
         std::map<workspace_id, workspace_queue> queues; ///< those that are not empty
-        std::uint32_t turn = 0;         ///< for round robin and ties
+        std::uint32_t turn = 0;                         ///< for round robin and ties
     };
 
     /// A pool of the view with this host's state of it.
@@ -255,36 +259,40 @@
     };
 
     [[nodiscard]] auto find_pool(pool_id id) -> pool_ref;
-    [[nodiscard]] auto is_usable(const pool_ref& pool, std::size_t index, const placement_request& wish,
-                                 time_point now) const -> bool;
+    [[nodiscard]] auto is_usable(const pool_ref& pool, std::size_t index,
+                                 const placement_request& wish, time_point now) const -> bool;
     [[nodiscard]] auto has_free_slot(const slot_state& slot, time_point now) const -> bool;
-    [[nodiscard]] auto scan(const pool_ref& pool, const placement_request& wish, time_point now) const
-        -> candidates;
+    [[nodiscard]] auto scan(const pool_ref& pool, const placement_request& wish,
+                            time_point now) const -> candidates;
     [[nodiscard]] auto scan_least_used(const pool_ref& pool, const placement_request& wish,
                                        time_point now) const -> candidates;
     [[nodiscard]] auto preferred(const pool_ref& pool, const candidates& found,
                                  const placement_request& wish, time_point now)
         -> std::optional<std::size_t>;
-    [[nodiscard]] auto pick_baseline(const pool_ref& pool, const placement_request& wish, time_point now)
-        -> std::optional<std::size_t>;
+    [[nodiscard]] auto pick_baseline(const pool_ref& pool, const placement_request& wish,
+                                     time_point now) -> std::optional<std::size_t>;
     [[nodiscard]] auto within_local_bound(const pool_ref& pool, std::size_t index) const -> bool;
-    auto take_slot(const pool_ref& pool, std::size_t index, const placement_request& wish) -> placed;
+    auto take_slot(const pool_ref& pool, std::size_t index, const placement_request& wish)
+        -> placed;
     auto learn_place(const pool_ref& pool, std::size_t index, conversation_id conversation) -> void;
-    [[nodiscard]] auto place_elsewhere(const pool_ref& pool, const placement_request& wish, std::size_t target,
-                                       time_point now) -> placement_result;
-    [[nodiscard]] auto room_of(const pool_ref& pool, std::size_t index, time_point now) const -> std::int64_t;
-    [[nodiscard]] auto roomiest(const pool_ref& pool, const placement_request& wish, time_point now) const
-        -> std::optional<std::size_t>;
+    [[nodiscard]] auto place_elsewhere(const pool_ref& pool, const placement_request& wish,
+                                       std::size_t target, time_point now) -> placement_result;
+    [[nodiscard]] auto room_of(const pool_ref& pool, std::size_t index, time_point now) const
+        -> std::int64_t;
+    [[nodiscard]] auto roomiest(const pool_ref& pool, const placement_request& wish,
+                                time_point now) const -> std::optional<std::size_t>;
     [[nodiscard]] auto has_wide_waiter(const pool_ref& pool) const -> bool;
-    [[nodiscard]] auto may_have_slot(const pool_ref& pool, std::size_t index, time_point now) const -> bool;
+    [[nodiscard]] auto may_have_slot(const pool_ref& pool, std::size_t index, time_point now) const
+        -> bool;
     [[nodiscard]] auto is_reachable_owner(host_id owner, time_point now) const -> bool;
-    [[nodiscard]] auto place_pinned(const pool_ref& pool, const placement_request& wish, time_point now)
-        -> placement_result;
+    [[nodiscard]] auto place_pinned(const pool_ref& pool, const placement_request& wish,
+                                    time_point now) -> placement_result;
     auto forward(const pool_ref& pool, std::size_t index) -> forward_to_owner;
     auto forward_waiters(const pool_ref& pool, time_point now) -> void;
-    [[nodiscard]] auto index_of(const pool_ref& pool, upstream_id id) const -> std::optional<std::size_t>;
-    [[nodiscard]] auto enqueue(const pool_ref& pool, std::size_t target, const placement_request& wish,
-                               time_point now) -> placement_result;
+    [[nodiscard]] auto index_of(const pool_ref& pool, upstream_id id) const
+        -> std::optional<std::size_t>;
+    [[nodiscard]] auto enqueue(const pool_ref& pool, std::size_t target,
+                               const placement_request& wish, time_point now) -> placement_result;
     auto aim_at(const pool_ref& pool, waiter& item, std::size_t index, bool ask) -> void;
     [[nodiscard]] auto choose_target(const pool_ref& pool, const waiter& item, time_point now) const
         -> std::optional<std::size_t>;
@@ -295,13 +303,14 @@
         workspace_queue::iterator position;
     };
 
-    [[nodiscard]] auto next_waiter(const pool_ref& pool, std::size_t index, time_point now, bool by_forward)
-        -> waiter_ref;
+    [[nodiscard]] auto next_waiter(const pool_ref& pool, std::size_t index, time_point now,
+                                   bool by_forward) -> waiter_ref;
     auto serve_waiters(const pool_ref& pool, std::size_t index, time_point now) -> void;
     auto widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<wait_result>;
     auto tick_pool(const pool_ref& pool, time_point now) -> void;
     auto tick_queue(const pool_ref& pool, workspace_queue& queue, time_point now) -> void;
-    auto drop_waiter(workspace_queue& queue, workspace_queue::iterator position) -> workspace_queue::iterator;
+    auto drop_waiter(workspace_queue& queue, workspace_queue::iterator position)
+        -> workspace_queue::iterator;
     [[nodiscard]] auto ejected_share(const pool_ref& pool, time_point now) const -> double;
 
     admission_settings settings;
--- a/include/poplardrift/admission/retry_budget.hpp
+++ b/include/poplardrift/admission/retry_budget.hpp
@@ -15,9 +15,15 @@
 class retry_budget final
 {
 public:
-    explicit retry_budget(retry_budget_settings settings) : settings(settings), saved(settings.most_saved) {}
+    explicit retry_budget(retry_budget_settings settings)
+        : settings(settings), saved(settings.most_saved)
+    {
+    }
 
-    auto set_share(double retries_a_request) -> void { this->settings.retries_a_request = retries_a_request; }
+    auto set_share(double retries_a_request) -> void
+    {
+        this->settings.retries_a_request = retries_a_request;
+    }
     auto on_request() -> void;
     /// Takes one retry out of the budget. False when there is none.
     [[nodiscard]] auto take() -> bool;
--- a/include/poplardrift/config/configuration.hpp
+++ b/include/poplardrift/config/configuration.hpp
@@ -56,19 +56,19 @@
     std::string author;
     std::string team;
     bool accepted = false;
-    std::string reason;             ///< why it was refused; empty when accepted
+    std::string reason; ///< why it was refused; empty when accepted
     std::vector<std::string> paths;
-    nlohmann::json before;          ///< former values by path
-    nlohmann::json after;           ///< new values by path
+    nlohmann::json before; ///< former values by path
+    nlohmann::json after;  ///< new values by path
 };
 
 /// Settings of the configuration fold.
 struct configuration_settings
 {
-    std::string fleet_public_key;      ///< Ed25519 key that may change everything, hex
-    std::string host_secret;           ///< shared by hosts; authenticates snapshots
+    std::string fleet_public_key;           ///< Ed25519 key that may change everything, hex
+    std::string host_secret;                ///< shared by hosts; authenticates snapshots
     std::size_t remembered_changes = 2'000; ///< change ids kept for telling repeats
-    std::size_t audit_entries = 10'000;      ///< audit entries kept in memory
+    std::size_t audit_entries = 10'000;     ///< audit entries kept in memory
 };
 
 /// The configuration as folded from the platform's log. Every host folds the same records in the
@@ -78,10 +78,10 @@
 public:
     explicit configuration(configuration_settings settings);
 
-    /// Folds one record. Records at or below `applied` change nothing. After a gap, changes are held
-    /// back until a snapshot, a peer or the fleet's operators fill it: judged on a state that lacks
-    /// records, a change could be accepted that all others have refused.
-    /// Cost: one signature check and the size of the change.
+    /// Folds one record. Records at or below `applied` change nothing. After a gap, changes are
+    /// held back until a snapshot, a peer or the fleet's operators fill it: judged on a state that
+    /// lacks records, a change could be accepted that all others have refused. Cost: one signature
+    /// check and the size of the change.
     auto apply(log_offset offset, log_time time, const nlohmann::json& record) -> void;
 
     /// Takes a peer's state or a snapshot, path by path, the higher version of each. Never reverts.
@@ -95,7 +95,10 @@
     [[nodiscard]] auto check(const config_change& change) const -> std::optional<std::string>;
 
     /// False while records are missing that the log no longer gives.
-    [[nodiscard]] auto is_complete() const noexcept -> bool { return this->missing_through == log_offset{}; }
+    [[nodiscard]] auto is_complete() const noexcept -> bool
+    {
+        return this->missing_through == log_offset{};
+    }
     /// Offset of the last record that is folded in.
     [[nodiscard]] auto applied() const noexcept -> log_offset { return this->applied_offset; }
     /// Offset of the last record that was read, held back or not.
@@ -105,7 +108,10 @@
     }
     /// Changes whenever any value changes.
     [[nodiscard]] auto revision() const noexcept -> std::uint64_t { return this->revision_count; }
-    [[nodiscard]] auto entries() const -> const std::map<std::string, config_entry>& { return this->state; }
+    [[nodiscard]] auto entries() const -> const std::map<std::string, config_entry>&
+    {
+        return this->state;
+    }
     [[nodiscard]] auto values() const -> path_values;
     [[nodiscard]] auto audit() const -> const std::deque<audit_entry>& { return this->trail; }
     [[nodiscard]] auto result_of(const std::string& change_id) const -> std::optional<audit_entry>;
@@ -138,7 +144,7 @@
     std::deque<std::string> seen_order;
     std::deque<audit_entry> trail;
     log_offset applied_offset;
-    log_offset missing_through; ///< records up to here are missing; zero: none
+    log_offset missing_through;   ///< records up to here are missing; zero: none
     std::deque<held_record> held; ///< read after the gap
     std::uint64_t revision_count = 0;
 };
--- a/include/poplardrift/config/declarations.hpp
+++ b/include/poplardrift/config/declarations.hpp
@@ -31,32 +31,32 @@
 struct upstream_declaration
 {
     std::string path;
-    std::string address;             ///< IP number
-    std::int64_t port = 0;           ///< TCP port
-    std::string zone;                ///< availability zone
-    std::string pool;                ///< upstreams of one pool serve the same routes
+    std::string address;   ///< IP number
+    std::int64_t port = 0; ///< TCP port
+    std::string zone;      ///< availability zone
+    std::string pool;      ///< upstreams of one pool serve the same routes
     upstream_kind kind = upstream_kind::engine;
-    double weight = 1.0;             ///< share of the pool's conversations, relative
-    std::int64_t capacity = 64;      ///< most requests in flight when warm
-    std::int64_t cold_capacity = 2;  ///< most requests in flight in cold start
-    bool in_service = true;          ///< false takes it out: no new work
-    bool checks_fencing = false;     ///< refuses orders with an old fencing number
-    bool refusals_are_true = false;  ///< its own "not run" answers may be believed
-    std::string model;               ///< model that should be loaded; empty leaves it alone
+    double weight = 1.0;            ///< share of the pool's conversations, relative
+    std::int64_t capacity = 64;     ///< most requests in flight when warm
+    std::int64_t cold_capacity = 2; ///< most requests in flight in cold start
+    bool in_service = true;         ///< false takes it out: no new work
+    bool checks_fencing = false;    ///< refuses orders with an old fencing number
+    bool refusals_are_true = false; ///< its own "not run" answers may be believed
+    std::string model;              ///< model that should be loaded; empty leaves it alone
 };
 
 /// One route from callers to a pool. Declared at `/TEAM/routes/NAME`.
 struct route_declaration
 {
     std::string path;
-    std::string method = "POST";     ///< HTTP method; `*` for any
-    std::string prefix;              ///< path prefix of the request target
+    std::string method = "POST"; ///< HTTP method; `*` for any
+    std::string prefix;          ///< path prefix of the request target
     std::string pool;
     route_kind kind = route_kind::chat;
-    duration timeout = std::chrono::seconds(60);          ///< whole request
-    duration progress_timeout = std::chrono::seconds(5);  ///< between bytes from the upstream
-    duration queue_timeout = std::chrono::seconds(5);     ///< longest wait for a slot
-    std::int64_t attempts = 3;       ///< most attempts of a repeatable request
+    duration timeout = std::chrono::seconds(60);         ///< whole request
+    duration progress_timeout = std::chrono::seconds(5); ///< between bytes from the upstream
+    duration queue_timeout = std::chrono::seconds(5);    ///< longest wait for a slot
+    std::int64_t attempts = 3;                           ///< most attempts of a repeatable request
 };
 
 /// One workspace of callers. Declared at `/TEAM/workspaces/NAME`.
@@ -77,9 +77,9 @@
 /// Limits of the whole fleet. Declared at `/fleet/limits`.
 struct limits_declaration
 {
-    double load_bound = 1.25;        ///< most load of an engine, as a multiple of the pool's mean
-    std::int64_t max_queued = 2048;  ///< most waiting requests a host
-    double retry_budget = 0.1;       ///< retries a request, on average
+    double load_bound = 1.25;       ///< most load of an engine, as a multiple of the pool's mean
+    std::int64_t max_queued = 2048; ///< most waiting requests a host
+    double retry_budget = 0.1;      ///< retries a request, on average
     duration dedupe_window = std::chrono::minutes(10); ///< how long a key is remembered
     std::int64_t max_body_bytes = 1 << 20;             ///< largest request body
     std::int64_t kept_answer_bytes = 64 << 10;         ///< largest answer kept for repeats
--- a/include/poplardrift/config/json_reader.hpp
+++ b/include/poplardrift/config/json_reader.hpp
@@ -57,7 +57,7 @@
 };
 
 /// The known name that is nearest to `name` by edit distance; empty when none is near.
-[[nodiscard]] auto nearest_name(std::string_view name, const std::set<std::string, std::less<>>& known)
-    -> std::string;
+[[nodiscard]] auto nearest_name(std::string_view name,
+                                const std::set<std::string, std::less<>>& known) -> std::string;
 
 } // namespace poplardrift
--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -30,20 +30,23 @@
     warmup_settings warmup;
     byte_budget_settings budget;
     configuration_settings configuration;
-    std::uint32_t load_margin = 4;     ///< requests by which the fleet's load is taken lower, at most
-    double load_margin_share = 0.15;   ///< the same as a share of the load
-    duration start_quiet = std::chrono::seconds(6); ///< a new process grants nothing new for that long
-    duration heartbeat = std::chrono::milliseconds(600);      ///< between messages to one host
-    duration urgent_interval = std::chrono::milliseconds(4);  ///< shortest pause between messages
-    duration silent_link = std::chrono::seconds(3);  ///< without acknowledgement: dial anew
-    duration sign_repeat = std::chrono::seconds(2);  ///< for which a sign is told again
-    duration log_retention = std::chrono::hours(1);  ///< the log keeps records that long
-    std::int64_t snapshot_records = 1000;            ///< records after which a snapshot is due
-    std::size_t exceptions_a_message = 24;           ///< most exceptions told in one message
-    std::uint64_t status_interval = 4; ///< messages between two repeats of an unchanged status
-    duration cold_report_interval = std::chrono::seconds(1); ///< between reports of an engine in cold start
+    std::uint32_t load_margin = 4;   ///< requests by which the fleet's load is taken lower, at most
+    double load_margin_share = 0.15; ///< the same as a share of the load
+    duration start_quiet =
+        std::chrono::seconds(6); ///< a new process grants nothing new for that long
+    duration heartbeat = std::chrono::milliseconds(600);     ///< between messages to one host
+    duration urgent_interval = std::chrono::milliseconds(4); ///< shortest pause between messages
+    duration silent_link = std::chrono::seconds(3);          ///< without acknowledgement: dial anew
+    duration sign_repeat = std::chrono::seconds(2);          ///< for which a sign is told again
+    duration log_retention = std::chrono::hours(1);          ///< the log keeps records that long
+    std::int64_t snapshot_records = 1000;  ///< records after which a snapshot is due
+    std::size_t exceptions_a_message = 24; ///< most exceptions told in one message
+    std::uint64_t status_interval = 4;     ///< messages between two repeats of an unchanged status
+    duration cold_report_interval =
+        std::chrono::seconds(1); ///< between reports of an engine in cold start
     duration warm_report_interval = std::chrono::seconds(3); ///< between reports of a warm engine
-    duration peer_lead = std::chrono::milliseconds(300); ///< a host that is ahead for that long: read the log anew
+    duration peer_lead =
+        std::chrono::milliseconds(300); ///< a host that is ahead for that long: read the log anew
 };
 
 /// One record as read from the platform's log.
@@ -59,7 +62,7 @@
 {
     std::vector<slot_use> uses;
     std::vector<pool_load> loads;
-    std::set<host_id> asks;                     ///< owners that new waits ask
+    std::set<host_id> asks;                      ///< owners that new waits ask
     std::vector<placement_exception> exceptions; ///< places that others should learn
 };
 
@@ -152,9 +155,9 @@
 };
 
 /// What the control state wants done, in order.
-using control_action = std::variant<send_message, reconnect_peer, apply_grant, revoke_slots, note_free_slots,
-                                    learn_exception, publish_view, append_snapshot, poll_report, read_log_now,
-                                    note_event>;
+using control_action = std::variant<send_message, reconnect_peer, apply_grant, revoke_slots,
+                                    note_free_slots, learn_exception, publish_view, append_snapshot,
+                                    poll_report, read_log_now, note_event>;
 
 /// State of an upstream for operators.
 struct upstream_overview
@@ -173,20 +176,26 @@
 class control_core final : private membership_listener
 {
 public:
-    control_core(control_settings settings, host_address self, incarnation_id incarnation, time_point now);
+    control_core(control_settings settings, host_address self, incarnation_id incarnation,
+                 time_point now);
 
     auto add_seeds(const std::vector<host_address>& seeds) -> void { this->hosts.add_seeds(seeds); }
 
-    auto on_host_list(const std::vector<host_address>& live, const std::vector<std::string>& leaving,
-                      time_point now) -> void;
+    auto on_host_list(const std::vector<host_address>& live,
+                      const std::vector<std::string>& leaving, time_point now) -> void;
     auto on_peer_message(const peer_message& message, time_point now) -> void;
     /// The connection to another host ended, or stands again.
-    auto on_connection(host_id to, bool stands, time_point now) -> void { this->hosts.on_connection(to, stands, now); }
+    auto on_connection(host_id to, bool stands, time_point now) -> void
+    {
+        this->hosts.on_connection(to, stands, now);
+    }
     /// Records of the configuration's stream, in order. An empty list says that the log answers.
     auto on_log_records(const std::vector<log_record>& records, time_point now) -> void;
     auto on_log_unreachable(time_point now) -> void;
-    auto on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now) -> void;
-    /// A host's load as it was at `at`, told along with a forwarded request by it or by another one.
+    auto on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now)
+        -> void;
+    /// A host's load as it was at `at`, told along with a forwarded request by it or by another
+    /// one.
     auto on_load(host_id of, const pool_load& load, time_point at) -> void;
     /// The loads of other hosts as last known.
     [[nodiscard]] auto known_loads() const -> std::vector<known_load>;
@@ -198,7 +207,10 @@
         this->budget.spend_raw(bytes, kind, now);
     }
     /// Stops granting slots of an engine that is being changed, or grants them again.
-    auto hold_engine(upstream_id upstream, bool held) -> void { this->owner.set_held(upstream, held); }
+    auto hold_engine(upstream_id upstream, bool held) -> void
+    {
+        this->owner.set_held(upstream, held);
+    }
     /// A planned stop begins: other hosts take over what this one owns.
     auto start_leaving() -> void;
     /// Lets time pass and takes the host's use of slots. Call it every few milliseconds.
@@ -244,11 +256,11 @@
     struct peer_state
     {
         peer_link link;
-        bool urgent = false;              ///< send at once, within the byte budget
-        std::uint64_t messages = 0;       ///< sent to this process
+        bool urgent = false;                         ///< send at once, within the byte budget
+        std::uint64_t messages = 0;                  ///< sent to this process
         std::map<upstream_id, upstream_status> told; ///< statuses as last sent
-        std::set<upstream_id> unanswered; ///< its reports that want a grant
-        std::set<upstream_id> greeted;    ///< its upstreams that have answered a report of ours
+        std::set<upstream_id> unanswered;            ///< its reports that want a grant
+        std::set<upstream_id> greeted; ///< its upstreams that have answered a report of ours
         std::map<pool_id, dated_load> loads;
         log_offset configuration;
         bool configuration_differs = false; ///< same offset, other content
@@ -277,14 +289,15 @@
     auto peer(host_id id, time_point now) -> peer_state&;
     auto make_all_urgent() -> void;
 
-    auto accept_reports(host_id from, peer_state& from_state, const peer_message& message, time_point now)
-        -> void;
+    auto accept_reports(host_id from, peer_state& from_state, const peer_message& message,
+                        time_point now) -> void;
     auto accept_grants(host_id from, peer_state& from_state, const peer_message& message) -> void;
     auto accept_statuses(host_id from, const peer_message& message) -> void;
     auto accept_signs(host_id from, const peer_message& message, time_point now) -> void;
     auto accept_configuration(host_id from, peer_state& from_state, const peer_message& message,
                               time_point now) -> void;
-    auto apply_sign(host_id from, upstream_id upstream, upstream_state suspected, time_point now) -> void;
+    auto apply_sign(host_id from, upstream_id upstream, upstream_state suspected, time_point now)
+        -> void;
     [[nodiscard]] auto is_believed(host_id from, upstream_id upstream, time_point now) -> bool;
 
     auto take_configuration(time_point now) -> void;
@@ -301,18 +314,18 @@
     auto tick_snapshot(time_point now) -> void;
     auto update_view() -> void;
 
-    [[nodiscard]] auto compose(host_id to, peer_state& state, const host_usage& usage, time_point now)
-        -> peer_message;
-    auto add_reports(host_id to, const peer_state& state, const host_usage& usage, peer_message& message) const
-        -> void;
+    [[nodiscard]] auto compose(host_id to, peer_state& state, const host_usage& usage,
+                               time_point now) -> peer_message;
+    auto add_reports(host_id to, const peer_state& state, const host_usage& usage,
+                     peer_message& message) const -> void;
     auto add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void;
     auto add_statuses(peer_state& state, peer_message& message, time_point now) -> void;
     auto add_exceptions(peer_state& state, peer_message& message, time_point now) -> void;
     auto remember_exceptions(const std::vector<placement_exception>& fresh) -> void;
     auto add_configuration(peer_state& state, peer_message& message, time_point now) -> void;
     [[nodiscard]] auto is_settled(time_point now) const -> bool;
-    [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
-        -> slot_grant;
+    [[nodiscard]] auto grant_to(upstream_id id, host_id holder, message_sequence sequence,
+                                time_point now) -> slot_grant;
     [[nodiscard]] auto listed_hosts() const -> std::vector<host_id>;
     [[nodiscard]] auto alive_hosts() const -> std::vector<host_id>;
     auto weigh_pools(time_point now) -> void;
--- a/include/poplardrift/core/control_event.hpp
+++ b/include/poplardrift/core/control_event.hpp
@@ -82,16 +82,18 @@
 };
 
 /// Everything that the control state is told from outside.
-using control_event = std::variant<host_list_read, peer_message_received, log_records_read, log_read_failed,
-                                   upstream_reported, sign_seen, load_heard, control_bytes_spent,
-                                   engine_held, connection_changed, stop_requested>;
+using control_event =
+    std::variant<host_list_read, peer_message_received, log_records_read, log_read_failed,
+                 upstream_reported, sign_seen, load_heard, control_bytes_spent, engine_held,
+                 connection_changed, stop_requested>;
 
 /// Hands an event to the control state.
 auto handle_event(control_core& core, const control_event& what, time_point now) -> void;
 
 /// Collects what the control state needs from admission for one tick. Call it under admission's
 /// lock.
-[[nodiscard]] auto collect_usage(admission& from, std::size_t most_exceptions, time_point now) -> host_usage;
+[[nodiscard]] auto collect_usage(admission& from, std::size_t most_exceptions, time_point now)
+    -> host_usage;
 
 /// Applies an action that concerns admission. False when the action is for the shell. Call it under
 /// admission's lock.
--- a/include/poplardrift/core/host_core.hpp
+++ b/include/poplardrift/core/host_core.hpp
@@ -13,8 +13,8 @@
 class host_core final
 {
 public:
-    host_core(const control_settings& control, const admission_settings& traffic, const host_address& self,
-              incarnation_id incarnation, time_point now);
+    host_core(const control_settings& control, const admission_settings& traffic,
+              const host_address& self, incarnation_id incarnation, time_point now);
 
     /// Something happened outside.
     auto handle(const control_event& what, time_point now) -> void;
--- a/include/poplardrift/gossip/byte_budget.hpp
+++ b/include/poplardrift/gossip/byte_budget.hpp
@@ -52,7 +52,10 @@
     /// All bytes counted so far.
     [[nodiscard]] auto total() const -> std::uint64_t;
     /// Bytes counted so far by kind, in the order of the kinds.
-    [[nodiscard]] auto by_kind() const -> const std::array<std::uint64_t, control_traffic_kinds>& { return this->spent; }
+    [[nodiscard]] auto by_kind() const -> const std::array<std::uint64_t, control_traffic_kinds>&
+    {
+        return this->spent;
+    }
 
 private:
     auto refill(time_point now) -> void;
--- a/include/poplardrift/gossip/messages.hpp
+++ b/include/poplardrift/gossip/messages.hpp
@@ -75,13 +75,13 @@
 {
     host_id sender;
     incarnation_id incarnation;
-    message_sequence sequence;      ///< of this message on its way from sender to receiver
-    message_sequence acknowledged;  ///< highest sequence that the sender has from the receiver
+    message_sequence sequence;     ///< of this message on its way from sender to receiver
+    message_sequence acknowledged; ///< highest sequence that the sender has from the receiver
     incarnation_id acknowledged_incarnation; ///< whose sequence that was
-    log_offset configuration;       ///< offset up to which the sender has folded
-    std::uint32_t configuration_digest = 0; ///< tells whether equal offsets mean equal states
+    log_offset configuration;                ///< offset up to which the sender has folded
+    std::uint32_t configuration_digest = 0;  ///< tells whether equal offsets mean equal states
     bool leaving = false;
-    bool settled = false; ///< up for long enough to know the fleet and to own upstreams
+    bool settled = false;             ///< up for long enough to know the fleet and to own upstreams
     bool wants_configuration = false; ///< cannot read the log and asks for what it lacks
     std::vector<slot_report> reports;
     std::vector<slot_grant> grants;
--- a/include/poplardrift/gossip/peer_link.hpp
+++ b/include/poplardrift/gossip/peer_link.hpp
@@ -26,7 +26,10 @@
     /// When message `sequence` was sent; nothing when it is too old to remember.
     [[nodiscard]] auto sent_at(message_sequence sequence) const -> std::optional<time_point>;
     /// Highest of our messages that the other host has.
-    [[nodiscard]] auto acknowledged() const noexcept -> message_sequence { return this->last_acknowledged; }
+    [[nodiscard]] auto acknowledged() const noexcept -> message_sequence
+    {
+        return this->last_acknowledged;
+    }
     [[nodiscard]] auto last_sent() const noexcept -> time_point { return this->last_sent_at; }
     /// Number that the next message will get.
     [[nodiscard]] auto next() const noexcept -> message_sequence
--- a/include/poplardrift/leases/lease_book.hpp
+++ b/include/poplardrift/leases/lease_book.hpp
@@ -25,7 +25,8 @@
 };
 
 [[nodiscard]] auto to_json(const lease_record& record) -> nlohmann::json;
-[[nodiscard]] auto lease_record_from_json(const nlohmann::json& document) -> std::optional<lease_record>;
+[[nodiscard]] auto lease_record_from_json(const nlohmann::json& document)
+    -> std::optional<lease_record>;
 
 /// A lease by the log.
 struct lease
--- a/include/poplardrift/leases/order_core.hpp
+++ b/include/poplardrift/leases/order_core.hpp
@@ -15,13 +15,13 @@
 /// Settings of orders to engines.
 struct order_settings
 {
-    duration lease = std::chrono::seconds(12);          ///< length of a lease
-    duration margin = std::chrono::seconds(4);          ///< no order is sent so close to its end
-    duration order_timeout = std::chrono::seconds(2);   ///< an order that takes longer is given up
-    duration claim_timeout = std::chrono::seconds(3);   ///< wait for a claim to be read back
-    duration backoff = std::chrono::seconds(2);         ///< pause after a failure, doubled each time
+    duration lease = std::chrono::seconds(12);        ///< length of a lease
+    duration margin = std::chrono::seconds(4);        ///< no order is sent so close to its end
+    duration order_timeout = std::chrono::seconds(2); ///< an order that takes longer is given up
+    duration claim_timeout = std::chrono::seconds(3); ///< wait for a claim to be read back
+    duration backoff = std::chrono::seconds(2);       ///< pause after a failure, doubled each time
     duration longest_backoff = std::chrono::seconds(60);
-    std::int64_t concurrent_loads = 1;                  ///< model loads at once, whole fleet
+    std::int64_t concurrent_loads = 1; ///< model loads at once, whole fleet
 };
 
 /// An engine that this host is responsible for, as it stands.
@@ -72,8 +72,8 @@
 };
 
 /// Brings engines to their declared models by orders. One holder an engine, by a lease of the log,
-/// whose offset is the fencing number; loads are bounded for the whole fleet by leases on the weight
-/// store's places. An engine is drained first. Free of I/O; one thread.
+/// whose offset is the fencing number; loads are bounded for the whole fleet by leases on the
+/// weight store's places. An engine is drained first. Free of I/O; one thread.
 class order_core final
 {
 public:
@@ -84,7 +84,10 @@
     auto on_order_result(upstream_id id, order_result result, time_point now) -> void;
     /// Lets time pass over the engines that this host is responsible for now.
     auto on_tick(const std::vector<managed_engine>& engines, time_point now) -> void;
-    auto set_concurrent_loads(std::int64_t count) -> void { this->settings.concurrent_loads = count; }
+    auto set_concurrent_loads(std::int64_t count) -> void
+    {
+        this->settings.concurrent_loads = count;
+    }
 
     /// True while there is something to read the lease stream for.
     [[nodiscard]] auto is_busy() const -> bool { return !this->works.empty(); }
@@ -108,8 +111,8 @@
     /// The change of one engine.
     struct engine_work
     {
-        bool held = false;       ///< its slots are not granted
-        bool ordered = false;    ///< an order is on its way, or waits for a report
+        bool held = false;    ///< its slots are not granted
+        bool ordered = false; ///< an order is on its way, or waits for a report
         time_point ordered_at{};
         time_point not_before{}; ///< end of the pause after a failure
         std::uint32_t failures = 0;
--- a/include/poplardrift/membership/membership.hpp
+++ b/include/poplardrift/membership/membership.hpp
@@ -39,10 +39,10 @@
     host_address where;
     member_status status = member_status::absent;
     incarnation_id incarnation;
-    bool listed = false;     ///< in the platform's host list as last read
+    bool listed = false; ///< in the platform's host list as last read
     time_point last_heard{};
     bool ever_heard = false;
-    bool settled = false; ///< it says that it is up for long enough to own upstreams
+    bool settled = false;             ///< it says that it is up for long enough to own upstreams
     std::optional<time_point> broken; ///< when the connection to it ended and was not made again
 };
 
@@ -50,9 +50,10 @@
 struct membership_settings
 {
     duration suspicion_timeout = std::chrono::seconds(2); ///< silence until a host is suspect
-    duration broken_timeout = std::chrono::milliseconds(300); ///< the same once its connection broke
-    duration flap_window = std::chrono::seconds(30);      ///< over which returns are counted
-    std::int64_t flap_limit = 3;   ///< returns within the window before damping starts
+    duration broken_timeout =
+        std::chrono::milliseconds(300);              ///< the same once its connection broke
+    duration flap_window = std::chrono::seconds(30); ///< over which returns are counted
+    std::int64_t flap_limit = 3; ///< returns within the window before damping starts
     duration damping = std::chrono::seconds(10); ///< a flapping host stays suspect that long
 };
 
@@ -75,10 +76,11 @@
     /// Peers that settings name, for starts while the platform is down.
     auto add_seeds(const std::vector<host_address>& seeds) -> void;
     /// The host list as read from the platform; `leaving` names hosts marked as leaving.
-    auto on_host_list(const std::vector<host_address>& live, const std::vector<std::string>& leaving,
-                      time_point now) -> void;
+    auto on_host_list(const std::vector<host_address>& live,
+                      const std::vector<std::string>& leaving, time_point now) -> void;
     /// A message from a host. False when it comes from a former incarnation.
-    auto on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now) -> bool;
+    auto on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now)
+        -> bool;
     /// The connection to a host ended, or stands again.
     auto on_connection(host_id to, bool stands, time_point now) -> void;
     /// A host, this one among them, is up for long enough to own upstreams, or is new.
@@ -95,7 +97,8 @@
 
     /// Host that grants the slots of an upstream in `zone`: by rendezvous hashing over the alive
     /// hosts of that zone, so that a zone which is cut off keeps its own. Only when the zone has
-    /// none, over all alive hosts. Hosts that have just started come last: they would grant nothing.
+    /// none, over all alive hosts. Hosts that have just started come last: they would grant
+    /// nothing.
     [[nodiscard]] auto owner_of(upstream_id upstream, const std::string& zone) const
         -> std::optional<host_id>;
     /// True once the host list has been read or settings have named other hosts: before that, this
--- a/include/poplardrift/placement/rendezvous.hpp
+++ b/include/poplardrift/placement/rendezvous.hpp
@@ -13,8 +13,8 @@
 /// Score of an upstream for a conversation by weighted rendezvous hashing (Thaler and Ravishankar
 /// 1998; weights by the logarithmic method). The highest score is the first choice; all hosts
 /// agree on it without a message.
-[[nodiscard]] auto rendezvous_score(conversation_id conversation, upstream_id upstream, double weight)
-    -> double;
+[[nodiscard]] auto rendezvous_score(conversation_id conversation, upstream_id upstream,
+                                    double weight) -> double;
 
 /// Picks the upstream with the highest score among those for which `usable` says true.
 /// Walks the pool once; allocates nothing. Works on raw hashes where all weights are equal, which
--- a/include/poplardrift/placement/routing_view.hpp
+++ b/include/poplardrift/placement/routing_view.hpp
@@ -32,8 +32,8 @@
     upstream_kind kind = upstream_kind::engine;
     double weight = 1.0;
     bool refusals_are_true = false;
-    bool eligible = false;  ///< may receive new work
-    host_id owner;          ///< grants its slots; zero: nobody
+    bool eligible = false; ///< may receive new work
+    host_id owner;         ///< grants its slots; zero: nobody
     upstream_state state = upstream_state::cold;
 };
 
@@ -69,11 +69,13 @@
     std::vector<pool_view> pools;           ///< in name order
     std::vector<route_view> routes;         ///< longest prefix first
     std::vector<workspace_view> workspaces; ///< in path order
-    std::unordered_map<std::string, workspace_index> workspaces_by_key; ///< by SHA-256 of an API key
+    std::unordered_map<std::string, workspace_index>
+        workspaces_by_key; ///< by SHA-256 of an API key
     limits_declaration limits;
 
     /// Route for a request; null when none matches.
-    [[nodiscard]] auto match(std::string_view method, std::string_view target) const -> const route_view*;
+    [[nodiscard]] auto match(std::string_view method, std::string_view target) const
+        -> const route_view*;
     /// Upstream of a pool by id; null when it is gone.
     [[nodiscard]] auto find(pool_index pool, upstream_id id) const -> const upstream_view*;
 };
@@ -92,6 +94,7 @@
     -> std::shared_ptr<const routing_view>;
 
 /// True when declarations let the upstream take new work: neither it nor its zone is taken out.
-[[nodiscard]] auto is_in_service(const declarations& declared, const upstream_declaration& item) -> bool;
+[[nodiscard]] auto is_in_service(const declarations& declared, const upstream_declaration& item)
+    -> bool;
 
 } // namespace poplardrift
--- a/include/poplardrift/slots/slot_ledger.hpp
+++ b/include/poplardrift/slots/slot_ledger.hpp
@@ -14,11 +14,11 @@
 /// Settings of slot leases; the same on every host.
 struct slot_settings
 {
-    duration lease = std::chrono::seconds(3);            ///< validity of a grant, from the report on
+    duration lease = std::chrono::seconds(3); ///< validity of a grant, from the report on
     duration owner_margin = std::chrono::milliseconds(500); ///< the owner counts a grant for longer
-    duration disagreement = std::chrono::seconds(3);     ///< for which hosts may differ on who exists
-    duration silent_use = std::chrono::seconds(20);      ///< use of a silent holder still counts
-    double prefetch = 0.5;                               ///< share of idle slots granted unasked
+    duration disagreement = std::chrono::seconds(3); ///< for which hosts may differ on who exists
+    duration silent_use = std::chrono::seconds(20);  ///< use of a silent holder still counts
+    double prefetch = 0.5;                           ///< share of idle slots granted unasked
 };
 
 /// The owner's account of one upstream's slots: who may have how many requests in flight. The sum
@@ -40,13 +40,13 @@
 
     /// Decides what the holder gets now and counts it as promised in message `sequence`. Without
     /// `may_add`, it gets no more than it already has.
-    [[nodiscard]] auto grant(host_id holder, std::uint32_t limit, bool may_add, message_sequence sequence,
-                             time_point now) -> slot_grant;
+    [[nodiscard]] auto grant(host_id holder, std::uint32_t limit, bool may_add,
+                             message_sequence sequence, time_point now) -> slot_grant;
 
     /// The same for the owner itself, which keeps what nobody else is to have: it can give that up
     /// without a message.
-    [[nodiscard]] auto grant_rest(host_id self, std::uint32_t limit, bool may_add, message_sequence sequence,
-                                  time_point now) -> slot_grant;
+    [[nodiscard]] auto grant_rest(host_id self, std::uint32_t limit, bool may_add,
+                                  message_sequence sequence, time_point now) -> slot_grant;
 
     /// Drops a host that is gone for good: its requests ended with its connections.
     auto forget(host_id holder) -> void;
@@ -80,9 +80,10 @@
         std::deque<sent_grant> sent;
     };
 
-    [[nodiscard]] auto commitment(const holder_account& holder, time_point now) const -> std::uint32_t;
-    auto promise(holder_account& account, std::uint32_t slots, bool may_add, message_sequence sequence, time_point now)
-        -> slot_grant;
+    [[nodiscard]] auto commitment(const holder_account& holder, time_point now) const
+        -> std::uint32_t;
+    auto promise(holder_account& account, std::uint32_t slots, bool may_add,
+                 message_sequence sequence, time_point now) -> slot_grant;
     [[nodiscard]] auto target_of(const holder_account& holder, std::uint32_t limit,
                                  std::uint32_t free_slots) const -> std::uint32_t;
 
--- a/include/poplardrift/slots/slot_owner.hpp
+++ b/include/poplardrift/slots/slot_owner.hpp
@@ -16,7 +16,8 @@
 /// times the mean load of its peers, rounded up, once one more request is placed.
 /// `total` are the requests in flight of all that count towards the mean, `weight_part` is the
 /// upstream's part of their weights.
-[[nodiscard]] auto bound_by_mean(double multiple, std::uint32_t total, double weight_part) -> std::uint32_t;
+[[nodiscard]] auto bound_by_mean(double multiple, std::uint32_t total, double weight_part)
+    -> std::uint32_t;
 
 /// The upstreams whose slots this host grants. Control thread only.
 class slot_owner final
@@ -25,8 +26,8 @@
     slot_owner(slot_settings slots, warmup_settings conditions);
 
     /// Starts to own an upstream. `published` is what its former owner last said of it.
-    auto adopt(const upstream_declaration& declared, const std::optional<upstream_status>& published,
-               time_point now) -> void;
+    auto adopt(const upstream_declaration& declared,
+               const std::optional<upstream_status>& published, time_point now) -> void;
     auto drop(upstream_id id) -> void { this->owned.erase(id); }
     [[nodiscard]] auto owns(upstream_id id) const -> bool { return this->owned.contains(id); }
     [[nodiscard]] auto ids() const -> std::vector<upstream_id>;
@@ -46,10 +47,12 @@
     /// that no promise of a former owner is unknown; `may_wait_out` that, failing this, waiting for
     /// such promises to run out is enough.
     /// With `takes_rest`, the holder is the owner itself.
-    [[nodiscard]] auto grant(upstream_id id, host_id holder, bool takes_rest, bool host_count_complete,
-                             bool may_wait_out, message_sequence sequence, time_point now) -> slot_grant;
+    [[nodiscard]] auto grant(upstream_id id, host_id holder, bool takes_rest,
+                             bool host_count_complete, bool may_wait_out, message_sequence sequence,
+                             time_point now) -> slot_grant;
     /// True when all these hosts have reported to this owner.
-    [[nodiscard]] auto has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const -> bool;
+    [[nodiscard]] auto has_heard_all(upstream_id id, const std::vector<host_id>& hosts) const
+        -> bool;
 
     /// True when the upstream has reported since this host owns it.
     [[nodiscard]] auto has_fresh_report(upstream_id id, time_point now) const -> bool;
@@ -68,9 +71,10 @@
         time_point since{};
     };
 
-    /// Requests that the upstream reports beyond those that this owner knows of, while promises of a
-    /// former owner may stand.
-    [[nodiscard]] auto unknown_use(const owned_upstream& item, time_point now) const -> std::uint32_t;
+    /// Requests that the upstream reports beyond those that this owner knows of, while promises of
+    /// a former owner may stand.
+    [[nodiscard]] auto unknown_use(const owned_upstream& item, time_point now) const
+        -> std::uint32_t;
 
     [[nodiscard]] auto at(upstream_id id) const -> const owned_upstream&;
 
--- a/include/poplardrift/slots/warmup.hpp
+++ b/include/poplardrift/slots/warmup.hpp
@@ -31,8 +31,9 @@
     duration ejection = std::chrono::seconds(2); ///< first ejection
     duration longest_ejection = std::chrono::seconds(60);
     duration report_timeout = std::chrono::seconds(8); ///< without a report for that long: unknown
-    duration doubt_timeout = std::chrono::seconds(2);  ///< a doubt that no report settles by then holds
-    double decrease = 0.85; ///< factor on the adaptive limit when the upstream has a queue
+    duration doubt_timeout =
+        std::chrono::seconds(2); ///< a doubt that no report settles by then holds
+    double decrease = 0.85;      ///< factor on the adaptive limit when the upstream has a queue
 };
 
 /// The owner's judgement of one upstream: how much it can bear now. Starts cold, grows by steps
@@ -51,8 +52,8 @@
     /// reports gets only its cold limit until its next report settles the doubt; of one that does
     /// not report, the sign is believed.
     auto on_sign(upstream_state suspected, time_point now) -> void;
-    /// Use as the owner's ledger knows it; lets steps go on. `full_share` is what the upstream would
-    /// carry of its pool's present load: a step that reaches it ends the cold start.
+    /// Use as the owner's ledger knows it; lets steps go on. `full_share` is what the upstream
+    /// would carry of its pool's present load: a step that reaches it ends the cold start.
     auto on_tick(std::uint32_t in_use, std::uint32_t full_share, time_point now) -> void;
     auto set_declared(std::uint32_t declared_cold, std::uint32_t capacity) -> void;
 
@@ -61,8 +62,14 @@
     [[nodiscard]] auto limit() const -> std::uint32_t;
     /// True while a sign waits for a report to settle it.
     [[nodiscard]] auto is_in_doubt() const -> bool { return this->doubted.has_value(); }
-    [[nodiscard]] auto incarnation() const noexcept -> std::uint32_t { return this->known_incarnation; }
-    [[nodiscard]] auto last_report() const -> const std::optional<upstream_report>& { return this->report; }
+    [[nodiscard]] auto incarnation() const noexcept -> std::uint32_t
+    {
+        return this->known_incarnation;
+    }
+    [[nodiscard]] auto last_report() const -> const std::optional<upstream_report>&
+    {
+        return this->report;
+    }
 
 private:
     auto turn_cold(time_point now) -> void;
--- a/include/poplardrift/streams/event_sequencer.hpp
+++ b/include/poplardrift/streams/event_sequencer.hpp
@@ -30,7 +30,10 @@
     /// True when events carry numbers, so that the answer can be resumed.
     [[nodiscard]] auto is_numbered() const noexcept -> bool { return this->numbered; }
     /// True when more events wait for a missing one than are ever held.
-    [[nodiscard]] auto has_lost_event() const noexcept -> bool { return this->held.size() >= most_held; }
+    [[nodiscard]] auto has_lost_event() const noexcept -> bool
+    {
+        return this->held.size() >= most_held;
+    }
     /// The answer's text so far, JSON-escaped, for going on at another engine.
     [[nodiscard]] auto text() const -> const std::string& { return this->answer_text; }
     /// Events dropped because they were repeats or belonged to another answer.
--- a/include/poplardrift/streams/sse_splitter.hpp
+++ b/include/poplardrift/streams/sse_splitter.hpp
@@ -12,8 +12,8 @@
 /// One server-sent event as it arrived.
 struct sse_event
 {
-    std::string_view raw;  ///< all its bytes with the blank line that ends it
-    std::string_view data; ///< value of its first data line
+    std::string_view raw;                  ///< all its bytes with the blank line that ends it
+    std::string_view data;                 ///< value of its first data line
     std::optional<std::uint64_t> sequence; ///< number in its id line, if there is one
 };
 
@@ -23,7 +23,10 @@
 {
 public:
     /// An event larger than this breaks the stream.
-    explicit sse_splitter(std::size_t most_event_bytes = 1 << 20) : most_event_bytes(most_event_bytes) {}
+    explicit sse_splitter(std::size_t most_event_bytes = 1 << 20)
+        : most_event_bytes(most_event_bytes)
+    {
+    }
 
     auto feed(std::string_view bytes) -> void;
     /// The next whole event; nothing until more bytes come.
@@ -45,6 +48,7 @@
 [[nodiscard]] auto is_done_event(const sse_event& event) -> bool;
 /// The value of a JSON string member as it stands in a text, still escaped; empty when absent. For
 /// the few members that the hot path needs, without parsing the whole document.
-[[nodiscard]] auto find_text_member(std::string_view json, std::string_view quoted_name) -> std::string_view;
+[[nodiscard]] auto find_text_member(std::string_view json, std::string_view quoted_name)
+    -> std::string_view;
 
 } // namespace poplardrift
--- a/include/poplardrift/transactions/records.hpp
+++ b/include/poplardrift/transactions/records.hpp
@@ -20,17 +20,18 @@
 /// Number of a claim within one process of a host.
 using claim_number = strong_type<struct claim_number_tag, std::uint64_t>;
 
-[[nodiscard]] auto make_transaction_key(workspace_id workspace, std::string_view key) -> transaction_key;
-[[nodiscard]] auto make_fingerprint(std::string_view method, std::string_view target, std::string_view body)
-    -> request_fingerprint;
+[[nodiscard]] auto make_transaction_key(workspace_id workspace, std::string_view key)
+    -> transaction_key;
+[[nodiscard]] auto make_fingerprint(std::string_view method, std::string_view target,
+                                    std::string_view body) -> request_fingerprint;
 
 /// The answer that a transaction got.
 struct transaction_answer
 {
-    int status = 0;             ///< HTTP status
+    int status = 0; ///< HTTP status
     std::string content_type;
     std::string body;
-    bool body_kept = true;      ///< false: it was larger than what is kept
+    bool body_kept = true; ///< false: it was larger than what is kept
 };
 
 /// "I want to run this key": the first claim of a key in log order may.
--- a/include/poplardrift/transactions/tickets.hpp
+++ b/include/poplardrift/transactions/tickets.hpp
@@ -21,11 +21,13 @@
     workspace_id workspace;
 };
 
-/// Text of a ticket, authenticated by the hosts' secret: `pdt1.HOST.INCARNATION.NUMBER.SECONDS.WORKSPACE.MAC`.
+/// Text of a ticket, authenticated by the hosts' secret:
+/// `pdt1.HOST.INCARNATION.NUMBER.SECONDS.WORKSPACE.MAC`.
 [[nodiscard]] auto format_ticket(const ticket& item, std::string_view host_secret) -> std::string;
 /// True when a key looks like a ticket, authentic or not.
 [[nodiscard]] auto looks_like_ticket(std::string_view text) -> bool;
 /// The ticket; nothing when the text is malformed or not authentic.
-[[nodiscard]] auto parse_ticket(std::string_view text, std::string_view host_secret) -> std::optional<ticket>;
+[[nodiscard]] auto parse_ticket(std::string_view text, std::string_view host_secret)
+    -> std::optional<ticket>;
 
 } // namespace poplardrift
--- a/include/poplardrift/transactions/transaction_core.hpp
+++ b/include/poplardrift/transactions/transaction_core.hpp
@@ -17,12 +17,12 @@
 /// Settings of transactions.
 struct transaction_settings
 {
-    std::string host_secret;                             ///< authenticates tickets
-    duration dedupe_window = std::chrono::minutes(10);   ///< how long a key is remembered
-    duration window_margin = std::chrono::seconds(5);    ///< nothing is sent so close to its end
-    duration claim_timeout = std::chrono::seconds(3);    ///< wait for a claim to be read back
-    std::size_t kept_answer_bytes = 16 << 10;            ///< largest answer kept for repeats
-    std::size_t kept_answers_bytes = 64u << 20;          ///< most bytes of answers kept in all
+    std::string host_secret;                           ///< authenticates tickets
+    duration dedupe_window = std::chrono::minutes(10); ///< how long a key is remembered
+    duration window_margin = std::chrono::seconds(5);  ///< nothing is sent so close to its end
+    duration claim_timeout = std::chrono::seconds(3);  ///< wait for a claim to be read back
+    std::size_t kept_answer_bytes = 16 << 10;          ///< largest answer kept for repeats
+    std::size_t kept_answers_bytes = 64u << 20;        ///< most bytes of answers kept in all
 };
 
 /// A caller's non-idempotent request.
@@ -30,9 +30,9 @@
 {
     request_id id;
     workspace_id workspace;
-    std::string key;                 ///< the caller's; empty: it has none and cannot repeat
+    std::string key; ///< the caller's; empty: it has none and cannot repeat
     request_fingerprint fingerprint;
-    bool forwarded = false;          ///< another host sent it here: do not send it on
+    bool forwarded = false; ///< another host sent it here: do not send it on
     time_point deadline{};
 };
 
@@ -65,15 +65,15 @@
 /// Why a transaction is not run.
 enum class transaction_refusal : std::uint8_t
 {
-    log_unreachable,   ///< no claim can be made
-    recovering,        ///< claims of the log have not been read yet
+    log_unreachable,     ///< no claim can be made
+    recovering,          ///< claims of the log have not been read yet
     claim_not_confirmed, ///< the claim was not read back in time; it is given up for good
-    key_conflict,      ///< the key belongs to another request
-    bad_ticket,        ///< not authentic, or of another workspace
-    ticket_expired,    ///< older than the window: what it did is no longer known
-    owner_gone,        ///< the host that may have run it is gone
-    outcome_unknown,   ///< it was sent and its answer never came
-    window_passed,     ///< the process was held up past the claim's time
+    key_conflict,        ///< the key belongs to another request
+    bad_ticket,          ///< not authentic, or of another workspace
+    ticket_expired,      ///< older than the window: what it did is no longer known
+    owner_gone,          ///< the host that may have run it is gone
+    outcome_unknown,     ///< it was sent and its answer never came
+    window_passed,       ///< the process was held up past the claim's time
 };
 
 /// Tell the caller that its request does not run (again) here.
@@ -122,7 +122,7 @@
 {
     enum class state : std::uint8_t
     {
-        none,    ///< no claim within the window, up to what has been read
+        none, ///< no claim within the window, up to what has been read
         running,
         done,
         unknown,
@@ -147,7 +147,8 @@
 
     auto begin(const transaction_request& request, time_point now) -> void;
     auto on_append(claim_number number, append_result result, time_point now) -> void;
-    auto on_record(log_offset offset, log_time time, const transaction_record& record, time_point now) -> void;
+    auto on_record(log_offset offset, log_time time, const transaction_record& record,
+                   time_point now) -> void;
     /// The stream has been read to its end as of the start.
     auto on_recovered() -> void;
     /// Records were lost by the log: keys may have been claimed in them.
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -88,7 +88,8 @@
         {
             while (!queue.empty())
             {
-                this->ended.push_back({queue.begin()->second.wish.id, refused{refusal::no_upstream}});
+                this->ended.push_back(
+                    {queue.begin()->second.wish.id, refused{refusal::no_upstream}});
                 this->drop_waiter(queue, queue.begin());
             }
         }
@@ -118,24 +119,27 @@
         return this->scan_least_used(pool, wish, now);
     }
     candidates found;
-    found.home = best_upstream(*pool.view, wish.conversation, [](std::size_t, const auto&) { return true; });
-    found.usable = best_upstream(*pool.view, wish.conversation, [&](std::size_t index, const auto&)
+    found.home =
+        best_upstream(*pool.view, wish.conversation, [](std::size_t, const auto&) { return true; });
+    found.usable = best_upstream(*pool.view, wish.conversation,
+                                 [&](std::size_t index, const auto&)
                                  { return this->is_usable(pool, index, wish, now); });
     found.spare = found.usable;
     if (found.usable && !this->has_free_slot(*pool.state->slots[*found.usable], now))
     {
-        found.spare = best_upstream(*pool.view, wish.conversation,
-                                    [&](std::size_t index, const auto&)
-                                    {
-                                        return this->has_free_slot(*pool.state->slots[index], now) &&
-                                               this->is_usable(pool, index, wish, now);
-                                    });
+        found.spare =
+            best_upstream(*pool.view, wish.conversation,
+                          [&](std::size_t index, const auto&)
+                          {
+                              return this->has_free_slot(*pool.state->slots[index], now) &&
+                                     this->is_usable(pool, index, wish, now);
+                          });
     }
     return found;
 }
 
-auto admission::scan_least_used(const pool_ref& pool, const placement_request& wish, time_point now) const
-    -> candidates
+auto admission::scan_least_used(const pool_ref& pool, const placement_request& wish,
+                                time_point now) const -> candidates
 {
     candidates found;
     double least_use = 0.0;
@@ -169,8 +173,9 @@
 auto admission::index_of(const pool_ref& pool, upstream_id id) const -> std::optional<std::size_t>
 {
     const auto& upstreams = pool.view->upstreams;
-    const auto at = std::lower_bound(upstreams.begin(), upstreams.end(), id,
-                                     [](const auto& item, upstream_id key) { return item.id < key; });
+    const auto at =
+        std::lower_bound(upstreams.begin(), upstreams.end(), id,
+                         [](const auto& item, upstream_id key) { return item.id < key; });
     if (at == upstreams.end() || at->id != id)
     {
         return std::nullopt;
@@ -178,12 +183,14 @@
     return static_cast<std::size_t>(at - upstreams.begin());
 }
 
-auto admission::room_of(const pool_ref& pool, std::size_t index, time_point now) const -> std::int64_t
+auto admission::room_of(const pool_ref& pool, std::size_t index, time_point now) const
+    -> std::int64_t
 {
     const auto& slot = *pool.state->slots[index];
     const auto& upstream = pool.view->upstreams[index];
     const auto here = this->has_free_slot(slot, now) ? slot.granted - slot.in_use : 0;
-    const auto told = upstream.owner != this->settings.self && this->is_reachable_owner(upstream.owner, now);
+    const auto told =
+        upstream.owner != this->settings.self && this->is_reachable_owner(upstream.owner, now);
     return std::max<std::int64_t>(here, told ? slot.published_free : 0);
 }
 
@@ -200,7 +207,8 @@
         {
             continue;
         }
-        const auto hash = hash_pair_64(wish.conversation.value(), pool.view->upstreams[index].id.value());
+        const auto hash =
+            hash_pair_64(wish.conversation.value(), pool.view->upstreams[index].id.value());
         if (!best || room > best_room || hash > best_hash)
         {
             best = index;
@@ -218,8 +226,9 @@
     return free ? found->second.granted - found->second.in_use : 0;
 }
 
-auto admission::preferred(const pool_ref& pool, const candidates& found, const placement_request& wish,
-                          time_point now) -> std::optional<std::size_t>
+auto admission::preferred(const pool_ref& pool, const candidates& found,
+                          const placement_request& wish, time_point now)
+    -> std::optional<std::size_t>
 {
     if (wish.conversation == conversation_id{})
     {
@@ -270,8 +279,10 @@
     if (this->settings.policy == placement_policy::bounded_rendezvous)
     {
         return best_upstream(*pool.view, wish.conversation,
-                             [&](std::size_t index, const upstream_view& item)
-                             { return usable(index, item) && this->within_local_bound(pool, index); });
+                             [&](std::size_t index, const upstream_view& item) {
+                                 return usable(index, item) &&
+                                        this->within_local_bound(pool, index);
+                             });
     }
     if (this->settings.policy == placement_policy::least_loaded)
     {
@@ -288,9 +299,11 @@
     return std::nullopt;
 }
 
-auto admission::learn_place(const pool_ref& pool, std::size_t index, conversation_id conversation) -> void
+auto admission::learn_place(const pool_ref& pool, std::size_t index, conversation_id conversation)
+    -> void
 {
-    const auto home = best_upstream(*pool.view, conversation, [](std::size_t, const auto&) { return true; });
+    const auto home =
+        best_upstream(*pool.view, conversation, [](std::size_t, const auto&) { return true; });
     const auto place = pool.view->upstreams[index].id;
     const auto known = this->exceptions.find(conversation);
     const auto believed = known ? *known : pool.view->upstreams[*home].id;
@@ -315,7 +328,8 @@
     this->outgoing_exceptions.push_back({conversation, place});
 }
 
-auto admission::take_slot(const pool_ref& pool, std::size_t index, const placement_request& wish) -> placed
+auto admission::take_slot(const pool_ref& pool, std::size_t index, const placement_request& wish)
+    -> placed
 {
     ++pool.state->slots[index]->in_use;
     ++this->workspace_in_flight[wish.workspace];
@@ -360,7 +374,8 @@
     const auto owner = pool.view->upstreams[*target].owner;
     // Whoever waits for any upstream goes first, so that each workspace gets its share.
     const auto others_wait = this->has_wide_waiter(pool);
-    if (wish.may_forward && !others_wait && owner != this->settings.self && this->is_reachable_owner(owner, now))
+    if (wish.may_forward && !others_wait && owner != this->settings.self &&
+        this->is_reachable_owner(owner, now))
     {
         ++this->tally.forwarded;
         return this->forward(pool, *target);
@@ -418,13 +433,12 @@
     return {pool.view->upstreams[index].owner, pool.view->upstreams[index].id};
 }
 
-auto admission::place_elsewhere(const pool_ref& pool, const placement_request& wish, std::size_t target,
-                                time_point now) -> placement_result
+auto admission::place_elsewhere(const pool_ref& pool, const placement_request& wish,
+                                std::size_t target, time_point now) -> placement_result
 {
     // The next choice by hash, which may hold the conversation from an earlier time like this.
     const auto best = best_upstream(*pool.view, wish.conversation,
-                                    [&](std::size_t index, const auto&)
-                                    {
+                                    [&](std::size_t index, const auto&) {
                                         return this->may_have_slot(pool, index, now) &&
                                                this->is_usable(pool, index, wish, now);
                                     });
@@ -441,8 +455,8 @@
     return this->forward(pool, *best);
 }
 
-auto admission::on_denied(placement_request& wish, const forward_to_owner& tried, bool reached, time_point now)
-    -> placement_result
+auto admission::on_denied(placement_request& wish, const forward_to_owner& tried, bool reached,
+                          time_point now) -> placement_result
 {
     ++this->tally.denied;
     ++wish.forwards;
@@ -500,7 +514,8 @@
         const auto usable = owner != this->settings.self && this->is_reachable_owner(owner, now);
         // Without word of a free slot, one request at a time finds out.
         const auto probe = usable && slot.published_free == 0 && now >= slot.next_probe;
-        for (bool first = true; usable && (slot.published_free > 0 || (probe && first)); first = false)
+        for (bool first = true; usable && (slot.published_free > 0 || (probe && first));
+             first = false)
         {
             slot.next_probe = now + probe_interval;
             const auto next = this->next_waiter(pool, index, now, true);
@@ -572,11 +587,11 @@
     return queue.erase(position);
 }
 
-auto admission::next_waiter(const pool_ref& pool, std::size_t index, time_point now, bool by_forward)
-    -> waiter_ref
+auto admission::next_waiter(const pool_ref& pool, std::size_t index, time_point now,
+                            bool by_forward) -> waiter_ref
 {
-    // The workspace with the least in flight for its share goes first, so that a surging one is held
-    // to its share while others want theirs.
+    // The workspace with the least in flight for its share goes first, so that a surging one is
+    // held to its share while others want theirs.
     waiter_ref best;
     double best_use = 0.0;
     for (auto& [workspace, queue] : pool.state->queues)
@@ -584,7 +599,8 @@
         const auto fits = [&](const auto& item)
         {
             const auto& candidate = item.second;
-            const auto wants_it = candidate.takes_any || candidate.target == pool.view->upstreams[index].id;
+            const auto wants_it =
+                candidate.takes_any || candidate.target == pool.view->upstreams[index].id;
             const auto elsewhere = by_forward && candidate.wish.pinned.has_value();
             return !elsewhere && wants_it && (!by_forward || candidate.wish.may_forward) &&
                    this->is_usable(pool, index, candidate.wish, now);
@@ -651,8 +667,9 @@
     {
         for (auto& [workspace, queue] : state.queues)
         {
-            const auto found = std::find_if(queue.begin(), queue.end(), [&](const auto& item)
-                                            { return item.second.wish.id == id; });
+            const auto found =
+                std::find_if(queue.begin(), queue.end(),
+                             [&](const auto& item) { return item.second.wish.id == id; });
             if (found != queue.end())
             {
                 this->drop_waiter(queue, found);
@@ -701,15 +718,16 @@
     {
         return false;
     }
-    const auto length = this->settings.ejection * (std::int64_t{1} << std::min(slot.ejections, 10U));
+    const auto length =
+        this->settings.ejection * (std::int64_t{1} << std::min(slot.ejections, 10U));
     slot.ejected_until = now + std::min<duration>(length, this->settings.longest_ejection);
     ++slot.ejections;
     slot.failures = 0;
     return true;
 }
 
-auto admission::on_grant(upstream_id upstream, std::uint32_t granted, time_point valid_until, time_point now)
-    -> void
+auto admission::on_grant(upstream_id upstream, std::uint32_t granted, time_point valid_until,
+                         time_point now) -> void
 {
     auto& slot = this->slots[upstream];
     slot.granted = granted;
@@ -785,20 +803,23 @@
     return best;
 }
 
-auto admission::widen(const pool_ref& pool, waiter& item, time_point now) -> std::optional<wait_result>
+auto admission::widen(const pool_ref& pool, waiter& item, time_point now)
+    -> std::optional<wait_result>
 {
     const auto first_time = !item.takes_any;
     this->tally.unanswered += first_time ? 1 : 0;
     item.takes_any = true;
     item.next_choice = now + target_interval;
-    const auto best = best_upstream(*pool.view, item.wish.conversation,
-                                    [&](std::size_t index, const auto&)
-                                    {
-                                        const auto fits = item.wish.may_forward
-                                                              ? this->may_have_slot(pool, index, now)
-                                                              : this->has_free_slot(*pool.state->slots[index], now);
-                                        return fits && this->is_usable(pool, index, item.wish, now);
-                                    });
+    const auto best =
+        best_upstream(*pool.view, item.wish.conversation,
+                      [&](std::size_t index, const auto&)
+                      {
+                          const auto fits =
+                              item.wish.may_forward
+                                  ? this->may_have_slot(pool, index, now)
+                                  : this->has_free_slot(*pool.state->slots[index], now);
+                          return fits && this->is_usable(pool, index, item.wish, now);
+                      });
     if (best && this->has_free_slot(*pool.state->slots[*best], now))
     {
         ++this->tally.elsewhere;
@@ -863,9 +884,15 @@
     }
 }
 
-auto admission::take_ended() -> std::vector<wait_ended> { return std::exchange(this->ended, {}); }
+auto admission::take_ended() -> std::vector<wait_ended>
+{
+    return std::exchange(this->ended, {});
+}
 
-auto admission::take_asks() -> std::set<host_id> { return std::exchange(this->asks, {}); }
+auto admission::take_asks() -> std::set<host_id>
+{
+    return std::exchange(this->asks, {});
+}
 
 auto admission::take_exceptions(std::size_t most) -> std::vector<placement_exception>
 {
--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -48,9 +48,13 @@
     return result;
 }
 
-auto upstream_number(int number) -> upstream_id { return make_upstream_id("/t/upstreams/e" + std::to_string(number)); }
+auto upstream_number(int number) -> upstream_id
+{
+    return make_upstream_id("/t/upstreams/e" + std::to_string(number));
+}
 
-auto make_wish(std::uint64_t id, std::uint64_t conversation, std::uint32_t workspace = 1, double share = 1.0) -> placement_request
+auto make_wish(std::uint64_t id, std::uint64_t conversation, std::uint32_t workspace = 1,
+               double share = 1.0) -> placement_request
 {
     placement_request wish;
     wish.id = request_id{id};
@@ -116,7 +120,9 @@
     std::uint64_t conversation = 1;
     // Find a conversation whose first choice another host owns.
     const auto& upstreams = target.view()->pools[0].upstreams;
-    while (upstreams[*best_upstream(target.view()->pools[0], conversation_id{conversation}, [](auto, const auto&) { return true; })].owner != other)
+    while (upstreams[*best_upstream(target.view()->pools[0], conversation_id{conversation},
+                                    [](auto, const auto&) { return true; })]
+               .owner != other)
     {
         ++conversation;
     }
@@ -127,7 +133,8 @@
     REQUIRE(forward != nullptr);
     CHECK(forward->owner == other);
     target.on_grant(upstream_number(0), 1, now + 3s, now);
-    CHECK(std::get<placed>(target.on_denied(wish, *forward, true, now)).upstream == upstream_number(0));
+    CHECK(std::get<placed>(target.on_denied(wish, *forward, true, now)).upstream ==
+          upstream_number(0));
 }
 
 TEST_CASE("a forwarded request gets this upstream's slot or none")
@@ -243,7 +250,9 @@
     {
         const auto first = *best_upstream(view->pools[0], conversation_id{chat}, any);
         ++counts[view->pools[0].upstreams[first].id];
-        const auto without = *best_upstream(view->pools[0], conversation_id{chat}, [&](std::size_t, const auto& item) { return item.id != gone; });
+        const auto without =
+            *best_upstream(view->pools[0], conversation_id{chat},
+                           [&](std::size_t, const auto& item) { return item.id != gone; });
         moved += first != without && view->pools[0].upstreams[first].id != gone ? 1 : 0;
     }
     CHECK(moved == 0);
@@ -267,20 +276,27 @@
 TEST_CASE("a conversation is known by header, by key, by user, else by its beginning")
 {
     const workspace_id workspace{1};
-    const auto text = nlohmann::json::parse(R"({"user":"u","prompt_cache_key":"k","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"}]})");
+    const auto text = nlohmann::json::parse(
+        R"({"user":"u","prompt_cache_key":"k","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"}]})");
     auto longer = text;
     longer["messages"].push_back({{"role", "assistant"}, {"content", "b"}});
-    CHECK(identify_conversation(workspace, "h", text) == identify_conversation(workspace, "h", nlohmann::json::object()));
-    CHECK(identify_conversation(workspace, "", text) == identify_conversation(workspace, "k", text));
-    CHECK(identify_conversation(workspace_id{2}, "h", text) != identify_conversation(workspace, "h", text));
+    CHECK(identify_conversation(workspace, "h", text) ==
+          identify_conversation(workspace, "h", nlohmann::json::object()));
+    CHECK(identify_conversation(workspace, "", text) ==
+          identify_conversation(workspace, "k", text));
+    CHECK(identify_conversation(workspace_id{2}, "h", text) !=
+          identify_conversation(workspace, "h", text));
     auto plain = text;
     plain.erase("user");
     plain.erase("prompt_cache_key");
     auto plain_longer = longer;
     plain_longer.erase("user");
     plain_longer.erase("prompt_cache_key");
-    CHECK(identify_conversation(workspace, "", plain) == identify_conversation(workspace, "", plain_longer));
-    const auto hint = format_affinity_hint(conversation_id{9}, upstream_id{77}, "a secret of the hosts");
-    CHECK(parse_affinity_hint(hint, conversation_id{9}, "a secret of the hosts") == upstream_id{77});
+    CHECK(identify_conversation(workspace, "", plain) ==
+          identify_conversation(workspace, "", plain_longer));
+    const auto hint =
+        format_affinity_hint(conversation_id{9}, upstream_id{77}, "a secret of the hosts");
+    CHECK(parse_affinity_hint(hint, conversation_id{9}, "a secret of the hosts") ==
+          upstream_id{77});
     CHECK_FALSE(parse_affinity_hint(hint, conversation_id{8}, "a secret of the hosts"));
 }
--- a/src/admission/retry_budget.cpp
+++ b/src/admission/retry_budget.cpp
@@ -7,7 +7,8 @@
 
 auto retry_budget::on_request() -> void
 {
-    this->saved = std::min(this->saved + this->settings.retries_a_request, this->settings.most_saved);
+    this->saved =
+        std::min(this->saved + this->settings.retries_a_request, this->settings.most_saved);
 }
 
 auto retry_budget::take() -> bool
--- a/src/base/crypto.cpp
+++ b/src/base/crypto.cpp
@@ -145,7 +145,8 @@
     auto size = signature.size();
     const auto signed_it =
         EVP_DigestSignInit(context.get(), nullptr, nullptr, nullptr, key.get()) == 1 &&
-        EVP_DigestSign(context.get(), signature.data(), &size, as_bytes(message), message.size()) == 1;
+        EVP_DigestSign(context.get(), signature.data(), &size, as_bytes(message), message.size()) ==
+            1;
     if (!signed_it)
     {
         return std::nullopt;
@@ -162,9 +163,9 @@
     {
         return false;
     }
-    const key_handle key(EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr, as_bytes(*raw_key),
-                                                     raw_key->size()),
-                         &EVP_PKEY_free);
+    const key_handle key(
+        EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr, as_bytes(*raw_key), raw_key->size()),
+        &EVP_PKEY_free);
     const digest_context context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     return key && EVP_DigestVerifyInit(context.get(), nullptr, nullptr, nullptr, key.get()) == 1 &&
            EVP_DigestVerify(context.get(), as_bytes(*signature), signature->size(),
--- a/src/base/ids.cpp
+++ b/src/base/ids.cpp
@@ -21,14 +21,20 @@
     return XXH3_64bits(words, sizeof(words));
 }
 
-auto make_host_id(std::string_view name) noexcept -> host_id { return host_id{hash_name_32(name)}; }
+auto make_host_id(std::string_view name) noexcept -> host_id
+{
+    return host_id{hash_name_32(name)};
+}
 
 auto make_upstream_id(std::string_view path) noexcept -> upstream_id
 {
     return upstream_id{hash_name_32(path)};
 }
 
-auto make_pool_id(std::string_view name) noexcept -> pool_id { return pool_id{hash_name_32(name)}; }
+auto make_pool_id(std::string_view name) noexcept -> pool_id
+{
+    return pool_id{hash_name_32(name)};
+}
 
 auto make_workspace_id(std::string_view path) noexcept -> workspace_id
 {
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -50,9 +50,12 @@
 
 auto config_change::to_json() const -> nlohmann::json
 {
-    return {{"type", "change"},  {"id", this->id},
-            {"author", this->author}, {"team", this->team},
-            {"sets", sets_to_json(this->sets)}, {"signature", this->signature}};
+    return {{"type", "change"},
+            {"id", this->id},
+            {"author", this->author},
+            {"team", this->team},
+            {"sets", sets_to_json(this->sets)},
+            {"signature", this->signature}};
 }
 
 auto config_change::from_json(const nlohmann::json& document) -> outcome<config_change>
@@ -63,7 +66,8 @@
                              document["sets"].is_array() && !document["sets"].empty();
     if (!well_formed)
     {
-        return outcome<config_change>::failure("a change needs id, author, team, sets and signature");
+        return outcome<config_change>::failure(
+            "a change needs id, author, team, sets and signature");
     }
     config_change change;
     change.id = document["id"];
@@ -90,7 +94,9 @@
     return change;
 }
 
-configuration::configuration(configuration_settings settings) : settings(std::move(settings)) {}
+configuration::configuration(configuration_settings settings) : settings(std::move(settings))
+{
+}
 
 auto configuration::key_of_team(const std::string& team) const -> std::string
 {
@@ -157,7 +163,8 @@
     }
 }
 
-auto configuration::apply_change(log_offset offset, log_time time, const config_change& change) -> void
+auto configuration::apply_change(log_offset offset, log_time time, const config_change& change)
+    -> void
 {
     if (this->seen.contains(change.id))
     {
@@ -232,7 +239,8 @@
 
 auto configuration::hold(log_offset offset, log_time time, const nlohmann::json& record) -> void
 {
-    this->missing_through = std::max(this->missing_through, this->held.empty() ? log_offset{offset.value() - 1} : log_offset{});
+    this->missing_through = std::max(
+        this->missing_through, this->held.empty() ? log_offset{offset.value() - 1} : log_offset{});
     this->held.push_back({offset, time, record});
     if (is_snapshot(record))
     {
@@ -254,8 +262,10 @@
     return std::any_of(change->sets.begin(), change->sets.end(),
                        [&](const auto& item)
                        {
-                           return item.path == accepted_gap_path && item.value && item.value->is_object() &&
-                                  item.value->value("through", std::uint64_t{0}) >= this->missing_through.value();
+                           return item.path == accepted_gap_path && item.value &&
+                                  item.value->is_object() &&
+                                  item.value->value("through", std::uint64_t{0}) >=
+                                      this->missing_through.value();
                        });
 }
 
@@ -293,7 +303,8 @@
         {
             continue;
         }
-        paths.push_back({path, entry.version.value(), entry.value ? *entry.value : nlohmann::json(nullptr)});
+        paths.push_back(
+            {path, entry.version.value(), entry.value ? *entry.value : nlohmann::json(nullptr)});
     }
     nlohmann::json body = {{"through", this->applied_offset.value()},
                            {"since", since.value()},
@@ -305,7 +316,8 @@
 
 auto configuration::merge(const nlohmann::json& snapshot) -> bool
 {
-    const auto authentic = snapshot.is_object() && snapshot.contains("body") && has_text(snapshot, "mac") &&
+    const auto authentic = snapshot.is_object() && snapshot.contains("body") &&
+                           has_text(snapshot, "mac") &&
                            equal_constant_time(this->snapshot_mac(snapshot["body"]),
                                                snapshot["mac"].get_ref<const std::string&>());
     if (!authentic)
--- a/src/config/configuration_test.cpp
+++ b/src/config/configuration_test.cpp
@@ -21,7 +21,8 @@
 }
 
 auto make_change(const std::string& id, const std::string& path, std::uint64_t expected, int value,
-                 const std::string& team = "fleet", const std::string& key = fleet_key) -> nlohmann::json
+                 const std::string& team = "fleet", const std::string& key = fleet_key)
+    -> nlohmann::json
 {
     config_change change;
     change.id = id;
@@ -40,7 +41,8 @@
 auto value_of(const configuration& from, const std::string& path) -> int
 {
     const auto found = from.entries().find(path);
-    return found == from.entries().end() || !found->second.value ? -1 : found->second.value->get<int>();
+    return found == from.entries().end() || !found->second.value ? -1
+                                                                 : found->second.value->get<int>();
 }
 
 /// Declares the team `sales` with its key.
@@ -50,7 +52,8 @@
     change.id = "team";
     change.author = "ana";
     change.team = "fleet";
-    change.sets = {{"/fleet/teams/sales", log_offset{}, nlohmann::json{{"public_key", *public_key_of(team_key)}}}};
+    change.sets = {{"/fleet/teams/sales", log_offset{},
+                    nlohmann::json{{"public_key", *public_key_of(team_key)}}}};
     change.signature = *sign_message(fleet_key, change.signed_text());
     apply(target, offset, change.to_json());
 }
@@ -81,7 +84,8 @@
     both.id = "b";
     both.author = "ana";
     both.team = "fleet";
-    both.sets = {{"/x/two", log_offset{}, nlohmann::json(2)}, {"/x/one", log_offset{9}, nlohmann::json(9)}};
+    both.sets = {{"/x/two", log_offset{}, nlohmann::json(2)},
+                 {"/x/one", log_offset{9}, nlohmann::json(9)}};
     both.signature = *sign_message(fleet_key, both.signed_text());
     apply(host, 2, both.to_json());
     CHECK(value_of(host, "/x/one") == 1);
@@ -167,7 +171,8 @@
     CHECK(host.applied() == log_offset{});
 }
 
-TEST_CASE("records that the log has lost are waited for until the fleet's operators accept the loss")
+TEST_CASE(
+    "records that the log has lost are waited for until the fleet's operators accept the loss")
 {
     auto host = make_configuration();
     apply(host, 1, make_change("a", "/x/y", 0, 1));
@@ -199,9 +204,10 @@
 {
     std::vector<config_error> errors;
     declarations all;
-    read_declaration("/assist/upstreams/e1",
-                     nlohmann::json{{"adress", "127.0.0.1"}, {"port", 70000}, {"zone", "a"}, {"pool", "p"}}, all, errors,
-                     unknown_keys::refuse);
+    read_declaration(
+        "/assist/upstreams/e1",
+        nlohmann::json{{"adress", "127.0.0.1"}, {"port", 70000}, {"zone", "a"}, {"pool", "p"}}, all,
+        errors, unknown_keys::refuse);
     std::string text;
     for (const auto& error : errors)
     {
@@ -209,10 +215,12 @@
     }
     CHECK(text.find("/assist/upstreams/e1/address: is missing") != std::string::npos);
     CHECK(text.find("did you mean \"address\"") != std::string::npos);
-    CHECK(text.find("/port: is 70000; allowed: a whole number from 1 to 65535") != std::string::npos);
+    CHECK(text.find("/port: is 70000; allowed: a whole number from 1 to 65535") !=
+          std::string::npos);
     // A daemon passes over the keys of a newer version.
     errors.clear();
-    read_declaration("/fleet/zones/a", nlohmann::json{{"in_service", false}, {"newer", 1}}, all, errors, unknown_keys::ignore);
+    read_declaration("/fleet/zones/a", nlohmann::json{{"in_service", false}, {"newer", 1}}, all,
+                     errors, unknown_keys::ignore);
     CHECK(errors.empty());
     CHECK_FALSE(all.zones.at("a").in_service);
 }
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -75,7 +75,8 @@
     reader.require("address").require("port").require("zone").require("pool");
     reader.text("address", item.address).integer("port", item.port, 1, max_port);
     reader.text("zone", item.zone).text("pool", item.pool);
-    reader.choice("kind", kind, {"engine", "service"}).number("weight", item.weight, 0.01, max_weight);
+    reader.choice("kind", kind, {"engine", "service"})
+        .number("weight", item.weight, 0.01, max_weight);
     reader.integer("capacity", item.capacity, 1, max_capacity);
     reader.integer("cold_capacity", item.cold_capacity, 1, max_capacity);
     reader.flag("in_service", item.in_service).flag("checks_fencing", item.checks_fencing);
@@ -103,7 +104,8 @@
     reader.finish();
     if (!item.prefix.empty() && item.prefix.front() != '/')
     {
-        errors.push_back({path + "/prefix", "is \"" + item.prefix + "\"; allowed: a path that starts with /"});
+        errors.push_back(
+            {path + "/prefix", "is \"" + item.prefix + "\"; allowed: a path that starts with /"});
     }
     item.kind = kind == "chat"         ? route_kind::chat
                 : kind == "idempotent" ? route_kind::idempotent
@@ -141,7 +143,8 @@
 }
 
 auto read_fleet(const std::string& path, const path_segments& segments, const nlohmann::json& value,
-                declarations& target, std::vector<config_error>& errors, unknown_keys policy) -> void
+                declarations& target, std::vector<config_error>& errors, unknown_keys policy)
+    -> void
 {
     json_reader reader(value, path, errors, policy == unknown_keys::refuse);
     if (segments.kind == "limits" && segments.name.empty())
@@ -158,7 +161,8 @@
     {
         // Read by the configuration's fold; here only its form is checked.
         std::int64_t through = 0;
-        reader.require("through").integer("through", through, 1, std::numeric_limits<std::int64_t>::max());
+        reader.require("through").integer("through", through, 1,
+                                          std::numeric_limits<std::int64_t>::max());
         reader.finish();
     }
     else if (segments.kind == "teams" && !segments.name.empty())
@@ -169,7 +173,9 @@
     }
     else
     {
-        errors.push_back({path, "unknown path; allowed below /fleet: limits, zones/NAME, teams/NAME, accepted-gap"});
+        errors.push_back(
+            {path,
+             "unknown path; allowed below /fleet: limits, zones/NAME, teams/NAME, accepted-gap"});
     }
 }
 
@@ -181,7 +187,8 @@
         const auto [found, inserted] = seen.emplace(make_upstream_id(path).value(), path);
         if (!inserted)
         {
-            errors.push_back({path, "its 32-bit id collides with " + found->second + "; rename one"});
+            errors.push_back(
+                {path, "its 32-bit id collides with " + found->second + "; rename one"});
         }
     }
 }
@@ -223,7 +230,9 @@
     }
     else
     {
-        errors.push_back({path, "unknown path; allowed below a team: upstreams/NAME, routes/NAME, workspaces/NAME"});
+        errors.push_back(
+            {path,
+             "unknown path; allowed below a team: upstreams/NAME, routes/NAME, workspaces/NAME"});
     }
 }
 
@@ -235,7 +244,8 @@
         pools.insert(item.pool);
         if (!all.zones.contains(item.zone))
         {
-            errors.push_back({path + "/zone", "zone \"" + item.zone + "\" is not declared at /fleet/zones"});
+            errors.push_back(
+                {path + "/zone", "zone \"" + item.zone + "\" is not declared at /fleet/zones"});
         }
         if (item.cold_capacity > item.capacity)
         {
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -20,7 +20,8 @@
         current[0] = row;
         for (std::size_t column = 1; column <= right.size(); ++column)
         {
-            const auto changed = previous[column - 1] + (left[row - 1] == right[column - 1] ? 0 : 1);
+            const auto changed =
+                previous[column - 1] + (left[row - 1] == right[column - 1] ? 0 : 1);
             current[column] = std::min({previous[column] + 1, current[column - 1] + 1, changed});
         }
         previous = std::move(current);
@@ -174,8 +175,9 @@
     {
         return *this;
     }
-    const auto fits = found->is_array() && std::all_of(found->begin(), found->end(), [](const auto& item)
-                                                       { return item.is_string(); });
+    const auto fits =
+        found->is_array() && std::all_of(found->begin(), found->end(),
+                                         [](const auto& item) { return item.is_string(); });
     if (!fits)
     {
         this->complain(name, "allowed: an array of strings");
@@ -207,7 +209,8 @@
             continue;
         }
         const auto near = nearest_name(name, this->known);
-        this->complain(name, near.empty() ? "unknown key" : "unknown key; did you mean \"" + near + "\"?");
+        this->complain(name, near.empty() ? "unknown key"
+                                          : "unknown key; did you mean \"" + near + "\"?");
     }
 }
 
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -65,7 +65,8 @@
                            time_point now)
     : settings(settings), incarnation(incarnation),
       hosts(settings.membership, std::move(self), incarnation), configured(settings.configuration),
-      budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now), started(now), snapshot_seen(now)
+      budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now),
+      started(now), snapshot_seen(now)
 {
     this->hosts.set_listener(this);
 }
@@ -75,7 +76,10 @@
     this->actions.emplace_back(note_event{{code, std::move(detail)}});
 }
 
-auto control_core::take_actions() -> std::vector<control_action> { return std::exchange(this->actions, {}); }
+auto control_core::take_actions() -> std::vector<control_action>
+{
+    return std::exchange(this->actions, {});
+}
 
 auto control_core::peer(host_id id, time_point now) -> peer_state&
 {
@@ -84,12 +88,13 @@
 
 auto control_core::on_member_changed(const member& changed, member_status before) -> void
 {
-    this->note(event_code::member_changed, changed.where.name + " from " + status_text(before) + " to " +
-                                               status_text(changed.status));
+    this->note(event_code::member_changed, changed.where.name + " from " + status_text(before) +
+                                               " to " + status_text(changed.status));
 }
 
 auto control_core::on_host_list(const std::vector<host_address>& live,
-                                const std::vector<std::string>& leaving_hosts, time_point now) -> void
+                                const std::vector<std::string>& leaving_hosts, time_point now)
+    -> void
 {
     this->hosts.on_host_list(live, leaving_hosts, now);
 }
@@ -146,13 +151,14 @@
             continue;
         }
         this->noted_audit = entry.offset;
-        auto detail = "offset " + std::to_string(entry.offset.value()) + " change " + entry.change_id + " by " +
-                      entry.author + " of " + entry.team;
+        auto detail = "offset " + std::to_string(entry.offset.value()) + " change " +
+                      entry.change_id + " by " + entry.author + " of " + entry.team;
         for (const auto& path : entry.paths)
         {
             detail += " " + path;
         }
-        this->note(entry.accepted ? event_code::configuration_applied : event_code::configuration_refused,
+        this->note(entry.accepted ? event_code::configuration_applied
+                                  : event_code::configuration_refused,
                    entry.accepted ? detail : detail + ": " + entry.reason);
     }
 }
@@ -258,8 +264,8 @@
         const auto owned_before = this->owner.owns(id);
         if (owning == self)
         {
-            const auto published = knowledge.owner == host_id{} ? std::nullopt
-                                                                : std::optional(knowledge.status);
+            const auto published =
+                knowledge.owner == host_id{} ? std::nullopt : std::optional(knowledge.status);
             this->owner.adopt(item, published, now);
         }
         else
@@ -268,7 +274,8 @@
         }
         if (owned_before != (owning == self))
         {
-            this->note(owned_before ? event_code::ownership_lost : event_code::ownership_taken, path);
+            this->note(owned_before ? event_code::ownership_lost : event_code::ownership_taken,
+                       path);
         }
         if (knowledge.owner != owning && this->peers.contains(owning))
         {
@@ -325,7 +332,8 @@
         }
         const auto state = this->state_of(make_upstream_id(path));
         sums.warm_weight += state == upstream_state::warm ? item.weight : 0.0;
-        sums.all_weight += state == upstream_state::warm || state == upstream_state::cold ? item.weight : 0.0;
+        sums.all_weight +=
+            state == upstream_state::warm || state == upstream_state::cold ? item.weight : 0.0;
     }
     for (auto& [pool, sums] : this->pool_sums)
     {
@@ -348,9 +356,11 @@
     // Upstreams in cold start cannot take their share, so a warm one is compared with warm ones.
     if (this->state_of(make_upstream_id(item.path)) == upstream_state::warm)
     {
-        return bound_by_mean(multiple, sums.load.warm, item.weight / std::max(sums.warm_weight, item.weight));
+        return bound_by_mean(multiple, sums.load.warm,
+                             item.weight / std::max(sums.warm_weight, item.weight));
     }
-    return bound_by_mean(multiple, sums.load.all, item.weight / std::max(sums.all_weight, item.weight));
+    return bound_by_mean(multiple, sums.load.all,
+                         item.weight / std::max(sums.all_weight, item.weight));
 }
 
 auto control_core::listed_hosts() const -> std::vector<host_id>
@@ -386,8 +396,8 @@
     return this->hosts.knows_fleet() && now - this->started >= this->settings.start_quiet;
 }
 
-auto control_core::grant_to(upstream_id id, host_id holder, message_sequence sequence, time_point now)
-    -> slot_grant
+auto control_core::grant_to(upstream_id id, host_id holder, message_sequence sequence,
+                            time_point now) -> slot_grant
 {
     const auto* item = this->declaration_of(id);
     POPLARDRIFT_ASSERT(item != nullptr);
@@ -399,16 +409,17 @@
     // For an upstream in cold start of a zone whose own hosts are merely silent, waiting is not
     // enough: they may be alive and grant its slots.
     const auto& self_zone = this->hosts.find(this->hosts.self())->where.zone;
-    const auto safe_to_wait = item->zone == self_zone || this->state_of(id) == upstream_state::warm ||
+    const auto safe_to_wait = item->zone == self_zone ||
+                              this->state_of(id) == upstream_state::warm ||
                               this->hosts.zone_has_no_listed_host(item->zone);
     const auto may_wait_out = settled && safe_to_wait;
-    // A warm engine whose owner was lost need not wait for that host to be struck off the list: what
-    // that one may still have running shows in the engine's own report and is set aside.
+    // A warm engine whose owner was lost need not wait for that host to be struck off the list:
+    // what that one may still have running shows in the engine's own report and is set aside.
     const auto warm_takeover = settled && this->state_of(id) == upstream_state::warm &&
                                this->owner.has_fresh_report(id, now) &&
                                this->owner.has_heard_all(id, this->alive_hosts());
-    return this->owner.grant(id, holder, holder == this->hosts.self(), complete || warm_takeover, may_wait_out,
-                             sequence, now);
+    return this->owner.grant(id, holder, holder == this->hosts.self(), complete || warm_takeover,
+                             may_wait_out, sequence, now);
 }
 
 auto control_core::set_status(const upstream_status& status) -> void
@@ -468,7 +479,8 @@
             this->make_all_urgent();
         }
         const auto use = by_upstream.find(id);
-        this->grant_to_self(id, use == by_upstream.end() ? slot_use{id, {}, 0, 0, 0} : use->second, now);
+        this->grant_to_self(id, use == by_upstream.end() ? slot_use{id, {}, 0, 0, 0} : use->second,
+                            now);
     }
 }
 
@@ -521,13 +533,15 @@
         {
             continue;
         }
-        this->owner.on_slot_report(from, report, message.sequence, from_state.link.acknowledged(), now);
+        this->owner.on_slot_report(from, report, message.sequence, from_state.link.acknowledged(),
+                                   now);
         from_state.unanswered.insert(report.upstream);
         from_state.urgent = from_state.urgent || report.wanted > 0;
     }
 }
 
-auto control_core::accept_grants(host_id from, peer_state& from_state, const peer_message& message) -> void
+auto control_core::accept_grants(host_id from, peer_state& from_state, const peer_message& message)
+    -> void
 {
     for (const auto& grant : message.grants)
     {
@@ -561,17 +575,16 @@
     // A host that is cut off sees every upstream beyond the cut fail. One host's word is not enough
     // for all, unless it is this one's own.
     this->sign_times[{from, upstream}] = now;
-    const auto agreeing = std::count_if(this->sign_times.begin(), this->sign_times.end(),
-                                        [&](const auto& item)
-                                        {
-                                            return item.first.upstream == upstream &&
-                                                   now - item.second < sign_memory;
-                                        });
+    const auto agreeing =
+        std::count_if(this->sign_times.begin(), this->sign_times.end(),
+                      [&](const auto& item) {
+                          return item.first.upstream == upstream && now - item.second < sign_memory;
+                      });
     return from == this->hosts.self() || agreeing >= 2;
 }
 
-auto control_core::apply_sign(host_id from, upstream_id upstream, upstream_state suspected, time_point now)
-    -> void
+auto control_core::apply_sign(host_id from, upstream_id upstream, upstream_state suspected,
+                              time_point now) -> void
 {
     const auto* item = this->declaration_of(upstream);
     const auto believed = this->is_believed(from, upstream, now);
@@ -605,7 +618,8 @@
     }
 }
 
-auto control_core::on_local_sign(upstream_id upstream, upstream_state suspected, time_point now) -> void
+auto control_core::on_local_sign(upstream_id upstream, upstream_state suspected, time_point now)
+    -> void
 {
     auto& own = this->signs[upstream];
     own.sign = {upstream, suspected, own.sign.count + 1};
@@ -641,14 +655,14 @@
     return result;
 }
 
-auto control_core::on_upstream_report(upstream_id upstream, const upstream_report& report, time_point now)
-    -> void
+auto control_core::on_upstream_report(upstream_id upstream, const upstream_report& report,
+                                      time_point now) -> void
 {
     this->owner.on_upstream_report(upstream, report, now);
 }
 
-auto control_core::accept_configuration(host_id from, peer_state& from_state, const peer_message& message,
-                                        time_point now) -> void
+auto control_core::accept_configuration(host_id from, peer_state& from_state,
+                                        const peer_message& message, time_point now) -> void
 {
     from_state.configuration = message.configuration;
     from_state.configuration_differs = message.configuration == this->configured.applied() &&
@@ -676,7 +690,10 @@
 
 // Messages to other hosts.
 
-auto control_core::digest() const -> std::uint32_t { return this->configuration_digest; }
+auto control_core::digest() const -> std::uint32_t
+{
+    return this->configuration_digest;
+}
 
 auto control_core::add_reports(host_id to, const peer_state& state, const host_usage& usage,
                                peer_message& message) const -> void
@@ -701,7 +718,8 @@
     }
 }
 
-auto control_core::add_grants(host_id to, peer_state& state, peer_message& message, time_point now) -> void
+auto control_core::add_grants(host_id to, peer_state& state, peer_message& message, time_point now)
+    -> void
 {
     for (const auto id : state.unanswered)
     {
@@ -747,14 +765,17 @@
     }
     const auto first = this->exception_end - this->exception_log.size();
     auto next = std::max(state.exceptions_told, first);
-    for (; next < this->exception_end && message.exceptions.size() < this->settings.exceptions_a_message; ++next)
+    for (; next < this->exception_end &&
+           message.exceptions.size() < this->settings.exceptions_a_message;
+         ++next)
     {
         message.exceptions.push_back(this->exception_log[next - first]);
     }
     state.exceptions_told = next;
 }
 
-auto control_core::add_configuration(peer_state& state, peer_message& message, time_point now) -> void
+auto control_core::add_configuration(peer_state& state, peer_message& message, time_point now)
+    -> void
 {
     message.configuration = this->configured.applied();
     message.configuration_digest = this->digest();
@@ -795,7 +816,8 @@
     return message;
 }
 
-auto control_core::tick_peer(host_id to, peer_state& state, const host_usage& usage, time_point now) -> void
+auto control_core::tick_peer(host_id to, peer_state& state, const host_usage& usage, time_point now)
+    -> void
 {
     if (state.link.is_one_way(this->settings.silent_link, now))
     {
@@ -817,7 +839,8 @@
     state.urgent = false;
     auto message = this->compose(to, state, usage, now);
     auto bytes = encode_message(message, this->settings.configuration.host_secret);
-    this->budget.spend(bytes.size(), due ? control_traffic::heartbeats : control_traffic::urgent, now);
+    this->budget.spend(bytes.size(), due ? control_traffic::heartbeats : control_traffic::urgent,
+                       now);
     this->actions.emplace_back(send_message{to, std::move(message), std::move(bytes)});
 }
 
@@ -847,21 +870,24 @@
     {
         const auto* item = this->declaration_of(id);
         const auto warm = this->owner.condition(id).state() == upstream_state::warm;
-        const auto interval = warm ? this->settings.warm_report_interval : this->settings.cold_report_interval;
+        const auto interval =
+            warm ? this->settings.warm_report_interval : this->settings.cold_report_interval;
         const auto last = this->polled.find(id);
         const auto due = last == this->polled.end() || now - last->second >= interval;
         if (item != nullptr && item->kind == upstream_kind::engine && due)
         {
             this->polled[id] = now;
-            this->actions.emplace_back(poll_report{{id, item->address, static_cast<std::uint16_t>(item->port)}});
+            this->actions.emplace_back(
+                poll_report{{id, item->address, static_cast<std::uint16_t>(item->port)}});
         }
     }
 }
 
 auto control_core::tick_log_lead(time_point now) -> void
 {
-    const auto ahead = std::any_of(this->peers.begin(), this->peers.end(), [&](const auto& item)
-                                   { return item.second.configuration > this->configured.applied(); });
+    const auto ahead = std::any_of(
+        this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return item.second.configuration > this->configured.applied(); });
     if (!ahead)
     {
         this->behind_since.reset();
@@ -871,13 +897,15 @@
     if (now - *this->behind_since >= this->settings.peer_lead)
     {
         this->behind_since = now;
-        this->actions.emplace_back(read_log_now{log_offset{this->configured.last_read().value() + 1}});
+        this->actions.emplace_back(
+            read_log_now{log_offset{this->configured.last_read().value() + 1}});
     }
 }
 
 auto control_core::tick_snapshot(time_point now) -> void
 {
-    if (!this->log_reachable || !this->configured.is_complete() || this->configured.entries().empty())
+    if (!this->log_reachable || !this->configured.is_complete() ||
+        this->configured.entries().empty())
     {
         return;
     }
@@ -889,8 +917,9 @@
     }
     const auto age = now - this->snapshot_seen - rank * snapshot_stagger;
     const auto by_age = age >= this->settings.log_retention / snapshots_a_retention;
-    const auto by_count = this->records_since_snapshot >=
-                          this->settings.snapshot_records + rank * this->settings.snapshot_records / 10;
+    const auto by_count =
+        this->records_since_snapshot >=
+        this->settings.snapshot_records + rank * this->settings.snapshot_records / 10;
     if (!by_age && !by_count)
     {
         return;
@@ -898,7 +927,8 @@
     this->snapshot_seen = now;
     this->records_since_snapshot = 0;
     this->actions.emplace_back(append_snapshot{this->configured.snapshot()});
-    this->note(event_code::snapshot_appended, "through offset " + std::to_string(this->configured.applied().value()));
+    this->note(event_code::snapshot_appended,
+               "through offset " + std::to_string(this->configured.applied().value()));
 }
 
 auto control_core::update_view() -> void
@@ -908,7 +938,8 @@
         return;
     }
     this->view_is_stale = false;
-    auto view = make_routing_view(this->parsed, this->known, this->configured.applied(), ++this->view_revision);
+    auto view = make_routing_view(this->parsed, this->known, this->configured.applied(),
+                                  ++this->view_revision);
     this->actions.emplace_back(publish_view{std::move(view)});
 }
 
@@ -939,8 +970,8 @@
             continue;
         }
         const auto& report = this->owner.condition(id).last_report();
-        result.push_back({id, item->path, item->address, static_cast<std::uint16_t>(item->port), item->model,
-                          report ? report->model : "", this->owner.promised(id, now)});
+        result.push_back({id, item->path, item->address, static_cast<std::uint16_t>(item->port),
+                          item->model, report ? report->model : "", this->owner.promised(id, now)});
     }
     return result;
 }
--- a/src/core/control_event.cpp
+++ b/src/core/control_event.cpp
@@ -24,7 +24,10 @@
     {
         this->core.on_log_records(item.records, this->now);
     }
-    auto operator()(const log_read_failed&) const -> void { this->core.on_log_unreachable(this->now); }
+    auto operator()(const log_read_failed&) const -> void
+    {
+        this->core.on_log_unreachable(this->now);
+    }
     auto operator()(const upstream_reported& item) const -> void
     {
         this->core.on_upstream_report(item.upstream, item.report, this->now);
@@ -41,7 +44,10 @@
     {
         this->core.on_control_bytes(item.kind, item.bytes, this->now);
     }
-    auto operator()(const engine_held& item) const -> void { this->core.hold_engine(item.upstream, item.held); }
+    auto operator()(const engine_held& item) const -> void
+    {
+        this->core.hold_engine(item.upstream, item.held);
+    }
     auto operator()(const connection_changed& item) const -> void
     {
         this->core.on_connection(item.to, item.stands, this->now);
--- a/src/core/host_core.cpp
+++ b/src/core/host_core.cpp
@@ -14,13 +14,16 @@
 
 } // namespace
 
-host_core::host_core(const control_settings& control, const admission_settings& traffic, const host_address& self,
-                     incarnation_id incarnation, time_point now)
+host_core::host_core(const control_settings& control, const admission_settings& traffic,
+                     const host_address& self, incarnation_id incarnation, time_point now)
     : core(control, self, incarnation, now), slots(with_self(traffic, self))
 {
 }
 
-auto host_core::handle(const control_event& what, time_point now) -> void { handle_event(this->core, what, now); }
+auto host_core::handle(const control_event& what, time_point now) -> void
+{
+    handle_event(this->core, what, now);
+}
 
 auto host_core::on_tick(time_point now) -> void
 {
@@ -35,6 +38,9 @@
     }
 }
 
-auto host_core::take_actions() -> std::vector<control_action> { return std::exchange(this->outside, {}); }
+auto host_core::take_actions() -> std::vector<control_action>
+{
+    return std::exchange(this->outside, {});
+}
 
 } // namespace poplardrift
--- a/src/core/host_core_test.cpp
+++ b/src/core/host_core_test.cpp
@@ -26,15 +26,20 @@
     change.id = "all";
     change.author = "test";
     change.team = "fleet";
-    const auto add = [&](const std::string& path, const nlohmann::json& value)
-    { change.sets.push_back({path, log_offset{}, value}); };
+    const auto add = [&](const std::string& path, const nlohmann::json& value) {
+        change.sets.push_back({path, log_offset{}, value});
+    };
     for (const std::string zone : {"a", "b", "c"})
     {
         add("/fleet/zones/" + zone, {{"in_service", true}});
         for (const std::string number : {"1", "2"})
         {
-            add("/assist/upstreams/" + zone + number, {{"address", "127.0.0.1"}, {"port", 80}, {"zone", zone}, {"pool", "chat"},
-                                                       {"capacity", 16}, {"cold_capacity", cold_capacity}});
+            add("/assist/upstreams/" + zone + number, {{"address", "127.0.0.1"},
+                                                       {"port", 80},
+                                                       {"zone", zone},
+                                                       {"pool", "chat"},
+                                                       {"capacity", 16},
+                                                       {"cold_capacity", cold_capacity}});
         }
     }
     add("/assist/routes/chat", {{"prefix", "/v1"}, {"pool", "chat"}});
@@ -79,8 +84,10 @@
         settings.configuration.fleet_public_key = *public_key_of(fleet_key);
         settings.configuration.host_secret = secret;
         const incarnation_id incarnation{++this->incarnations};
-        this->hosts[index] = std::make_unique<host_core>(settings, admission_settings{}, this->addresses[index], incarnation, this->now);
-        this->hosts[index]->handle(log_records_read{{{log_offset{1}, log_time{}, this->record}}}, this->now);
+        this->hosts[index] = std::make_unique<host_core>(
+            settings, admission_settings{}, this->addresses[index], incarnation, this->now);
+        this->hosts[index]->handle(log_records_read{{{log_offset{1}, log_time{}, this->record}}},
+                                   this->now);
         this->list_hosts();
     }
 
@@ -135,8 +142,9 @@
 
     [[nodiscard]] auto in_flight(upstream_id id) const -> std::uint32_t
     {
-        return static_cast<std::uint32_t>(std::count_if(this->requests.begin(), this->requests.end(),
-                                                        [&](const auto& item) { return item.upstream == id; }));
+        return static_cast<std::uint32_t>(
+            std::count_if(this->requests.begin(), this->requests.end(),
+                          [&](const auto& item) { return item.upstream == id; }));
     }
 
     std::set<std::pair<std::string, std::string>> cuts; ///< zones, both ways
@@ -181,7 +189,8 @@
             for (std::size_t index = 0; index < this->hosts.size(); ++index)
             {
                 const auto message = decode_message(item.bytes, secret);
-                if (this->hosts[index] && make_host_id(this->addresses[index].name) == item.to && message)
+                if (this->hosts[index] && make_host_id(this->addresses[index].name) == item.to &&
+                    message)
                 {
                     this->hosts[index]->handle(peer_message_received{*message}, this->now);
                 }
@@ -240,13 +249,15 @@
     }
 
     /// The owner places a forwarded request at once or not at all.
-    auto ask_owner(std::size_t index, placement_request wish, const forward_to_owner& forward) -> void
+    auto ask_owner(std::size_t index, placement_request wish, const forward_to_owner& forward)
+        -> void
     {
         for (std::size_t other = 0; other < this->hosts.size(); ++other)
         {
-            const auto reached = this->hosts[other] && make_host_id(this->addresses[other].name) == forward.owner &&
-                                 !this->paused.contains(other) &&
-                                 !this->is_cut(this->addresses[index].zone, this->addresses[other].zone);
+            const auto reached =
+                this->hosts[other] && make_host_id(this->addresses[other].name) == forward.owner &&
+                !this->paused.contains(other) &&
+                !this->is_cut(this->addresses[index].zone, this->addresses[other].zone);
             if (!reached)
             {
                 continue;
@@ -265,7 +276,8 @@
     {
         ++this->placed_count;
         std::exponential_distribution<double> length(5.0);
-        const auto end = this->now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(length(this->random)));
+        const auto end = this->now + std::chrono::duration_cast<duration>(
+                                         std::chrono::duration<double>(length(this->random)));
         this->requests.push_back({index, upstream, end});
         if (this->cold.contains(upstream))
         {
@@ -282,7 +294,8 @@
                 ++item;
                 continue;
             }
-            this->hosts[item->host]->traffic().release(item->upstream, make_workspace_id("/assist/workspaces/w"), this->now);
+            this->hosts[item->host]->traffic().release(
+                item->upstream, make_workspace_id("/assist/workspaces/w"), this->now);
             ++this->served[item->upstream];
             item = this->requests.erase(item);
         }
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -58,13 +58,15 @@
         const auto has_it = host.at("configuration_offset").get<std::uint64_t>() >= offset;
         if (!has_it && host.at("status") != "absent")
         {
-            result.push_back(host.at("name").get<std::string>() + " (" + host.at("status").get<std::string>() + ")");
+            result.push_back(host.at("name").get<std::string>() + " (" +
+                             host.at("status").get<std::string>() + ")");
         }
     }
     return result;
 }
 
-auto wait_until_in_force(const admin_client& client, const command_options& options, std::uint64_t offset) -> exit_code
+auto wait_until_in_force(const admin_client& client, const command_options& options,
+                         std::uint64_t offset) -> exit_code
 {
     const auto begin = monotonic_now();
     std::vector<std::string> lagging;
@@ -76,14 +78,16 @@
             lagging = lagging_hosts(status->body, offset);
             if (lagging.empty())
             {
-                std::cout << "in force on " << status->body.at("hosts").size() << " hosts after " << std::fixed
-                          << std::setprecision(2) << to_seconds(monotonic_now() - begin) << " s\n";
+                std::cout << "in force on " << status->body.at("hosts").size() << " hosts after "
+                          << std::fixed << std::setprecision(2)
+                          << to_seconds(monotonic_now() - begin) << " s\n";
                 return exit_code::ok;
             }
         }
         std::this_thread::sleep_for(poll_pause);
     }
-    std::cerr << "not in force everywhere after " << options.wait_seconds << " s; lagging or out of reach:";
+    std::cerr << "not in force everywhere after " << options.wait_seconds
+              << " s; lagging or out of reach:";
     for (const auto& name : lagging)
     {
         std::cerr << " " << name;
@@ -103,8 +107,9 @@
             continue;
         }
         const auto& last = audit->body["entries"][0];
-        std::cerr << item.path << ": last changed by " << last["author"].get<std::string>() << " (team "
-                  << last["team"].get<std::string>() << "), change " << last["change_id"].get<std::string>() << "\n";
+        std::cerr << item.path << ": last changed by " << last["author"].get<std::string>()
+                  << " (team " << last["team"].get<std::string>() << "), change "
+                  << last["change_id"].get<std::string>() << "\n";
     }
 }
 
@@ -138,7 +143,8 @@
         std::cerr << body.value("result", "refused") << ": " << body.value("reason", "") << "\n";
         for (const auto& error : body.value("errors", nlohmann::json::array()))
         {
-            std::cerr << "  " << error.value("where", "") << ": " << error.value("what", "") << "\n";
+            std::cerr << "  " << error.value("where", "") << ": " << error.value("what", "")
+                      << "\n";
         }
         explain_conflict(client, change.sets);
         return exit_code::refused;
@@ -156,7 +162,8 @@
     std::vector<change_set_item> sets;
     for (const auto& item : plan)
     {
-        sets.push_back({item.path, log_offset{item.version}, item.after.is_null() ? std::nullopt : std::optional(item.after)});
+        sets.push_back({item.path, log_offset{item.version},
+                        item.after.is_null() ? std::nullopt : std::optional(item.after)});
     }
     return sets;
 }
@@ -190,7 +197,10 @@
         const auto* mark = item.before.is_null() ? "+" : item.after.is_null() ? "-" : "~";
         if (json)
         {
-            list.push_back({{"path", item.path}, {"version", item.version}, {"before", item.before}, {"after", item.after}});
+            list.push_back({{"path", item.path},
+                            {"version", item.version},
+                            {"before", item.before},
+                            {"after", item.after}});
             continue;
         }
         std::cout << mark << " " << item.path << "\n";
@@ -297,7 +307,8 @@
     {
         if (!entry.at("value").is_null())
         {
-            std::cout << path << " (version " << entry.at("version") << ") " << entry.at("value").dump() << "\n";
+            std::cout << path << " (version " << entry.at("version") << ") "
+                      << entry.at("value").dump() << "\n";
         }
     }
     return exit_code::ok;
@@ -305,7 +316,9 @@
 
 auto run_audit(const command_options& options) -> exit_code
 {
-    const auto answer = admin_client(options.admin).get("/admin/v1/audit?limit=" + std::to_string(options.limit) + "&path=" + options.path);
+    const auto answer = admin_client(options.admin)
+                            .get("/admin/v1/audit?limit=" + std::to_string(options.limit) +
+                                 "&path=" + options.path);
     if (!answer)
     {
         return report_unreachable(answer.last_reason());
@@ -318,8 +331,10 @@
     for (const auto& entry : answer->body.at("entries"))
     {
         std::cout << "offset " << entry["offset"] << " time_ms " << entry["time_ms"] << " "
-                  << (entry["accepted"] ? "accepted" : "refused") << " by " << entry["author"].get<std::string>() << " (team "
-                  << entry["team"].get<std::string>() << ") change " << entry["change_id"].get<std::string>();
+                  << (entry["accepted"] ? "accepted" : "refused") << " by "
+                  << entry["author"].get<std::string>() << " (team "
+                  << entry["team"].get<std::string>() << ") change "
+                  << entry["change_id"].get<std::string>();
         if (!entry["accepted"])
         {
             std::cout << ": " << entry["reason"].get<std::string>();
@@ -328,7 +343,8 @@
         for (const auto& path : entry["paths"])
         {
             const auto name = path.get<std::string>();
-            std::cout << "  " << name << " " << entry["before"][name].dump() << " -> " << entry["after"][name].dump() << "\n";
+            std::cout << "  " << name << " " << entry["before"][name].dump() << " -> "
+                      << entry["after"][name].dump() << "\n";
         }
     }
     return exit_code::ok;
@@ -352,10 +368,12 @@
     value["in_service"] = in_service;
     if (value == entries[path].at("value"))
     {
-        std::cout << "zone " << options.zone << " is " << (in_service ? "in" : "out of") << " service already\n";
+        std::cout << "zone " << options.zone << " is " << (in_service ? "in" : "out of")
+                  << " service already\n";
         return exit_code::ok;
     }
-    return send_change(options, {{path, log_offset{entries[path].at("version").get<std::uint64_t>()}, value}});
+    return send_change(
+        options, {{path, log_offset{entries[path].at("version").get<std::uint64_t>()}, value}});
 }
 
 auto run_status(const command_options& options) -> exit_code
@@ -372,24 +390,31 @@
         return exit_code::ok;
     }
     const auto reason = body.at("not_ready").get<std::string>();
-    std::cout << "host " << body.at("host").get<std::string>() << " (zone " << body.at("zone").get<std::string>() << "): "
-              << (reason.empty() ? "ready" : "not ready: " + reason) << ", configuration offset " << body.at("configuration_offset")
-              << ", log " << (body.at("log_reachable") ? "reachable" : "unreachable") << ", " << body.at("active_requests") << " active\n";
+    std::cout << "host " << body.at("host").get<std::string>() << " (zone "
+              << body.at("zone").get<std::string>()
+              << "): " << (reason.empty() ? "ready" : "not ready: " + reason)
+              << ", configuration offset " << body.at("configuration_offset") << ", log "
+              << (body.at("log_reachable") ? "reachable" : "unreachable") << ", "
+              << body.at("active_requests") << " active\n";
     for (const auto& host : body.at("hosts"))
     {
-        std::cout << "  host " << std::left << std::setw(16) << host.at("name").get<std::string>() << std::setw(12)
-                  << host.at("zone").get<std::string>() << std::setw(9) << host.at("status").get<std::string>() << "configuration "
+        std::cout << "  host " << std::left << std::setw(16) << host.at("name").get<std::string>()
+                  << std::setw(12) << host.at("zone").get<std::string>() << std::setw(9)
+                  << host.at("status").get<std::string>() << "configuration "
                   << host.at("configuration_offset") << "\n";
     }
     for (const auto& [name, state] : body.at("zones").items())
     {
-        std::cout << "  zone " << std::left << std::setw(16) << name << state.get<std::string>() << "\n";
+        std::cout << "  zone " << std::left << std::setw(16) << name << state.get<std::string>()
+                  << "\n";
     }
     for (const auto& item : body.at("upstreams"))
     {
-        std::cout << "  upstream " << std::left << std::setw(36) << item.at("path").get<std::string>() << std::setw(9)
-                  << item.at("state").get<std::string>() << "limit " << std::setw(6) << item.at("limit").get<int>() << "owner "
-                  << item.at("owner").get<std::string>() << "\n";
+        std::cout << "  upstream " << std::left << std::setw(36)
+                  << item.at("path").get<std::string>() << std::setw(9)
+                  << item.at("state").get<std::string>() << "limit " << std::setw(6)
+                  << item.at("limit").get<int>() << "owner " << item.at("owner").get<std::string>()
+                  << "\n";
     }
     return exit_code::ok;
 }
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -26,7 +26,7 @@
     std::vector<std::string> admin; ///< ADDRESS:PORT of hosts
     bool json = false;              ///< machine-readable output
     std::string folder;
-    std::string key_file;           ///< private key, hex, of the team
+    std::string key_file; ///< private key, hex, of the team
     std::string team = "fleet";
     std::string author;
     std::vector<std::string> only_teams; ///< subtrees that plan and apply look at
--- a/src/ctl/declaration_folder.cpp
+++ b/src/ctl/declaration_folder.cpp
@@ -13,8 +13,8 @@
 
 namespace fs = std::filesystem;
 
-auto add_value(folder_content& content, const std::string& path, const nlohmann::json& value, const std::string& file,
-               std::vector<config_error>& errors) -> void
+auto add_value(folder_content& content, const std::string& path, const nlohmann::json& value,
+               const std::string& file, std::vector<config_error>& errors) -> void
 {
     if (content.values.contains(path))
     {
@@ -57,7 +57,8 @@
             errors.push_back({file.string(), "is not JSON"});
             continue;
         }
-        if (document.is_object() && document.size() == 1 && document.contains("paths") && document["paths"].is_object())
+        if (document.is_object() && document.size() == 1 && document.contains("paths") &&
+            document["paths"].is_object())
         {
             for (const auto& [path, value] : document["paths"].items())
             {
@@ -89,17 +90,21 @@
     return errors;
 }
 
-auto make_plan(const path_values& wanted, const nlohmann::json& in_force, const std::vector<std::string>& teams, bool keep_unlisted)
+auto make_plan(const path_values& wanted, const nlohmann::json& in_force,
+               const std::vector<std::string>& teams, bool keep_unlisted)
     -> std::vector<planned_set>
 {
     std::vector<planned_set> plan;
     const auto& entries = in_force.at("entries");
     for (const auto& [path, value] : wanted)
     {
-        const auto present = entries.contains(path) ? entries[path] : nlohmann::json{{"version", 0}, {"value", nullptr}};
+        const auto present = entries.contains(path)
+                                 ? entries[path]
+                                 : nlohmann::json{{"version", 0}, {"value", nullptr}};
         if (is_among(teams, path) && present["value"] != value)
         {
-            plan.push_back({path, present["version"].get<std::uint64_t>(), present["value"], value});
+            plan.push_back(
+                {path, present["version"].get<std::uint64_t>(), present["value"], value});
         }
     }
     for (const auto& [path, entry] : entries.items())
--- a/src/ctl/declaration_folder.hpp
+++ b/src/ctl/declaration_folder.hpp
@@ -19,7 +19,8 @@
 
 /// Reads a folder of JSON files. The file `a/b/c.json` holds the value of the path `/a/b/c`; a file
 /// whose only member is `paths` holds several, by path.
-[[nodiscard]] auto read_folder(const std::string& folder, std::vector<config_error>& errors) -> folder_content;
+[[nodiscard]] auto read_folder(const std::string& folder, std::vector<config_error>& errors)
+    -> folder_content;
 
 /// Checks all declarations of a folder, each alone and together. Errors name the file.
 [[nodiscard]] auto validate_folder(const folder_content& content) -> std::vector<config_error>;
@@ -28,15 +29,16 @@
 struct planned_set
 {
     std::string path;
-    std::uint64_t version = 0;           ///< in force; 0: none
-    nlohmann::json before;               ///< null: none
-    nlohmann::json after;                ///< null: removed
+    std::uint64_t version = 0; ///< in force; 0: none
+    nlohmann::json before;     ///< null: none
+    nlohmann::json after;      ///< null: removed
 };
 
 /// What it takes to bring the fleet to the folder's state. `in_force` is the answer of the
 /// operators' interface. Only subtrees of `teams` are looked at (all when empty). Paths that the
 /// folder does not have are removed unless `keep_unlisted`.
-[[nodiscard]] auto make_plan(const path_values& wanted, const nlohmann::json& in_force, const std::vector<std::string>& teams,
-                             bool keep_unlisted) -> std::vector<planned_set>;
+[[nodiscard]] auto make_plan(const path_values& wanted, const nlohmann::json& in_force,
+                             const std::vector<std::string>& teams, bool keep_unlisted)
+    -> std::vector<planned_set>;
 
 } // namespace poplardrift::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -22,8 +22,10 @@
 auto add_folder(CLI::App* command, command_options& options) -> void
 {
     command->add_option("folder", options.folder, "folder of declarations")->required();
-    command->add_option("--only-team", options.only_teams, "look at this team's subtree only; may be repeated");
-    command->add_flag("--keep-unlisted", options.keep_unlisted, "do not remove paths that the folder lacks");
+    command->add_option("--only-team", options.only_teams,
+                        "look at this team's subtree only; may be repeated");
+    command->add_flag("--keep-unlisted", options.keep_unlisted,
+                      "do not remove paths that the folder lacks");
 }
 
 auto default_author() -> std::string
@@ -41,17 +43,21 @@
     std::string api_key;
     auto result = exit_code::ok;
     options.author = default_author();
-    app.add_option("--admin", options.admin, "ADDRESS:PORT of a host's operators' interface; may be repeated")->envname("POPLARDRIFT_ADMIN");
+    app.add_option("--admin", options.admin,
+                   "ADDRESS:PORT of a host's operators' interface; may be repeated")
+        ->envname("POPLARDRIFT_ADMIN");
     app.add_flag("--json", options.json, "machine-readable output");
     app.set_version_flag("--version", POPLARDRIFT_VERSION);
     app.require_subcommand(1);
-    app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 the folder differs from what is in force,\n"
-               "4 no host answers, 5 accepted but not in force everywhere within the wait.");
+    app.footer(
+        "Exit codes: 0 done, 1 refused, 2 bad input, 3 the folder differs from what is in force,\n"
+        "4 no host answers, 5 accepted but not in force everywhere within the wait.");
 
     auto* keygen = app.add_subcommand("keygen", "make a team's key; prints the public key");
     keygen->add_option("file", options.key_file, "file for the private key")->required();
     keygen->callback([&] { result = run_keygen(options); });
-    auto* hash = app.add_subcommand("hash-key", "print the hash of an API key, for a workspace's declaration");
+    auto* hash = app.add_subcommand("hash-key",
+                                    "print the hash of an API key, for a workspace's declaration");
     hash->add_option("key", api_key, "the API key")->required();
     hash->callback([&] { result = run_hash_key(api_key); });
     auto* validate = app.add_subcommand("validate", "check a folder of declarations");
@@ -77,7 +83,8 @@
         audit->add_option("--limit", options.limit, "most changes shown (default: 50)");
         audit->callback([&] { result = run_audit(options); });
     }
-    auto* zone = app.add_subcommand("zone", "take an availability zone out of service, or bring it back");
+    auto* zone =
+        app.add_subcommand("zone", "take an availability zone out of service, or bring it back");
     zone->require_subcommand(1);
     auto* drain = zone->add_subcommand("drain", "no new work to the zone");
     auto* undrain = zone->add_subcommand("undrain", "the zone takes work again");
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -17,7 +17,8 @@
 auto reply(httplib::Response& response, int status, const nlohmann::json& body) -> void
 {
     response.status = status;
-    response.set_content(body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n", "application/json");
+    response.set_content(body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
+                         "application/json");
 }
 
 auto state_text(upstream_state state) -> const char*
@@ -46,24 +47,43 @@
 
 auto to_json(const audit_entry& entry) -> nlohmann::json
 {
-    return {{"offset", entry.offset.value()}, {"time_ms", entry.time.count()}, {"change_id", entry.change_id},
-            {"author", entry.author},         {"team", entry.team},            {"accepted", entry.accepted},
-            {"reason", entry.reason},         {"paths", entry.paths},          {"before", entry.before},
+    return {{"offset", entry.offset.value()},
+            {"time_ms", entry.time.count()},
+            {"change_id", entry.change_id},
+            {"author", entry.author},
+            {"team", entry.team},
+            {"accepted", entry.accepted},
+            {"reason", entry.reason},
+            {"paths", entry.paths},
+            {"before", entry.before},
             {"after", entry.after}};
 }
 
 admin_api::admin_api(traffic_context& context)
-    : context(context),
-      listener({.address = context.settings.admin_address, .port = context.settings.admin_port, .most_connections = 256, .most_body_bytes = largest_change})
+    : context(context), listener({.address = context.settings.admin_address,
+                                  .port = context.settings.admin_port,
+                                  .most_connections = 256,
+                                  .most_body_bytes = largest_change})
 {
     auto& http = this->listener.server();
-    http.Get("/admin/v1/status", [this](const auto&, auto& response) { this->handle_status(response); });
-    http.Get("/admin/v1/config", [this](const auto& request, auto& response) { this->handle_config(request, response); });
-    http.Get("/admin/v1/audit", [this](const auto& request, auto& response) { this->handle_audit(request, response); });
-    http.Get("/admin/v1/events", [this](const auto&, auto& response) { reply(response, 200, {{"events", this->context.log.recent()}}); });
-    http.Post("/admin/v1/changes", [this](const auto& request, auto& response) { this->handle_change(request, response); });
-    http.Get(R"(/admin/v1/changes/([^/]+))", [this](const auto& request, auto& response) { this->handle_change_lookup(request.matches[1], response); });
-    http.Get("/metrics", [this](const auto&, auto& response) { response.set_content(this->context.figures.to_text(), "text/plain; version=0.0.4"); });
+    http.Get("/admin/v1/status",
+             [this](const auto&, auto& response) { this->handle_status(response); });
+    http.Get("/admin/v1/config", [this](const auto& request, auto& response)
+             { this->handle_config(request, response); });
+    http.Get("/admin/v1/audit", [this](const auto& request, auto& response)
+             { this->handle_audit(request, response); });
+    http.Get("/admin/v1/events",
+             [this](const auto&, auto& response) {
+                 reply(response, 200, {{"events", this->context.log.recent()}});
+             });
+    http.Post("/admin/v1/changes", [this](const auto& request, auto& response)
+              { this->handle_change(request, response); });
+    http.Get(R"(/admin/v1/changes/([^/]+))", [this](const auto& request, auto& response)
+             { this->handle_change_lookup(request.matches[1], response); });
+    http.Get("/metrics",
+             [this](const auto&, auto& response) {
+                 response.set_content(this->context.figures.to_text(), "text/plain; version=0.0.4");
+             });
 }
 
 auto admin_api::handle_status(httplib::Response& response) -> void
@@ -86,12 +106,17 @@
                                            {"zone", item.where.zone},
                                            {"status", member_text(item.status)},
                                            {"listed", item.listed},
-                                           {"configuration_offset", offset == offsets.end() ? 0 : offset->second.value()}});
+                                           {"configuration_offset",
+                                            offset == offsets.end() ? 0 : offset->second.value()}});
             }
             for (const auto& item : core.overview(monotonic_now()))
             {
-                result["upstreams"].push_back({{"path", item.path}, {"owner", item.owner}, {"state", state_text(item.state)},
-                                               {"limit", item.limit}, {"in_use", item.in_use}, {"promised", item.promised}});
+                result["upstreams"].push_back({{"path", item.path},
+                                               {"owner", item.owner},
+                                               {"state", state_text(item.state)},
+                                               {"limit", item.limit},
+                                               {"in_use", item.in_use},
+                                               {"promised", item.promised}});
             }
             for (const auto& [name, zone] : core.declared().zones)
             {
@@ -102,7 +127,8 @@
     body["host"] = this->context.settings.host.name;
     body["zone"] = this->context.settings.host.zone;
     body["version"] = POPLARDRIFT_VERSION;
-    body["not_ready"] = this->context.leaving ? "leaving" : this->context.control.not_ready_reason();
+    body["not_ready"] =
+        this->context.leaving ? "leaving" : this->context.control.not_ready_reason();
     body["active_requests"] = this->context.active.load();
     body["transactions_recovered"] = this->context.transactions.is_recovered();
     reply(response, 200, body);
@@ -119,10 +145,13 @@
             {
                 if (path.starts_with(prefix))
                 {
-                    entries[path] = {{"version", entry.version.value()}, {"value", entry.value ? *entry.value : nlohmann::json(nullptr)}};
+                    entries[path] = {
+                        {"version", entry.version.value()},
+                        {"value", entry.value ? *entry.value : nlohmann::json(nullptr)}};
                 }
             }
-            return nlohmann::json{{"offset", core.config().applied().value()}, {"entries", std::move(entries)}};
+            return nlohmann::json{{"offset", core.config().applied().value()},
+                                  {"entries", std::move(entries)}};
         });
     reply(response, 200, body);
 }
@@ -130,15 +159,21 @@
 auto admin_api::handle_audit(const httplib::Request& request, httplib::Response& response) -> void
 {
     const auto path = request.get_param_value("path");
-    const auto limit = request.has_param("limit") ? std::strtoul(request.get_param_value("limit").c_str(), nullptr, 10) : 50;
+    const auto limit = request.has_param("limit")
+                           ? std::strtoul(request.get_param_value("limit").c_str(), nullptr, 10)
+                           : 50;
     const auto body = this->context.control.inspect(
         [&](const control_core& core)
         {
             auto entries = nlohmann::json::array();
             const auto& trail = core.config().audit();
-            for (auto entry = trail.rbegin(); entry != trail.rend() && entries.size() < limit; ++entry)
+            for (auto entry = trail.rbegin(); entry != trail.rend() && entries.size() < limit;
+                 ++entry)
             {
-                const auto touches = path.empty() || std::any_of(entry->paths.begin(), entry->paths.end(), [&](const auto& item) { return item.starts_with(path); });
+                const auto touches =
+                    path.empty() ||
+                    std::any_of(entry->paths.begin(), entry->paths.end(),
+                                [&](const auto& item) { return item.starts_with(path); });
                 if (touches)
                 {
                     entries.push_back(to_json(*entry));
@@ -182,7 +217,8 @@
     const auto until = monotonic_now() + change_patience;
     while (monotonic_now() < until)
     {
-        const auto entry = this->context.control.inspect([&](const control_core& core) { return core.config().result_of(id); });
+        const auto entry = this->context.control.inspect([&](const control_core& core)
+                                                         { return core.config().result_of(id); });
         if (entry)
         {
             return entry;
@@ -202,15 +238,20 @@
         return;
     }
     // A repeat of a change that is known gets what became of it.
-    if (const auto known = this->context.control.inspect([&](const control_core& core) { return core.config().result_of(change->id); }))
+    if (const auto known = this->context.control.inspect(
+            [&](const control_core& core) { return core.config().result_of(change->id); }))
     {
-        reply(response, known->accepted ? 200 : 409, {{"result", known->accepted ? "accepted" : "refused"}, {"entry", to_json(*known)}});
+        reply(response, known->accepted ? 200 : 409,
+              {{"result", known->accepted ? "accepted" : "refused"}, {"entry", to_json(*known)}});
         return;
     }
     const auto faults = this->find_faults(*change);
     if (!faults.empty())
     {
-        reply(response, 422, {{"result", "refused"}, {"reason", faults.front().text()}, {"errors", errors_to_json(faults)}});
+        reply(response, 422,
+              {{"result", "refused"},
+               {"reason", faults.front().text()},
+               {"errors", errors_to_json(faults)}});
         return;
     }
     log_client client(this->context.settings.platform);
@@ -218,28 +259,37 @@
     this->context.control.post(control_bytes_spent{control_traffic::log, client.take_bytes()});
     if (appended == append_result::not_appended)
     {
-        reply(response, 503, {{"result", "not-appended"}, {"reason", "the platform's log cannot be reached"}});
+        reply(response, 503,
+              {{"result", "not-appended"}, {"reason", "the platform's log cannot be reached"}});
         return;
     }
     // What the log has decided is read back; a lost answer is settled the same way.
     const auto entry = this->wait_for_change(change->id);
     if (!entry)
     {
-        reply(response, 202, {{"result", "unknown"}, {"reason", "the change has not been read back yet; ask for its id later"}, {"change_id", change->id}});
+        reply(response, 202,
+              {{"result", "unknown"},
+               {"reason", "the change has not been read back yet; ask for its id later"},
+               {"change_id", change->id}});
         return;
     }
-    reply(response, entry->accepted ? 200 : 409, {{"result", entry->accepted ? "accepted" : "refused"}, {"reason", entry->reason}, {"entry", to_json(*entry)}});
+    reply(response, entry->accepted ? 200 : 409,
+          {{"result", entry->accepted ? "accepted" : "refused"},
+           {"reason", entry->reason},
+           {"entry", to_json(*entry)}});
 }
 
 auto admin_api::handle_change_lookup(const std::string& id, httplib::Response& response) -> void
 {
-    const auto entry = this->context.control.inspect([&](const control_core& core) { return core.config().result_of(id); });
+    const auto entry = this->context.control.inspect([&](const control_core& core)
+                                                     { return core.config().result_of(id); });
     if (!entry)
     {
         reply(response, 404, {{"result", "unknown"}, {"change_id", id}});
         return;
     }
-    reply(response, 200, {{"result", entry->accepted ? "accepted" : "refused"}, {"entry", to_json(*entry)}});
+    reply(response, 200,
+          {{"result", entry->accepted ? "accepted" : "refused"}, {"entry", to_json(*entry)}});
 }
 
 } // namespace poplardrift
--- a/src/daemon/admission_service.cpp
+++ b/src/daemon/admission_service.cpp
@@ -52,8 +52,8 @@
     return this->wait_for(wish, result, lock);
 }
 
-auto admission_service::acquire_after_denial(placement_request& wish, const forward_to_owner& tried, bool reached)
-    -> wait_result
+auto admission_service::acquire_after_denial(placement_request& wish, const forward_to_owner& tried,
+                                             bool reached) -> wait_result
 {
     std::unique_lock lock(this->mutex);
     const auto result = this->core.on_denied(wish, tried, reached, monotonic_now());
@@ -81,7 +81,8 @@
     lock.unlock();
     this->on_ask();
     lock.lock();
-    const auto until = std::chrono::steady_clock::time_point(wish.deadline.time_since_epoch() + deadline_slack);
+    const auto until =
+        std::chrono::steady_clock::time_point(wish.deadline.time_since_epoch() + deadline_slack);
     handle.changed.wait_until(lock, until, [&] { return handle.result.has_value(); });
     if (!handle.result)
     {
@@ -92,7 +93,8 @@
     return *handle.result;
 }
 
-auto admission_service::on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void
+auto admission_service::on_forward_accepted(const placement_request& wish, upstream_id upstream)
+    -> void
 {
     const std::lock_guard lock(this->mutex);
     this->core.on_forward_accepted(wish, upstream);
--- a/src/daemon/admission_service.hpp
+++ b/src/daemon/admission_service.hpp
@@ -42,9 +42,10 @@
     [[nodiscard]] auto view() -> std::shared_ptr<const routing_view>;
     /// Waits for a slot until the wish's deadline. The slot is held until `release`.
     [[nodiscard]] auto acquire(const placement_request& wish) -> wait_result;
-    /// The owner had no slot for a forwarded request, or could not be reached; waits for the next place.
-    [[nodiscard]] auto acquire_after_denial(placement_request& wish, const forward_to_owner& tried, bool reached)
-        -> wait_result;
+    /// The owner had no slot for a forwarded request, or could not be reached; waits for the next
+    /// place.
+    [[nodiscard]] auto acquire_after_denial(placement_request& wish, const forward_to_owner& tried,
+                                            bool reached) -> wait_result;
     auto on_forward_accepted(const placement_request& wish, upstream_id upstream) -> void;
     auto on_forward_ended(upstream_id upstream) -> void;
     auto release(upstream_id upstream, workspace_id workspace) -> void;
--- a/src/daemon/caller_request.cpp
+++ b/src/daemon/caller_request.cpp
@@ -11,9 +11,9 @@
 {
 
 constexpr std::int64_t longest_deadline_ms = 3'600'000;
-constexpr const char* single_headers[] = {"authorization",   "x-api-key",   "idempotency-key",
-                                          "x-deadline-ms",   "content-type", "x-conversation-id",
-                                          "x-priority",      "x-poplardrift-affinity"};
+constexpr const char* single_headers[] = {
+    "authorization", "x-api-key",         "idempotency-key", "x-deadline-ms",
+    "content-type",  "x-conversation-id", "x-priority",      "x-poplardrift-affinity"};
 
 auto bad_request(std::string detail) -> problem
 {
@@ -38,9 +38,8 @@
 
 auto problem_to_json(const problem& fault, const std::string& id) -> nlohmann::json
 {
-    return {{"type", "about:blank"},   {"title", fault.title},
-            {"status", fault.status},  {"detail", fault.detail},
-            {"outcome", to_text(fault.what)}, {"request_id", id}};
+    return {{"type", "about:blank"},  {"title", fault.title},           {"status", fault.status},
+            {"detail", fault.detail}, {"outcome", to_text(fault.what)}, {"request_id", id}};
 }
 
 auto reply_problem(httplib::Response& response, const problem& fault, const std::string& id) -> void
@@ -51,7 +50,8 @@
     {
         response.set_header("Retry-After", std::to_string(fault.retry_after_seconds));
     }
-    const auto text = problem_to_json(fault, id).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto text =
+        problem_to_json(fault, id).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     response.set_content(text, "application/problem+json");
 }
 
@@ -67,7 +67,8 @@
     return std::nullopt;
 }
 
-auto read_request_headers(const httplib::Request& request, caller_request& target) -> std::optional<problem>
+auto read_request_headers(const httplib::Request& request, caller_request& target)
+    -> std::optional<problem>
 {
     target.deadline = target.arrived + target.route->declared.timeout;
     if (request.has_header("x-deadline-ms"))
@@ -75,13 +76,15 @@
         const auto text = request.get_header_value("x-deadline-ms");
         std::int64_t value = 0;
         const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-        const auto fits = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() && value > 0 &&
-                          value <= longest_deadline_ms;
+        const auto fits = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() &&
+                          value > 0 && value <= longest_deadline_ms;
         if (!fits)
         {
-            return bad_request("x-deadline-ms: allowed: a whole number of milliseconds from 1 to 3600000");
+            return bad_request(
+                "x-deadline-ms: allowed: a whole number of milliseconds from 1 to 3600000");
         }
-        target.deadline = std::min(target.deadline, target.arrived + std::chrono::milliseconds(value));
+        target.deadline =
+            std::min(target.deadline, target.arrived + std::chrono::milliseconds(value));
     }
     if (request.has_header("x-priority"))
     {
--- a/src/daemon/caller_request.hpp
+++ b/src/daemon/caller_request.hpp
@@ -35,7 +35,7 @@
 /// One caller's request with what has been found out about it.
 struct caller_request
 {
-    std::string id;        ///< stands in answers and logs
+    std::string id; ///< stands in answers and logs
     request_id number;
     std::shared_ptr<const routing_view> view;
     const route_view* route = nullptr;
@@ -47,13 +47,15 @@
 };
 
 /// Writes a problem as the answer.
-auto reply_problem(httplib::Response& response, const problem& fault, const std::string& id) -> void;
+auto reply_problem(httplib::Response& response, const problem& fault, const std::string& id)
+    -> void;
 
 /// The problem as a JSON document.
 [[nodiscard]] auto problem_to_json(const problem& fault, const std::string& id) -> nlohmann::json;
 
 /// Headers of a request that may stand once only, checked; the reason names the one that does not.
-[[nodiscard]] auto find_repeated_header(const httplib::Request& request) -> std::optional<std::string>;
+[[nodiscard]] auto find_repeated_header(const httplib::Request& request)
+    -> std::optional<std::string>;
 
 /// Fills in deadline and priority from headers.
 [[nodiscard]] auto read_request_headers(const httplib::Request& request, caller_request& target)
--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -30,13 +30,18 @@
 
 chat_relay::chat_relay(traffic_context& context, chat_request request)
     : context(context), asked(std::move(request)),
-      times(context.figures.of_route(this->asked.caller.route->declared.path, this->asked.caller.workspace->declared.path))
+      times(context.figures.of_route(this->asked.caller.route->declared.path,
+                                     this->asked.caller.workspace->declared.path))
 {
 }
 
-auto chat_relay::is_out_of_time() const -> bool { return monotonic_now() >= this->asked.caller.deadline; }
+auto chat_relay::is_out_of_time() const -> bool
+{
+    return monotonic_now() >= this->asked.caller.deadline;
+}
 
-auto chat_relay::fail(int problem_status, const std::string& detail, request_outcome what, int retry_after) -> void
+auto chat_relay::fail(int problem_status, const std::string& detail, request_outcome what,
+                      int retry_after) -> void
 {
     const auto* title = what == request_outcome::not_run ? "Not run" : "Not completed";
     this->why = problem{problem_status, title, detail, what, retry_after};
@@ -56,13 +61,15 @@
     result.conversation = this->asked.conversation;
     result.hint = this->asked.hint;
     result.priority = caller.priority;
-    result.deadline = std::min(monotonic_now() + caller.route->declared.queue_timeout, caller.deadline);
+    result.deadline =
+        std::min(monotonic_now() + caller.route->declared.queue_timeout, caller.deadline);
     result.excluded = this->excluded;
     result.pinned = this->asked.pinned;
     result.may_forward = !this->asked.pinned.has_value();
     result.is_new = this->asked.is_new;
     // What a cached prompt saves grows with its length, and so does what waiting for it is worth.
-    const auto worth = affinity_patience_a_kilobyte * static_cast<std::int64_t>(this->asked.body.size()) / 1024;
+    const auto worth =
+        affinity_patience_a_kilobyte * static_cast<std::int64_t>(this->asked.body.size()) / 1024;
     result.patience = this->asked.is_new ? duration{} : std::min(worth, longest_affinity_patience);
     return result;
 }
@@ -93,7 +100,8 @@
     {
         this->no_slot = refusal->reason == refusal::no_slot;
         const auto full = refusal->reason == refusal::queue_full;
-        this->fail(full ? too_many_requests : service_unavailable, std::string(to_text(refusal->reason)),
+        this->fail(full ? too_many_requests : service_unavailable,
+                   std::string(to_text(refusal->reason)),
                    this->committed ? request_outcome::unknown : request_outcome::not_run, 1);
         return false;
     }
@@ -150,7 +158,8 @@
 
 // Attempts.
 
-auto chat_relay::run_stream(const commit_function& on_commit, const write_function& on_write) -> void
+auto chat_relay::run_stream(const commit_function& on_commit, const write_function& on_write)
+    -> void
 {
     this->commit = on_commit;
     this->write = on_write;
@@ -187,7 +196,8 @@
             this->caller_gone = true;
             return;
         }
-        if (this->no_slot || (end == attempt_end::out_of_time && this->why && !this->is_out_of_time()))
+        if (this->no_slot ||
+            (end == attempt_end::out_of_time && this->why && !this->is_out_of_time()))
         {
             return;
         }
@@ -230,7 +240,8 @@
     const auto resumed = this->exchange(true, true);
     if (resumed == attempt_end::complete)
     {
-        this->context.log.write(event_code::stream_resumed, "request " + this->asked.caller.id + " at " + this->upstream.path);
+        this->context.log.write(event_code::stream_resumed,
+                                "request " + this->asked.caller.id + " at " + this->upstream.path);
     }
     return resumed == attempt_end::try_resume ? attempt_end::try_elsewhere : resumed;
 }
@@ -251,8 +262,10 @@
     request.path = resume ? "/v1/streams/" + this->stream_id + "/resume" : "/v1/chat/completions";
     request.headers = this->asked.forwarded;
     request.headers.emplace("x-request-id", this->asked.caller.id);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(this->asked.caller.deadline - monotonic_now());
-    request.headers.emplace("x-deadline-ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->asked.caller.deadline - monotonic_now());
+    request.headers.emplace("x-deadline-ms",
+                            std::to_string(std::max<std::int64_t>(left.count(), 1)));
     request.headers.emplace("x-priority", priority_text(this->asked.caller.priority));
     const auto last = this->sequencer.last();
     if (last > 0 || resume)
@@ -271,9 +284,10 @@
 auto chat_relay::add_forward_headers(httplib::Request& request) const -> void
 {
     request.headers.emplace("authorization", "Bearer " + this->asked.caller.api_key);
-    request.headers.emplace("x-poplardrift-via",
-                            format_via({this->upstream.id, this->asked.conversation, this->asked.caller.id},
-                                       this->context.settings.host_secret));
+    request.headers.emplace(
+        "x-poplardrift-via",
+        format_via({this->upstream.id, this->asked.conversation, this->asked.caller.id},
+                   this->context.settings.host_secret));
     request.headers.emplace("x-poplardrift-load", this->context.load_text(this->asked.caller));
 }
 
@@ -367,7 +381,8 @@
     const auto& route = this->asked.caller.route->declared;
     exchange_timeouts timeouts;
     timeouts.progress = std::min(route.progress_timeout,
-                                 std::max<duration>(this->asked.caller.deadline - monotonic_now(), std::chrono::milliseconds(1)));
+                                 std::max<duration>(this->asked.caller.deadline - monotonic_now(),
+                                                    std::chrono::milliseconds(1)));
     auto address = this->upstream.address;
     auto port = this->upstream.port;
     if (this->through && !this->context.find_host(this->through->owner, address, port))
@@ -384,9 +399,12 @@
     this->stream_id = resume ? this->stream_id : "";
     this->status = 0;
     auto request = this->make_request(resume);
-    request.response_handler = [this](const httplib::Response& response) { return this->on_headers(response); };
-    request.content_receiver = [this](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
-    { return this->on_bytes({data, size}); };
+    request.response_handler = [this](const httplib::Response& response)
+    { return this->on_headers(response); };
+    request.content_receiver = [this](const char* data, std::size_t size, std::uint64_t,
+                                      std::uint64_t) {
+        return this->on_bytes({data, size});
+    };
     httplib::Response response;
     auto error = httplib::Error::Success;
     const auto answered = connection.client->send(request, response, error);
@@ -395,7 +413,8 @@
     {
         this->context.slots.on_forward_ended(this->upstream.id);
     }
-    if (answered && (end == attempt_end::denied || end == attempt_end::complete || end == attempt_end::engine_refused))
+    if (answered && (end == attempt_end::denied || end == attempt_end::complete ||
+                     end == attempt_end::engine_refused))
     {
         this->context.upstreams.give_back(std::move(connection));
     }
@@ -428,8 +447,8 @@
     return attempt_end::engine_refused;
 }
 
-auto chat_relay::judge(const httplib::Response& response, bool answered, httplib::Error error, bool reused)
-    -> attempt_end
+auto chat_relay::judge(const httplib::Response& response, bool answered, httplib::Error error,
+                       bool reused) -> attempt_end
 {
     (void)response;
     if (this->caller_gone)
@@ -475,13 +494,15 @@
     {
         this->context.on_cold_sign(this->upstream);
     }
-    const auto can_resume = this->status == 200 && this->sequencer.is_numbered() && !this->stream_id.empty();
+    const auto can_resume =
+        this->status == 200 && this->sequencer.is_numbered() && !this->stream_id.empty();
     if (can_resume || stale)
     {
         return attempt_end::try_resume;
     }
     // An answer without numbers cannot be taken up once a part of it has gone out.
-    const auto lost = this->committed && this->sequencer.last() == 0 && this->last_event != time_point{};
+    const auto lost =
+        this->committed && this->sequencer.last() == 0 && this->last_event != time_point{};
     return lost ? attempt_end::out_of_time : attempt_end::try_elsewhere;
 }
 
@@ -493,7 +514,8 @@
     if (this->complete)
     {
         this->context.figures.count_request(route, "done");
-        this->context.log.write(event_code::request_done, "request " + caller.id + " at " + this->upstream.path);
+        this->context.log.write(event_code::request_done,
+                                "request " + caller.id + " at " + this->upstream.path);
         return;
     }
     if (this->caller_gone)
@@ -507,7 +529,7 @@
     }
     const auto refused_it = !this->committed;
     this->context.figures.count_request(route, std::string(to_text(this->why->what)));
-    const auto code = !refused_it                                    ? event_code::stream_broken
+    const auto code = !refused_it                                   ? event_code::stream_broken
                       : this->why->what == request_outcome::not_run ? event_code::request_refused
                                                                     : event_code::request_failed;
     this->context.log.write(code, "request " + caller.id + ": " + this->why->detail);
--- a/src/daemon/chat_relay.hpp
+++ b/src/daemon/chat_relay.hpp
@@ -17,13 +17,13 @@
 struct chat_request
 {
     caller_request caller;
-    std::string body;                ///< as it came
+    std::string body; ///< as it came
     bool stream = false;
     conversation_id conversation;
     std::optional<upstream_id> hint;
-    bool is_new = false;         ///< its first turn: no engine holds anything of it
+    bool is_new = false;               ///< its first turn: no engine holds anything of it
     std::optional<upstream_id> pinned; ///< another host forwarded it for this upstream only
-    httplib::Headers forwarded;      ///< headers that go on to the engine
+    httplib::Headers forwarded;        ///< headers that go on to the engine
 };
 
 /// Answers one chat: finds a slot, sends the request to the engine, relays the answer, and takes a
@@ -65,9 +65,9 @@
         caller_gone,
         engine_refused, ///< the engine's own answer goes to the caller
         try_elsewhere,
-        denied,         ///< the owner had no slot: nothing was sent to the engine
-        owner_failed,   ///< the owner could not be reached: likewise
-        try_resume,     ///< broke midway; the engine may still hold the answer
+        denied,       ///< the owner had no slot: nothing was sent to the engine
+        owner_failed, ///< the owner could not be reached: likewise
+        try_resume,   ///< broke midway; the engine may still hold the answer
         out_of_time,
     };
 
@@ -87,13 +87,14 @@
     [[nodiscard]] auto body_to_continue() const -> std::string;
     [[nodiscard]] auto on_headers(const httplib::Response& response) -> bool;
     [[nodiscard]] auto on_bytes(std::string_view bytes) -> bool;
-    [[nodiscard]] auto judge(const httplib::Response& response, bool answered, httplib::Error error, bool reused)
-        -> attempt_end;
+    [[nodiscard]] auto judge(const httplib::Response& response, bool answered, httplib::Error error,
+                             bool reused) -> attempt_end;
     auto note_result(bool succeeded) -> void;
     [[nodiscard]] auto judge_status(int answer_status) -> attempt_end;
     auto note_event_times() -> void;
     auto finish() -> void;
-    auto fail(int problem_status, const std::string& detail, request_outcome what, int retry_after) -> void;
+    auto fail(int problem_status, const std::string& detail, request_outcome what, int retry_after)
+        -> void;
     [[nodiscard]] auto is_out_of_time() const -> bool;
 
     traffic_context& context;
@@ -101,22 +102,22 @@
     const route_metrics& times;
     commit_function commit;
     write_function write;
-    placement_request wish;      ///< of the present attempt
+    placement_request wish;                  ///< of the present attempt
     std::optional<forward_to_owner> through; ///< the host that the present attempt goes through
-    upstream_view upstream;      ///< of the present attempt
+    upstream_view upstream;                  ///< of the present attempt
     std::array<upstream_id, placement_request::most_excluded> excluded{};
     std::size_t excluded_count = 0;
     sse_splitter splitter;
     event_sequencer sequencer;
     std::vector<std::string_view> due;
-    std::string stream_id;       ///< the engine's name for the answer
+    std::string stream_id; ///< the engine's name for the answer
     std::string body;
     std::string content_type;
     int status = 0;
     bool committed = false;
     bool complete = false;
     bool caller_gone = false;
-    bool mismatched = false;     ///< the answer was another request's
+    bool mismatched = false; ///< the answer was another request's
     bool holds_slot = false;
     bool no_slot = false;
     bool owner_accepted = false;
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -55,28 +55,34 @@
 control_service::control_service(const daemon_settings& settings, incarnation_id incarnation,
                                  admission_service& traffic, event_log& log, metrics& figures)
     : settings(settings), traffic(traffic), log(log), figures(figures),
-      transport(settings.host, settings.hosts,
-                [this](std::string_view bytes)
-                {
-                    auto message = decode_message(bytes, this->settings.host_secret);
-                    if (!message)
-                    {
-                        this->log.write(event_code::peer_message_rejected, message.last_reason());
-                        return;
-                    }
-                    this->post(peer_message_received{std::move(*message)});
-                    this->wake();
-                },
-                [this](const std::string& host, bool stands)
-                { this->post(connection_changed{make_host_id(host), stands}); }),
-      helpers(most_helpers),
-      core(std::make_unique<control_core>(settings.control, settings.host, incarnation, monotonic_now())),
-      hosts(std::make_shared<host_directory>()), fleet_loads(std::make_shared<std::vector<known_load>>())
+      transport(
+          settings.host, settings.hosts,
+          [this](std::string_view bytes)
+          {
+              auto message = decode_message(bytes, this->settings.host_secret);
+              if (!message)
+              {
+                  this->log.write(event_code::peer_message_rejected, message.last_reason());
+                  return;
+              }
+              this->post(peer_message_received{std::move(*message)});
+              this->wake();
+          },
+          [this](const std::string& host, bool stands) {
+              this->post(connection_changed{make_host_id(host), stands});
+          }),
+      helpers(most_helpers), core(std::make_unique<control_core>(settings.control, settings.host,
+                                                                 incarnation, monotonic_now())),
+      hosts(std::make_shared<host_directory>()),
+      fleet_loads(std::make_shared<std::vector<known_load>>())
 {
     this->core->add_seeds(settings.seeds);
 }
 
-control_service::~control_service() { this->stop(); }
+control_service::~control_service()
+{
+    this->stop();
+}
 
 auto control_service::start() -> std::optional<std::string>
 {
@@ -218,7 +224,8 @@
     }
     else if (const auto* snapshot = std::get_if<append_snapshot>(&action))
     {
-        this->helpers.enqueue([this, document = snapshot->snapshot] { this->append_snapshot_now(document); });
+        this->helpers.enqueue([this, document = snapshot->snapshot]
+                              { this->append_snapshot_now(document); });
     }
     else if (const auto* poll = std::get_if<poll_report>(&action))
     {
@@ -254,7 +261,8 @@
         this->fleet_loads = std::move(fresh_loads);
         if (reason != this->readiness || this->directory_revision == 0)
         {
-            this->log.write(reason.empty() ? event_code::daemon_ready : event_code::daemon_not_ready, reason);
+            this->log.write(
+                reason.empty() ? event_code::daemon_ready : event_code::daemon_not_ready, reason);
             this->readiness = reason;
         }
         if (revision == this->directory_revision)
@@ -295,7 +303,8 @@
     log_offset next{1};
     while (!this->stopping)
     {
-        const auto page = client.read(configuration_stream, next, this->settings.configuration_wait);
+        const auto page =
+            client.read(configuration_stream, next, this->settings.configuration_wait);
         this->post(control_bytes_spent{control_traffic::log, client.take_bytes()});
         if (!page)
         {
@@ -330,7 +339,8 @@
             item.leaving.push_back(where.name);
         }
     }
-    this->post(control_bytes_spent{control_traffic::host_list, host_list_overhead + item.live.size() * 110});
+    this->post(control_bytes_spent{control_traffic::host_list,
+                                   host_list_overhead + item.live.size() * 110});
     this->post(std::move(item));
     this->wake();
 }
--- a/src/daemon/control_service.hpp
+++ b/src/daemon/control_service.hpp
@@ -32,8 +32,8 @@
 class control_service final
 {
 public:
-    control_service(const daemon_settings& settings, incarnation_id incarnation, admission_service& traffic,
-                    event_log& log, metrics& figures);
+    control_service(const daemon_settings& settings, incarnation_id incarnation,
+                    admission_service& traffic, event_log& log, metrics& figures);
     ~control_service();
 
     /// Listens for other hosts and starts all threads. The reason tells why it cannot.
@@ -46,7 +46,8 @@
     auto wake() -> void;
     /// Runs a function on the control thread and waits for its result. Any other thread.
     template <class Function>
-    [[nodiscard]] auto inspect(Function function) -> decltype(function(std::declval<const control_core&>()))
+    [[nodiscard]] auto inspect(Function function)
+        -> decltype(function(std::declval<const control_core&>()))
     {
         using result_type = decltype(function(std::declval<const control_core&>()));
         std::packaged_task<result_type(const control_core&)> task(std::move(function));
@@ -60,7 +61,10 @@
     /// Why this host should take no requests; empty when it should.
     [[nodiscard]] auto not_ready_reason() -> std::string;
     /// Told on the control thread after a change of hosts.
-    auto on_directory(std::function<void(const host_directory&)> listener) -> void { this->directory_listener = std::move(listener); }
+    auto on_directory(std::function<void(const host_directory&)> listener) -> void
+    {
+        this->directory_listener = std::move(listener);
+    }
 
 private:
     auto run_on_control(std::function<void(const control_core&)> task) -> void;
--- a/src/daemon/forwarding.cpp
+++ b/src/daemon/forwarding.cpp
@@ -39,11 +39,13 @@
 
 auto format_via(const forwarded_request& item, std::string_view host_secret) -> std::string
 {
-    const auto body = std::to_string(item.upstream.value()) + "." + std::to_string(item.conversation.value()) + "." + item.request;
+    const auto body = std::to_string(item.upstream.value()) + "." +
+                      std::to_string(item.conversation.value()) + "." + item.request;
     return mac_of(body, host_secret) + "." + body;
 }
 
-auto parse_via(std::string_view text, std::string_view host_secret) -> std::optional<forwarded_request>
+auto parse_via(std::string_view text, std::string_view host_secret)
+    -> std::optional<forwarded_request>
 {
     auto rest = text;
     const auto mac = take_field(rest);
@@ -57,7 +59,8 @@
     {
         return std::nullopt;
     }
-    return forwarded_request{upstream_id{static_cast<std::uint32_t>(*upstream)}, conversation_id{*conversation}, std::string(rest)};
+    return forwarded_request{upstream_id{static_cast<std::uint32_t>(*upstream)},
+                             conversation_id{*conversation}, std::string(rest)};
 }
 
 auto format_loads(const std::vector<told_load>& items) -> std::string
@@ -65,8 +68,9 @@
     std::string text;
     for (const auto& item : items)
     {
-        text += (text.empty() ? "" : ";") + std::to_string(item.of.value()) + "." + std::to_string(item.load.pool.value()) +
-                "." + std::to_string(item.load.warm) + "." + std::to_string(item.load.all) + "." + std::to_string(item.age_ms);
+        text += (text.empty() ? "" : ";") + std::to_string(item.of.value()) + "." +
+                std::to_string(item.load.pool.value()) + "." + std::to_string(item.load.warm) +
+                "." + std::to_string(item.load.all) + "." + std::to_string(item.age_ms);
     }
     return text;
 }
@@ -87,7 +91,9 @@
         const auto age = take_number(rest);
         if (of && pool && warm && all && age)
         {
-            result.push_back({host_id{narrow(*of)}, {pool_id{narrow(*pool)}, narrow(*warm), narrow(*all)}, narrow(*age)});
+            result.push_back({host_id{narrow(*of)},
+                              {pool_id{narrow(*pool)}, narrow(*warm), narrow(*all)},
+                              narrow(*age)});
         }
     }
     return result;
--- a/src/daemon/forwarding.hpp
+++ b/src/daemon/forwarding.hpp
@@ -20,9 +20,11 @@
 };
 
 /// Value of the `x-poplardrift-via` header, authenticated by the hosts' secret.
-[[nodiscard]] auto format_via(const forwarded_request& item, std::string_view host_secret) -> std::string;
+[[nodiscard]] auto format_via(const forwarded_request& item, std::string_view host_secret)
+    -> std::string;
 /// Nothing when the value is malformed or not authentic.
-[[nodiscard]] auto parse_via(std::string_view text, std::string_view host_secret) -> std::optional<forwarded_request>;
+[[nodiscard]] auto parse_via(std::string_view text, std::string_view host_secret)
+    -> std::optional<forwarded_request>;
 
 /// A host's load in one pool, told along with forwarded requests and their answers.
 struct told_load
