--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -26,21 +26,25 @@
 
 auto not_run(int status, std::string title, std::string detail) -> problem
 {
-    return {status, std::move(title), std::move(detail), request_outcome::not_run, status == service_unavailable ? 1 : 0};
+    return {status, std::move(title), std::move(detail), request_outcome::not_run,
+            status == service_unavailable ? 1 : 0};
 }
 
 /// Headers that belong to one connection or that this host sets anew.
 auto is_own_header(const std::string& name) -> bool
 {
-    static constexpr std::string_view own[] = {"connection", "keep-alive", "transfer-encoding", "content-length", "host",
-                                               "te", "upgrade", "x-request-id", "x-deadline-ms", "remote_addr",
-                                               "remote_port", "local_addr", "local_port", "accept-encoding", "expect"};
+    static constexpr std::string_view own[] = {
+        "connection",  "keep-alive", "transfer-encoding", "content-length",  "host",
+        "te",          "upgrade",    "x-request-id",      "x-deadline-ms",   "remote_addr",
+        "remote_port", "local_addr", "local_port",        "accept-encoding", "expect"};
     std::string lower(name);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
     return std::find(std::begin(own), std::end(own), lower) != std::end(own);
 }
 
-auto pass_headers(const httplib::Request& request, std::initializer_list<const char*> names) -> httplib::Headers
+auto pass_headers(const httplib::Request& request, std::initializer_list<const char*> names)
+    -> httplib::Headers
 {
     httplib::Headers result;
     for (const auto* name : names)
@@ -56,8 +60,11 @@
 /// True when the assistant has said nothing yet.
 auto is_first_turn(const nlohmann::json& messages) -> bool
 {
-    return std::none_of(messages.begin(), messages.end(), [](const auto& item)
-                        { return item.is_object() && item.value("role", nlohmann::json()) == "assistant"; });
+    return std::none_of(messages.begin(), messages.end(),
+                        [](const auto& item) {
+                            return item.is_object() &&
+                                   item.value("role", nlohmann::json()) == "assistant";
+                        });
 }
 
 /// Counts a request as active for as long as it lives.
@@ -81,8 +88,11 @@
           task(
               [this](const resumable_task::pause_function& pause)
               {
-                  this->relay->run_stream(pause, [this](std::string_view bytes)
-                                          { return this->sink != nullptr && this->sink->write(bytes.data(), bytes.size()); });
+                  this->relay->run_stream(pause,
+                                          [this](std::string_view bytes) {
+                                              return this->sink != nullptr &&
+                                                     this->sink->write(bytes.data(), bytes.size());
+                                          });
               })
     {
     }
@@ -100,11 +110,14 @@
       listener({.address = context.settings.host.address,
                 .port = context.settings.host.http_port,
                 .most_connections = context.settings.most_connections,
-                .idle_seconds = static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(context.settings.idle_connection).count()),
+                .idle_seconds = static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(
+                                                     context.settings.idle_connection)
+                                                     .count()),
                 .most_body_bytes = largest_body_read})
 {
     auto& http = this->listener.server();
-    const auto handler = [this](const httplib::Request& request, httplib::Response& response) { this->handle(request, response); };
+    const auto handler = [this](const httplib::Request& request, httplib::Response& response)
+    { this->handle(request, response); };
     http.Get(".*", handler);
     http.Post(".*", handler);
     http.Put(".*", handler);
@@ -116,7 +129,9 @@
             // Faults that the HTTP library finds itself.
             if (response.body.empty())
             {
-                reply_problem(response, not_run(response.status, "Bad request", "the request could not be read"), "");
+                reply_problem(
+                    response,
+                    not_run(response.status, "Bad request", "the request could not be read"), "");
             }
         });
 }
@@ -127,13 +142,15 @@
     return {number, this->id_prefix + "-" + std::to_string(number.value())};
 }
 
-auto http_front::refuse(httplib::Response& response, const problem& fault, const std::string& id) -> void
+auto http_front::refuse(httplib::Response& response, const problem& fault, const std::string& id)
+    -> void
 {
     this->context.log.write(event_code::request_invalid, "request " + id + ": " + fault.detail);
     reply_problem(response, fault, id);
 }
 
-auto http_front::handle_own_path(const httplib::Request& request, httplib::Response& response) -> bool
+auto http_front::handle_own_path(const httplib::Request& request, httplib::Response& response)
+    -> bool
 {
     if (request.path == "/healthz")
     {
@@ -141,7 +158,8 @@
     }
     else if (request.path == "/readyz")
     {
-        const auto reason = this->context.leaving ? "leaving" : this->context.control.not_ready_reason();
+        const auto reason =
+            this->context.leaving ? "leaving" : this->context.control.not_ready_reason();
         response.status = reason.empty() ? 200 : service_unavailable;
         response.set_content((reason.empty() ? "ready" : reason) + "\n", "text/plain");
     }
@@ -173,26 +191,35 @@
     }
     if (header_bytes > this->context.settings.most_header_bytes)
     {
-        return not_run(headers_too_large, "Headers too large", "allowed: " + std::to_string(this->context.settings.most_header_bytes) + " bytes");
+        return not_run(headers_too_large, "Headers too large",
+                       "allowed: " + std::to_string(this->context.settings.most_header_bytes) +
+                           " bytes");
     }
     return std::nullopt;
 }
 
-auto http_front::workspace_of(const httplib::Request& request, const routing_view& view) const -> const workspace_view*
+auto http_front::workspace_of(const httplib::Request& request, const routing_view& view) const
+    -> const workspace_view*
 {
     const auto key = api_key_of(request);
-    const auto found = key.empty() ? view.workspaces_by_key.end() : view.workspaces_by_key.find(sha256_hex(key));
-    return found == view.workspaces_by_key.end() ? nullptr : &view.workspaces[found->second.value()];
+    const auto found =
+        key.empty() ? view.workspaces_by_key.end() : view.workspaces_by_key.find(sha256_hex(key));
+    return found == view.workspaces_by_key.end() ? nullptr
+                                                 : &view.workspaces[found->second.value()];
 }
 
-auto http_front::identify(const httplib::Request& request, httplib::Response& response, caller_request& caller) -> bool
+auto http_front::identify(const httplib::Request& request, httplib::Response& response,
+                          caller_request& caller) -> bool
 {
     caller.arrived = monotonic_now();
     std::tie(caller.number, caller.id) = this->new_id();
     caller.view = this->context.slots.view();
     if (const auto repeated = find_repeated_header(request))
     {
-        this->refuse(response, not_run(bad_request, "Bad request", "the header " + *repeated + " stands more than once"), caller.id);
+        this->refuse(response,
+                     not_run(bad_request, "Bad request",
+                             "the header " + *repeated + " stands more than once"),
+                     caller.id);
         return false;
     }
     if (const auto fault = this->check_size(request))
@@ -203,25 +230,37 @@
     const auto reason = this->context.control.not_ready_reason();
     if (caller.view->routes.empty())
     {
-        this->refuse(response, not_run(service_unavailable, "Not ready", reason.empty() ? "no routes" : reason), caller.id);
+        this->refuse(
+            response,
+            not_run(service_unavailable, "Not ready", reason.empty() ? "no routes" : reason),
+            caller.id);
         return false;
     }
     caller.route = caller.view->match(request.method, request.path);
     if (caller.route == nullptr)
     {
-        this->refuse(response, not_run(not_found, "No route", "no route takes " + request.method + " " + request.path), caller.id);
+        this->refuse(
+            response,
+            not_run(not_found, "No route", "no route takes " + request.method + " " + request.path),
+            caller.id);
         return false;
     }
     caller.workspace = this->workspace_of(request, *caller.view);
     caller.api_key = api_key_of(request);
     if (caller.workspace == nullptr)
     {
-        this->refuse(response, not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"), caller.id);
+        this->refuse(response,
+                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
+                     caller.id);
         return false;
     }
     if (request.body.size() > static_cast<std::size_t>(caller.view->limits.max_body_bytes))
     {
-        this->refuse(response, not_run(payload_too_large, "Body too large", "allowed: " + std::to_string(caller.view->limits.max_body_bytes) + " bytes"), caller.id);
+        this->refuse(
+            response,
+            not_run(payload_too_large, "Body too large",
+                    "allowed: " + std::to_string(caller.view->limits.max_body_bytes) + " bytes"),
+            caller.id);
         return false;
     }
     if (const auto fault = read_request_headers(request, caller))
@@ -246,7 +285,10 @@
     if (growing_task_queue::is_overflow())
     {
         response.set_header("Connection", "close");
-        reply_problem(response, not_run(service_unavailable, "Too many connections", "this host has as many connections as it may"), "");
+        reply_problem(response,
+                      not_run(service_unavailable, "Too many connections",
+                              "this host has as many connections as it may"),
+                      "");
         return;
     }
     caller_request caller;
@@ -266,19 +308,26 @@
 
 // Chats.
 
-auto http_front::handle_chat(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void
+auto http_front::handle_chat(const httplib::Request& request, httplib::Response& response,
+                             const caller_request& caller) -> void
 {
     const auto body = nlohmann::json::parse(request.body, nullptr, false);
     const auto messages = body.is_object() ? body.find("messages") : body.end();
     if (!body.is_object() || messages == body.end() || !messages->is_array() || messages->empty())
     {
-        this->refuse(response, not_run(bad_request, "Bad request", "the body must be a JSON object in UTF-8 with a member messages that is not empty"), caller.id);
+        this->refuse(
+            response,
+            not_run(
+                bad_request, "Bad request",
+                "the body must be a JSON object in UTF-8 with a member messages that is not empty"),
+            caller.id);
         return;
     }
     const auto stream = body.find("stream");
     if (stream != body.end() && !stream->is_boolean())
     {
-        this->refuse(response, not_run(bad_request, "Bad request", "stream must be true or false"), caller.id);
+        this->refuse(response, not_run(bad_request, "Bad request", "stream must be true or false"),
+                     caller.id);
         return;
     }
     chat_request asked;
@@ -286,14 +335,20 @@
     asked.body = request.body;
     asked.stream = stream != body.end() && stream->get<bool>();
     asked.is_new = is_first_turn(*messages);
-    asked.conversation = identify_conversation(caller.workspace->id, request.get_header_value("x-conversation-id"), body);
-    asked.hint = parse_affinity_hint(request.get_header_value("x-poplardrift-affinity"), asked.conversation, this->context.settings.host_secret);
+    asked.conversation = identify_conversation(caller.workspace->id,
+                                               request.get_header_value("x-conversation-id"), body);
+    asked.hint = parse_affinity_hint(request.get_header_value("x-poplardrift-affinity"),
+                                     asked.conversation, this->context.settings.host_secret);
     if (request.has_header("x-poplardrift-via"))
     {
-        const auto via = parse_via(request.get_header_value("x-poplardrift-via"), this->context.settings.host_secret);
+        const auto via = parse_via(request.get_header_value("x-poplardrift-via"),
+                                   this->context.settings.host_secret);
         if (!via)
         {
-            this->refuse(response, not_run(bad_request, "Bad request", "the request is not forwarded by a host of this fleet"), caller.id);
+            this->refuse(response,
+                         not_run(bad_request, "Bad request",
+                                 "the request is not forwarded by a host of this fleet"),
+                         caller.id);
             return;
         }
         asked.pinned = via->upstream;
@@ -328,11 +383,15 @@
     }
     response.status = relay.whole_status();
     response.set_header("x-request-id", caller.id);
-    response.set_header("x-poplardrift-affinity", format_affinity_hint(relay.request().conversation, relay.place(), this->context.settings.host_secret));
-    response.set_content(relay.whole_answer(), relay.whole_type().empty() ? "application/json" : relay.whole_type());
+    response.set_header("x-poplardrift-affinity",
+                        format_affinity_hint(relay.request().conversation, relay.place(),
+                                             this->context.settings.host_secret));
+    response.set_content(relay.whole_answer(),
+                         relay.whole_type().empty() ? "application/json" : relay.whole_type());
 }
 
-auto http_front::answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response) -> void
+auto http_front::answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response)
+    -> void
 {
     auto session = std::make_shared<stream_session>(this->context, relay);
     // Runs until the engine's headers are there, or until there is no answer.
@@ -345,7 +404,9 @@
     const auto& caller = relay->request().caller;
     response.set_header("x-request-id", caller.id);
     response.set_header("Cache-Control", "no-cache");
-    response.set_header("x-poplardrift-affinity", format_affinity_hint(relay->request().conversation, relay->place(), this->context.settings.host_secret));
+    response.set_header("x-poplardrift-affinity",
+                        format_affinity_hint(relay->request().conversation, relay->place(),
+                                             this->context.settings.host_secret));
     response.set_chunked_content_provider(
         "text/event-stream",
         [session](std::size_t, httplib::DataSink& sink)
@@ -361,7 +422,11 @@
             // The answer ends visibly broken: an error event, and no end of the chunked body.
             if (session->relay->fault())
             {
-                const auto text = "event: error\ndata: " + problem_to_json(*session->relay->fault(), session->relay->request().caller.id).dump() + "\n\n";
+                const auto text =
+                    "event: error\ndata: " +
+                    problem_to_json(*session->relay->fault(), session->relay->request().caller.id)
+                        .dump() +
+                    "\n\n";
                 sink.write(text.data(), text.size());
             }
             return false;
@@ -370,7 +435,8 @@
 
 // Plain services.
 
-auto http_front::handle_service(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void
+auto http_front::handle_service(const httplib::Request& request, httplib::Response& response,
+                                const caller_request& caller) -> void
 {
     service_request asked;
     asked.caller = caller;
@@ -389,7 +455,10 @@
     constexpr std::size_t longest_key = 255;
     if (asked.key.size() > longest_key)
     {
-        this->refuse(response, not_run(bad_request, "Bad request", "Idempotency-Key: allowed: up to 255 characters"), caller.id);
+        this->refuse(
+            response,
+            not_run(bad_request, "Bad request", "Idempotency-Key: allowed: up to 255 characters"),
+            caller.id);
         return;
     }
     service_relay relay(this->context, std::move(asked));
@@ -414,22 +483,29 @@
     {
         response.set_header("x-poplardrift-body-dropped", "true");
     }
-    response.set_content(result.answer.body, result.answer.content_type.empty() ? "application/octet-stream" : result.answer.content_type);
+    response.set_content(result.answer.body, result.answer.content_type.empty()
+                                                 ? "application/octet-stream"
+                                                 : result.answer.content_type);
 }
 
-auto http_front::handle_new_key(const httplib::Request& request, httplib::Response& response) -> void
+auto http_front::handle_new_key(const httplib::Request& request, httplib::Response& response)
+    -> void
 {
     const auto id = this->new_id().second;
     const auto view = this->context.slots.view();
     const auto* workspace = this->workspace_of(request, *view);
     if (workspace == nullptr)
     {
-        this->refuse(response, not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"), id);
+        this->refuse(response,
+                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
+                     id);
         return;
     }
     response.status = 201;
     response.set_header("x-request-id", id);
-    response.set_content(nlohmann::json{{"key", this->context.transactions.issue_ticket(workspace->id)}}.dump(), "application/json");
+    response.set_content(
+        nlohmann::json{{"key", this->context.transactions.issue_ticket(workspace->id)}}.dump(),
+        "application/json");
 }
 
 auto http_front::handle_lookup(const httplib::Request& request, httplib::Response& response) -> void
@@ -439,13 +515,17 @@
     const auto* workspace = this->workspace_of(request, *view);
     if (workspace == nullptr)
     {
-        this->refuse(response, not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"), id);
+        this->refuse(response,
+                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
+                     id);
         return;
     }
     const auto key = request.path.substr(lookup_prefix.size());
     const auto found = this->context.transactions.lookup(workspace->id, key);
     static constexpr const char* names[] = {"none", "running", "done", "unknown"};
-    nlohmann::json body = {{"key", key}, {"state", names[static_cast<int>(found.what)]}, {"as_of_offset", found.as_of.value()}};
+    nlohmann::json body = {{"key", key},
+                           {"state", names[static_cast<int>(found.what)]},
+                           {"as_of_offset", found.as_of.value()}};
     if (found.answer)
     {
         body["answer"] = {{"status", found.answer->status},
@@ -454,7 +534,8 @@
                           {"body_kept", found.answer->body_kept}};
     }
     response.set_header("x-request-id", id);
-    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), "application/json");
+    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+                         "application/json");
 }
 
 } // namespace poplardrift
--- a/src/daemon/http_front.hpp
+++ b/src/daemon/http_front.hpp
@@ -10,8 +10,8 @@
 namespace poplardrift
 {
 
-/// The callers' interface: finds route and workspace of each request, checks it, and hands it to the
-/// relay for its kind. Handlers run on the listener's threads.
+/// The callers' interface: finds route and workspace of each request, checks it, and hands it to
+/// the relay for its kind. Handlers run on the listener's threads.
 class http_front final
 {
 public:
@@ -22,16 +22,21 @@
 
 private:
     auto handle(const httplib::Request& request, httplib::Response& response) -> void;
-    [[nodiscard]] auto handle_own_path(const httplib::Request& request, httplib::Response& response) -> bool;
-    [[nodiscard]] auto identify(const httplib::Request& request, httplib::Response& response, caller_request& caller) -> bool;
+    [[nodiscard]] auto handle_own_path(const httplib::Request& request, httplib::Response& response)
+        -> bool;
+    [[nodiscard]] auto identify(const httplib::Request& request, httplib::Response& response,
+                                caller_request& caller) -> bool;
     [[nodiscard]] auto check_size(const httplib::Request& request) const -> std::optional<problem>;
-    auto handle_chat(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void;
-    auto handle_service(const httplib::Request& request, httplib::Response& response, const caller_request& caller) -> void;
+    auto handle_chat(const httplib::Request& request, httplib::Response& response,
+                     const caller_request& caller) -> void;
+    auto handle_service(const httplib::Request& request, httplib::Response& response,
+                        const caller_request& caller) -> void;
     auto handle_new_key(const httplib::Request& request, httplib::Response& response) -> void;
     auto handle_lookup(const httplib::Request& request, httplib::Response& response) -> void;
     auto answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response) -> void;
     auto answer_whole(chat_relay& relay, httplib::Response& response) -> void;
-    [[nodiscard]] auto workspace_of(const httplib::Request& request, const routing_view& view) const -> const workspace_view*;
+    [[nodiscard]] auto workspace_of(const httplib::Request& request, const routing_view& view) const
+        -> const workspace_view*;
     [[nodiscard]] auto new_id() -> std::pair<request_id, std::string>;
     auto refuse(httplib::Response& response, const problem& fault, const std::string& id) -> void;
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,18 +21,25 @@
 {
 public:
     explicit host_process(const daemon_settings& settings)
-        : settings(settings), incarnation(incarnation_id{static_cast<std::uint64_t>(wall_clock_ms())}),
+        : settings(settings),
+          incarnation(incarnation_id{static_cast<std::uint64_t>(wall_clock_ms())}),
           log(settings.host.name, settings.log_level),
           slots(settings.admission, [this] { this->control.wake(); }),
           control(settings, this->incarnation, this->slots, this->log, this->figures),
-          transactions(settings, this->incarnation, this->log, this->figures,
-                       [this](std::size_t bytes) { this->control.post(control_bytes_spent{control_traffic::transactions, bytes}); }),
+          transactions(
+              settings, this->incarnation, this->log, this->figures,
+              [this](std::size_t bytes) {
+                  this->control.post(control_bytes_spent{control_traffic::transactions, bytes});
+              }),
           orders(settings, this->incarnation, this->control, this->log),
-          context(this->settings, this->slots, this->control, this->transactions, this->log, this->figures),
-          front(this->context, settings.host.name + "-" + std::to_string(this->incarnation.value() % 1'000'000'000)),
+          context(this->settings, this->slots, this->control, this->transactions, this->log,
+                  this->figures),
+          front(this->context, settings.host.name + "-" +
+                                   std::to_string(this->incarnation.value() % 1'000'000'000)),
           admin(this->context)
     {
-        this->control.on_directory([this](const host_directory& hosts) { this->transactions.on_hosts(hosts); });
+        this->control.on_directory([this](const host_directory& hosts)
+                                   { this->transactions.on_hosts(hosts); });
     }
 
     /// Starts everything; the reason tells what cannot be bound.
@@ -46,13 +53,16 @@
         this->orders.start();
         if (!this->front.start())
         {
-            return this->settings.host.address + ":" + std::to_string(this->settings.host.http_port) + ": cannot listen";
+            return this->settings.host.address + ":" +
+                   std::to_string(this->settings.host.http_port) + ": cannot listen";
         }
         if (!this->admin.start())
         {
-            return this->settings.admin_address + ":" + std::to_string(this->settings.admin_port) + ": cannot listen";
+            return this->settings.admin_address + ":" + std::to_string(this->settings.admin_port) +
+                   ": cannot listen";
         }
-        this->log.write(event_code::daemon_started, "incarnation " + std::to_string(this->incarnation.value()));
+        this->log.write(event_code::daemon_started,
+                        "incarnation " + std::to_string(this->incarnation.value()));
         return std::nullopt;
     }
 
@@ -62,14 +72,16 @@
         this->context.leaving = true;
         this->control.post(stop_requested{});
         this->control.wake();
-        this->log.write(event_code::daemon_leaving, std::to_string(this->context.active.load()) + " requests are active");
+        this->log.write(event_code::daemon_leaving,
+                        std::to_string(this->context.active.load()) + " requests are active");
         std::this_thread::sleep_for(this->settings.leave_notice);
         this->front.stop();
         while (!this->transactions.is_settled())
         {
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
-        this->log.write(event_code::daemon_stopped, std::to_string(this->context.active.load()) + " requests were cut off");
+        this->log.write(event_code::daemon_stopped,
+                        std::to_string(this->context.active.load()) + " requests were cut off");
         this->admin.stop();
         this->orders.stop();
         this->transactions.stop();
@@ -120,7 +132,8 @@
     app.add_option("--settings", path, "JSON file with the host's settings")->required();
     app.add_flag("--check", check_only, "check the settings and exit");
     app.set_version_flag("--version", POPLARDRIFT_VERSION);
-    app.footer("Exit codes: 0 stopped after a planned stop, 2 bad settings, 3 an address is taken.");
+    app.footer(
+        "Exit codes: 0 stopped after a planned stop, 2 bad settings, 3 an address is taken.");
     CLI11_PARSE(app, argc, argv);
     const auto settings = read_daemon_settings(path);
     if (!settings)
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -14,9 +14,10 @@
 
 } // namespace
 
-order_service::order_service(const daemon_settings& settings, incarnation_id incarnation, control_service& control, event_log& log)
-    : settings(settings), control(control), log(log), core({}, make_host_id(settings.host.name), incarnation),
-      client(settings.platform)
+order_service::order_service(const daemon_settings& settings, incarnation_id incarnation,
+                             control_service& control, event_log& log)
+    : settings(settings), control(control), log(log),
+      core({}, make_host_id(settings.host.name), incarnation), client(settings.platform)
 {
 }
 
@@ -25,7 +26,10 @@
     this->timers.subscribe(step_interval, [this] { this->step(); });
 }
 
-auto order_service::stop() -> void { this->timers.stop(); }
+auto order_service::stop() -> void
+{
+    this->timers.stop();
+}
 
 auto order_service::read_leases() -> void
 {
@@ -48,7 +52,10 @@
 {
     const auto view = this->control.inspect(
         [](const control_core& state)
-        { return std::pair(state.managed_engines(monotonic_now()), state.declared().limits.concurrent_loads); });
+        {
+            return std::pair(state.managed_engines(monotonic_now()),
+                             state.declared().limits.concurrent_loads);
+        });
     if (this->core.is_busy())
     {
         this->read_leases();
@@ -90,7 +97,9 @@
     const auto limit = std::chrono::duration_cast<std::chrono::microseconds>(order.timeout / 2);
     engine.set_connection_timeout(limit);
     engine.set_read_timeout(limit);
-    const auto body = nlohmann::json{{"model", order.engine.declared_model}, {"fencing", order.fencing.value()}}.dump();
+    const auto body =
+        nlohmann::json{{"model", order.engine.declared_model}, {"fencing", order.fencing.value()}}
+            .dump();
     // The last look at the clock, right before sending.
     if (monotonic_now() >= order.valid_until)
     {
--- a/src/daemon/order_service.hpp
+++ b/src/daemon/order_service.hpp
@@ -13,7 +13,8 @@
 class order_service final
 {
 public:
-    order_service(const daemon_settings& settings, incarnation_id incarnation, control_service& control, event_log& log);
+    order_service(const daemon_settings& settings, incarnation_id incarnation,
+                  control_service& control, event_log& log);
     ~order_service() { this->stop(); }
     order_service(const order_service&) = delete;
     auto operator=(const order_service&) -> order_service& = delete;
--- a/src/daemon/peer_transport.cpp
+++ b/src/daemon/peer_transport.cpp
@@ -27,7 +27,10 @@
 {
 }
 
-peer_transport::~peer_transport() { this->stop(); }
+peer_transport::~peer_transport()
+{
+    this->stop();
+}
 
 auto peer_transport::url_of(const host_address& where) const -> std::string
 {
@@ -38,7 +41,8 @@
 auto peer_transport::make_tls(bool server) const -> nng_tls_config*
 {
     nng_tls_config* config = nullptr;
-    const auto made = nng_tls_config_alloc(&config, server ? NNG_TLS_MODE_SERVER : NNG_TLS_MODE_CLIENT);
+    const auto made =
+        nng_tls_config_alloc(&config, server ? NNG_TLS_MODE_SERVER : NNG_TLS_MODE_CLIENT);
     POPLARDRIFT_ASSERT(made == 0);
     // Both sides show a certificate of the same authority.
     nng_tls_config_auth_mode(config, NNG_TLS_AUTH_MODE_REQUIRED);
--- a/src/daemon/peer_transport.hpp
+++ b/src/daemon/peer_transport.hpp
@@ -27,7 +27,8 @@
     using connection_listener = std::function<void(const std::string& host, bool stands)>;
 
     /// Both functions are called on the transport's own threads.
-    peer_transport(const host_address& self, const tls_settings& tls, receiver receive, connection_listener listener);
+    peer_transport(const host_address& self, const tls_settings& tls, receiver receive,
+                   connection_listener listener);
     ~peer_transport();
     peer_transport(const peer_transport&) = delete;
     auto operator=(const peer_transport&) -> peer_transport& = delete;
@@ -65,7 +66,8 @@
     tls_settings tls;
     receiver receive;
     connection_listener listener;
-    std::map<std::string, std::unique_ptr<pipe_watch>> watches; ///< kept as long as the library may call
+    std::map<std::string, std::unique_ptr<pipe_watch>>
+        watches; ///< kept as long as the library may call
     nng_socket incoming{};
     bool listening = false;
     std::thread thread;
--- a/src/daemon/service_relay.cpp
+++ b/src/daemon/service_relay.cpp
@@ -24,9 +24,11 @@
 auto back_off(std::int64_t attempt, time_point deadline) -> void
 {
     thread_local std::mt19937_64 generator(std::random_device{}());
-    const auto most = std::min(first_backoff * (std::int64_t{1} << std::min<std::int64_t>(attempt, 10)), longest_backoff);
+    const auto most = std::min(
+        first_backoff * (std::int64_t{1} << std::min<std::int64_t>(attempt, 10)), longest_backoff);
     std::uniform_int_distribution<duration::rep> pick(0, most.count());
-    const auto pause = std::min(duration(pick(generator)), std::max<duration>(deadline - monotonic_now(), duration{}));
+    const auto pause = std::min(duration(pick(generator)),
+                                std::max<duration>(deadline - monotonic_now(), duration{}));
     std::this_thread::sleep_for(pause);
 }
 
@@ -37,7 +39,8 @@
 {
 }
 
-auto service_relay::fail(int status, const std::string& detail, request_outcome what, int retry_after) -> void
+auto service_relay::fail(int status, const std::string& detail, request_outcome what,
+                         int retry_after) -> void
 {
     const auto* title = what == request_outcome::not_run ? "Not run" : "Outcome unknown";
     this->why = problem{status, title, detail, what, retry_after};
@@ -46,9 +49,11 @@
 auto service_relay::fail_refused(transaction_refusal reason) -> void
 {
     const auto what = is_not_run(reason) ? request_outcome::not_run : request_outcome::unknown;
-    const auto status = reason == transaction_refusal::key_conflict || reason == transaction_refusal::bad_ticket ? unprocessable
-                        : what == request_outcome::not_run ? service_unavailable
-                                                           : conflict;
+    const auto status =
+        reason == transaction_refusal::key_conflict || reason == transaction_refusal::bad_ticket
+            ? unprocessable
+        : what == request_outcome::not_run ? service_unavailable
+                                           : conflict;
     this->fail(status, std::string(to_text(reason)), what, status == service_unavailable ? 1 : 0);
 }
 
@@ -62,13 +67,15 @@
     wish.share = caller.workspace->declared.share;
     wish.max_queued = caller.workspace->declared.max_queued;
     wish.priority = caller.priority;
-    wish.deadline = std::min(monotonic_now() + caller.route->declared.queue_timeout, caller.deadline);
+    wish.deadline =
+        std::min(monotonic_now() + caller.route->declared.queue_timeout, caller.deadline);
     wish.excluded = this->excluded;
     const auto result = this->context.slots.acquire(wish);
     if (const auto* refusal = std::get_if<refused>(&result))
     {
         const auto full = refusal->reason == refusal::queue_full;
-        this->fail(full ? too_many_requests : service_unavailable, std::string(to_text(refusal->reason)), request_outcome::not_run, 1);
+        this->fail(full ? too_many_requests : service_unavailable,
+                   std::string(to_text(refusal->reason)), request_outcome::not_run, 1);
         return false;
     }
     this->holds_slot = true;
@@ -97,9 +104,11 @@
 {
     const auto& route = this->asked.caller.route->declared;
     exchange_timeouts timeouts;
-    const auto left = std::max<duration>(this->asked.caller.deadline - monotonic_now(), std::chrono::milliseconds(1));
+    const auto left = std::max<duration>(this->asked.caller.deadline - monotonic_now(),
+                                         std::chrono::milliseconds(1));
     timeouts.progress = std::min(route.progress_timeout, left);
-    auto connection = this->context.upstreams.take(this->upstream.address, this->upstream.port, timeouts, fresh);
+    auto connection =
+        this->context.upstreams.take(this->upstream.address, this->upstream.port, timeouts, fresh);
     httplib::Request request;
     request.method = this->asked.method;
     request.path = this->asked.target;
@@ -116,14 +125,16 @@
         this->context.on_upstream_result(this->upstream, false);
         return answered || !is_never_sent(error) ? exchange_end::unknown : exchange_end::never_sent;
     }
-    const auto says_not_run = response.get_header_value("x-outcome") == "not-run" && this->upstream.refusals_are_true;
+    const auto says_not_run =
+        response.get_header_value("x-outcome") == "not-run" && this->upstream.refusals_are_true;
     this->context.on_upstream_result(this->upstream, response.status < 500);
     this->context.upstreams.give_back(std::move(connection));
     if (says_not_run)
     {
         return exchange_end::said_not_run;
     }
-    this->got.answer = {response.status, response.get_header_value("content-type"), std::move(response.body), true};
+    this->got.answer = {response.status, response.get_header_value("content-type"),
+                        std::move(response.body), true};
     return exchange_end::answered;
 }
 
@@ -145,8 +156,9 @@
             this->why.reset();
             return;
         }
-        const auto what = end == exchange_end::never_sent || end == exchange_end::said_not_run ? request_outcome::not_run
-                                                                                              : request_outcome::unknown;
+        const auto what = end == exchange_end::never_sent || end == exchange_end::said_not_run
+                              ? request_outcome::not_run
+                              : request_outcome::unknown;
         this->fail(bad_gateway, "the service did not answer", what, 1);
         if (monotonic_now() >= this->asked.caller.deadline)
         {
@@ -179,7 +191,8 @@
             return run_not_sent{};
         }
         // The process may have been paused since the claim or since the slot was given.
-        if (!this->context.transactions.may_send(this->asked.caller.number) || !this->context.slots.still_valid(this->upstream.id))
+        if (!this->context.transactions.may_send(this->asked.caller.number) ||
+            !this->context.slots.still_valid(this->upstream.id))
         {
             this->release_slot();
             this->fail_refused(transaction_refusal::window_passed);
@@ -218,7 +231,8 @@
         return;
     }
     const auto& where = found->second.where;
-    const auto left = std::max<duration>(this->asked.caller.deadline - monotonic_now(), std::chrono::milliseconds(1));
+    const auto left = std::max<duration>(this->asked.caller.deadline - monotonic_now(),
+                                         std::chrono::milliseconds(1));
     exchange_timeouts timeouts;
     timeouts.progress = left;
     auto connection = this->context.upstreams.take(where.address, where.http_port, timeouts, true);
@@ -228,7 +242,9 @@
     request.headers = this->asked.headers;
     request.headers.erase("x-poplardrift-forwarded");
     request.headers.emplace("x-poplardrift-forwarded", "1");
-    request.headers.emplace("x-deadline-ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+    request.headers.emplace(
+        "x-deadline-ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
     request.body = this->asked.body;
     httplib::Response response;
     auto error = httplib::Error::Success;
@@ -237,7 +253,8 @@
         this->fail_refused(transaction_refusal::owner_gone);
         return;
     }
-    this->got.answer = {response.status, response.get_header_value("content-type"), std::move(response.body), true};
+    this->got.answer = {response.status, response.get_header_value("content-type"),
+                        std::move(response.body), true};
     this->got.replayed = true;
 }
 
@@ -290,13 +307,15 @@
 {
     const auto& caller = this->asked.caller;
     const auto& route = caller.route->declared.path;
-    this->context.figures.of_route(route, caller.workspace->declared.path).total->Observe(to_seconds(monotonic_now() - caller.arrived));
+    this->context.figures.of_route(route, caller.workspace->declared.path)
+        .total->Observe(to_seconds(monotonic_now() - caller.arrived));
     const auto outcome_text = this->why ? std::string(to_text(this->why->what)) : "done";
     this->context.figures.count_request(route, outcome_text);
     const auto code = !this->why                                    ? event_code::request_done
                       : this->why->what == request_outcome::not_run ? event_code::request_refused
                                                                     : event_code::request_failed;
-    this->context.log.write(code, "request " + caller.id + (this->why ? ": " + this->why->detail : ""));
+    this->context.log.write(code,
+                            "request " + caller.id + (this->why ? ": " + this->why->detail : ""));
 }
 
 } // namespace poplardrift
--- a/src/daemon/service_relay.hpp
+++ b/src/daemon/service_relay.hpp
@@ -14,11 +14,11 @@
 {
     caller_request caller;
     std::string method;
-    std::string target;        ///< path with its query
+    std::string target; ///< path with its query
     std::string body;
-    std::string key;           ///< Idempotency-Key; empty: none
-    bool forwarded = false;    ///< another host sent it here
-    httplib::Headers headers;  ///< that go on to the service
+    std::string key;          ///< Idempotency-Key; empty: none
+    bool forwarded = false;   ///< another host sent it here
+    httplib::Headers headers; ///< that go on to the service
 };
 
 /// What the caller gets.
@@ -47,8 +47,8 @@
     enum class exchange_end : std::uint8_t
     {
         answered,
-        never_sent,    ///< proved: nothing left for the upstream
-        said_not_run,  ///< the upstream says so and may be believed
+        never_sent,   ///< proved: nothing left for the upstream
+        said_not_run, ///< the upstream says so and may be believed
         unknown,
     };
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -30,18 +30,21 @@
     target = static_cast<std::uint16_t>(value);
 }
 
-auto check_ip(const std::string& where, const std::string& address, std::vector<config_error>& errors) -> void
+auto check_ip(const std::string& where, const std::string& address,
+              std::vector<config_error>& errors) -> void
 {
     in_addr four{};
     in6_addr six{};
-    const auto fits = ::inet_pton(AF_INET, address.c_str(), &four) == 1 || ::inet_pton(AF_INET6, address.c_str(), &six) == 1;
+    const auto fits = ::inet_pton(AF_INET, address.c_str(), &four) == 1 ||
+                      ::inet_pton(AF_INET6, address.c_str(), &six) == 1;
     if (!fits)
     {
         errors.push_back({where, "is \"" + address + "\"; allowed: an IP number"});
     }
 }
 
-auto read_host(const nlohmann::json& document, const std::string& where, std::vector<config_error>& errors) -> host_address
+auto read_host(const nlohmann::json& document, const std::string& where,
+               std::vector<config_error>& errors) -> host_address
 {
     host_address host;
     json_reader reader(document, where, errors);
@@ -54,7 +57,8 @@
     return host;
 }
 
-auto read_admin(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_admin(const nlohmann::json& document, daemon_settings& target,
+                std::vector<config_error>& errors) -> void
 {
     json_reader reader(document, "/admin", errors);
     reader.require("address").text("address", target.admin_address);
@@ -63,7 +67,8 @@
     check_ip("/admin/address", target.admin_address, errors);
 }
 
-auto read_platform(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_platform(const nlohmann::json& document, daemon_settings& target,
+                   std::vector<config_error>& errors) -> void
 {
     json_reader reader(document, "/platform", errors);
     reader.require("address").text("address", target.platform.address);
@@ -82,11 +87,14 @@
 {
     json_reader reader(document, where, errors);
     reader.require("certificate").require("key");
-    reader.text("certificate", target.certificate).text("key", target.key).text("authority", target.authority);
+    reader.text("certificate", target.certificate)
+        .text("key", target.key)
+        .text("authority", target.authority);
     reader.finish();
 }
 
-auto read_callers(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_callers(const nlohmann::json& document, daemon_settings& target,
+                  std::vector<config_error>& errors) -> void
 {
     auto connections = static_cast<std::int64_t>(target.most_connections);
     auto header_bytes = static_cast<std::int64_t>(target.most_header_bytes);
@@ -104,7 +112,8 @@
     target.most_header_bytes = static_cast<std::size_t>(header_bytes);
 }
 
-auto read_slots(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_slots(const nlohmann::json& document, daemon_settings& target,
+                std::vector<config_error>& errors) -> void
 {
     json_reader reader(document, "/slots", errors);
     auto& slots = target.control.slots;
@@ -116,7 +125,8 @@
     reader.number("prefetch", slots.prefetch, 0.0, 1.0).finish();
 }
 
-auto read_peers(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_peers(const nlohmann::json& document, daemon_settings& target,
+                std::vector<config_error>& errors) -> void
 {
     json_reader reader(document, "/peers", errors);
     read_ms(reader, "heartbeat_ms", target.control.heartbeat);
@@ -128,7 +138,8 @@
     {
         for (std::size_t index = 0; index < seeds->size(); ++index)
         {
-            target.seeds.push_back(read_host((*seeds)[index], "/peers/seeds/" + std::to_string(index), errors));
+            target.seeds.push_back(
+                read_host((*seeds)[index], "/peers/seeds/" + std::to_string(index), errors));
         }
     }
     if (const auto* tls = reader.member("tls"))
@@ -138,7 +149,8 @@
     reader.finish();
 }
 
-auto read_transactions(const nlohmann::json& document, daemon_settings& target, std::vector<config_error>& errors) -> void
+auto read_transactions(const nlohmann::json& document, daemon_settings& target,
+                       std::vector<config_error>& errors) -> void
 {
     json_reader reader(document, "/transactions", errors);
     auto& item = target.transactions;
@@ -177,11 +189,13 @@
     }
     if (settings.transactions.dedupe_window * 2 > settings.control.log_retention)
     {
-        errors.push_back({"/transactions/dedupe_window_ms", "must be at most half of /platform/log_retention_ms"});
+        errors.push_back({"/transactions/dedupe_window_ms",
+                          "must be at most half of /platform/log_retention_ms"});
     }
     if (settings.transactions.window_margin * 2 > settings.transactions.dedupe_window)
     {
-        errors.push_back({"/transactions/window_margin_ms", "must be at most half of dedupe_window_ms"});
+        errors.push_back(
+            {"/transactions/window_margin_ms", "must be at most half of dedupe_window_ms"});
     }
     if (settings.control.heartbeat * 3 > settings.control.slots.lease)
     {
@@ -205,8 +219,8 @@
 
 /// Reads an optional section with its own reader.
 template <class Reader>
-auto read_section(json_reader& all, std::string_view name, daemon_settings& target, std::vector<config_error>& errors,
-                  const Reader& read) -> void
+auto read_section(json_reader& all, std::string_view name, daemon_settings& target,
+                  std::vector<config_error>& errors, const Reader& read) -> void
 {
     if (const auto* section = all.member(name))
     {
@@ -221,7 +235,11 @@
     std::vector<config_error> errors;
     daemon_settings settings;
     json_reader reader(document, "", errors);
-    reader.require("host").require("admin").require("platform").require("host_secret").require("fleet_public_key");
+    reader.require("host")
+        .require("admin")
+        .require("platform")
+        .require("host_secret")
+        .require("fleet_public_key");
     if (const auto* host = reader.member("host"))
     {
         settings.host = read_host(*host, "/host", errors);
@@ -232,7 +250,8 @@
     read_section(reader, "slots", settings, errors, read_slots);
     read_section(reader, "peers", settings, errors, read_peers);
     read_section(reader, "transactions", settings, errors, read_transactions);
-    reader.text("host_secret", settings.host_secret).text("fleet_public_key", settings.fleet_public_key);
+    reader.text("host_secret", settings.host_secret)
+        .text("fleet_public_key", settings.fleet_public_key);
     reader.choice("log_level", settings.log_level, {"debug", "info", "warning", "error"});
     read_policy(reader, settings);
     reader.finish();
@@ -262,7 +281,8 @@
         return outcome<daemon_settings>::failure(path + ": is not JSON");
     }
     auto settings = parse_daemon_settings(document);
-    return settings ? settings : outcome<daemon_settings>::failure(path + ":\n" + settings.last_reason());
+    return settings ? settings
+                    : outcome<daemon_settings>::failure(path + ":\n" + settings.last_reason());
 }
 
 } // namespace poplardrift
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -27,7 +27,7 @@
 struct daemon_settings
 {
     host_address host;
-    std::string admin_address;       ///< IP number of the operators' API
+    std::string admin_address; ///< IP number of the operators' API
     std::uint16_t admin_port = 0;
     platform_settings platform;
     std::vector<host_address> seeds; ///< hosts to ask while the platform is down
@@ -35,14 +35,14 @@
     std::string fleet_public_key;    ///< Ed25519 key that may change everything, hex
     std::string log_level = "info";
     std::size_t most_connections = 8192;
-    std::size_t most_header_bytes = 16 << 10;        ///< all headers of one request
-    duration leave_notice = std::chrono::seconds(5); ///< from not ready to no new connections
+    std::size_t most_header_bytes = 16 << 10;           ///< all headers of one request
+    duration leave_notice = std::chrono::seconds(5);    ///< from not ready to no new connections
     duration idle_connection = std::chrono::seconds(5); ///< idle caller connections are closed
     duration configuration_wait = std::chrono::seconds(10); ///< wait of one read of the log
     duration host_list_interval = std::chrono::seconds(4);
     duration claim_batch = std::chrono::milliseconds(4); ///< claims are gathered for that long
-    tls_settings callers;            ///< towards callers
-    tls_settings hosts;              ///< between hosts, both sides
+    tls_settings callers;                                ///< towards callers
+    tls_settings hosts;                                  ///< between hosts, both sides
     control_settings control;
     admission_settings admission;
     transaction_settings transactions;
@@ -51,6 +51,7 @@
 /// Reads and checks a settings file as a whole; the reason lists every fault.
 [[nodiscard]] auto read_daemon_settings(const std::string& path) -> outcome<daemon_settings>;
 /// Likewise for a document in memory.
-[[nodiscard]] auto parse_daemon_settings(const nlohmann::json& document) -> outcome<daemon_settings>;
+[[nodiscard]] auto parse_daemon_settings(const nlohmann::json& document)
+    -> outcome<daemon_settings>;
 
 } // namespace poplardrift
--- a/src/daemon/traffic_context.cpp
+++ b/src/daemon/traffic_context.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 traffic_context::traffic_context(const daemon_settings& settings, admission_service& slots,
-                                 control_service& control, transaction_service& transactions, event_log& log,
-                                 metrics& figures)
+                                 control_service& control, transaction_service& transactions,
+                                 event_log& log, metrics& figures)
     : settings(settings), slots(slots), control(control), transactions(transactions), log(log),
       figures(figures), upstreams(settings.host.address)
 {
@@ -68,7 +68,8 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.at);
         if (known.load.pool == pool && age < oldest_told_load)
         {
-            items.push_back({known.host, known.load, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0))});
+            items.push_back({known.host, known.load,
+                             static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0))});
         }
     }
     return format_loads(items);
--- a/src/daemon/traffic_context.hpp
+++ b/src/daemon/traffic_context.hpp
@@ -17,8 +17,9 @@
 class traffic_context final
 {
 public:
-    traffic_context(const daemon_settings& settings, admission_service& slots, control_service& control,
-                    transaction_service& transactions, event_log& log, metrics& figures);
+    traffic_context(const daemon_settings& settings, admission_service& slots,
+                    control_service& control, transaction_service& transactions, event_log& log,
+                    metrics& figures);
 
     const daemon_settings& settings;
     admission_service& slots;
--- a/src/daemon/transaction_service.cpp
+++ b/src/daemon/transaction_service.cpp
@@ -19,15 +19,19 @@
 
 } // namespace
 
-transaction_service::transaction_service(const daemon_settings& settings, incarnation_id incarnation,
-                                         event_log& log, metrics& figures,
+transaction_service::transaction_service(const daemon_settings& settings,
+                                         incarnation_id incarnation, event_log& log,
+                                         metrics& figures,
                                          std::function<void(std::size_t)> on_bytes)
     : settings(settings), log(log), figures(figures), on_bytes(std::move(on_bytes)),
       core(settings.transactions, make_host_id(settings.host.name), incarnation)
 {
 }
 
-transaction_service::~transaction_service() { this->stop(); }
+transaction_service::~transaction_service()
+{
+    this->stop();
+}
 
 auto transaction_service::start() -> void
 {
@@ -185,12 +189,14 @@
         std::vector<append_transaction_record> batch;
         {
             std::unique_lock lock(this->mutex);
-            this->outgoing_changed.wait(lock, [&] { return !this->outgoing.empty() || this->stopping; });
+            this->outgoing_changed.wait(lock,
+                                        [&] { return !this->outgoing.empty() || this->stopping; });
             if (this->outgoing.empty())
             {
                 return;
             }
-            this->outgoing_changed.wait_for(lock, outcome_linger, [&] { return this->has_claim() || this->stopping; });
+            this->outgoing_changed.wait_for(lock, outcome_linger,
+                                            [&] { return this->has_claim() || this->stopping; });
         }
         // Gather what comes in the meantime: the log takes few appends, but large ones.
         std::this_thread::sleep_for(this->settings.claim_batch);
@@ -214,7 +220,8 @@
     }
 }
 
-auto transaction_service::write_batch(log_client& client, std::vector<append_transaction_record> batch) -> void
+auto transaction_service::write_batch(log_client& client,
+                                      std::vector<append_transaction_record> batch) -> void
 {
     std::vector<nlohmann::json> records;
     for (const auto& item : batch)
@@ -245,7 +252,8 @@
     }
     lock.unlock();
     // What the log has decided is read back at once.
-    const auto claims = std::any_of(batch.begin(), batch.end(), [](const auto& item) { return item.number.has_value(); });
+    const auto claims = std::any_of(batch.begin(), batch.end(),
+                                    [](const auto& item) { return item.number.has_value(); });
     if (claims)
     {
         this->read_back(client);
@@ -281,7 +289,8 @@
         }
         // Records that the log dropped by age are older than any window; a gap within is a loss.
         const auto expected = this->last_seen.value() + 1;
-        if (this->last_seen != log_offset{} && item.offset.value() > expected && page->first.value() <= expected)
+        if (this->last_seen != log_offset{} && item.offset.value() > expected &&
+            page->first.value() <= expected)
         {
             this->core.on_gap(now);
         }
--- a/src/daemon/transaction_service.hpp
+++ b/src/daemon/transaction_service.hpp
@@ -15,7 +15,8 @@
 {
 
 /// What a transactional request is told to do.
-using transaction_verdict = std::variant<run_transaction, replay_answer, forward_transaction, refuse_transaction>;
+using transaction_verdict =
+    std::variant<run_transaction, replay_answer, forward_transaction, refuse_transaction>;
 
 /// The transaction state with its log: a thread that appends in batches and one that reads.
 class transaction_service final
--- a/src/daemon/upstream_pool.cpp
+++ b/src/daemon/upstream_pool.cpp
@@ -25,8 +25,8 @@
            error == httplib::Error::BindIPAddress;
 }
 
-auto upstream_pool::take(const std::string& address, std::uint16_t port, const exchange_timeouts& timeouts, bool fresh)
-    -> upstream_connection
+auto upstream_pool::take(const std::string& address, std::uint16_t port,
+                         const exchange_timeouts& timeouts, bool fresh) -> upstream_connection
 {
     upstream_connection result;
     result.key = address + ":" + std::to_string(port);
--- a/src/daemon/upstream_pool.hpp
+++ b/src/daemon/upstream_pool.hpp
@@ -37,9 +37,10 @@
     /// `source` is the IP number that connections come from.
     explicit upstream_pool(std::string source) : source(std::move(source)) {}
 
-    /// An open connection, or one that dials when it is first used. With `fresh`, always the latter.
-    [[nodiscard]] auto take(const std::string& address, std::uint16_t port, const exchange_timeouts& timeouts, bool fresh)
-        -> upstream_connection;
+    /// An open connection, or one that dials when it is first used. With `fresh`, always the
+    /// latter.
+    [[nodiscard]] auto take(const std::string& address, std::uint16_t port,
+                            const exchange_timeouts& timeouts, bool fresh) -> upstream_connection;
     /// Keeps the connection for the next exchange.
     auto give_back(upstream_connection connection) -> void;
 
--- a/src/emulator/answer_text.hpp
+++ b/src/emulator/answer_text.hpp
@@ -11,12 +11,13 @@
 /// The n-th word of the stand-in's answer to a prompt, so that a caller can check every answer.
 [[nodiscard]] inline auto token_text(std::uint64_t prompt, std::int64_t number) -> std::string
 {
-    return "w" + std::to_string(hash_pair_64(prompt, static_cast<std::uint64_t>(number)) % 1000) + " ";
+    return "w" + std::to_string(hash_pair_64(prompt, static_cast<std::uint64_t>(number)) % 1000) +
+           " ";
 }
 
 /// Hash of a prompt that grows by one message.
-[[nodiscard]] inline auto extend_prompt(std::uint64_t prompt, const std::string& role, const std::string& content)
-    -> std::uint64_t
+[[nodiscard]] inline auto extend_prompt(std::uint64_t prompt, const std::string& role,
+                                        const std::string& content) -> std::uint64_t
 {
     return hash_pair_64(prompt, hash_bytes_64(role + content));
 }
--- a/src/emulator/engine.cpp
+++ b/src/emulator/engine.cpp
@@ -55,7 +55,8 @@
     engine& at;
 };
 
-auto prefix_cache::longest(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes) -> std::int64_t
+auto prefix_cache::longest(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
+    -> std::int64_t
 {
     const std::lock_guard lock(this->mutex);
     for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix)
@@ -135,14 +136,16 @@
 
 engine::engine(const nlohmann::json& settings, const nlohmann::json& defaults, world& around,
                engine_group& group)
-    : own_name(settings.at("name")), zone(settings.at("zone")), own_weight(settings.value("weight", 1.0)),
-      around(around), group(group),
-      listener({.address = settings.at("address"), .port = settings.at("port"), .idle_seconds = 60}),
+    : own_name(settings.at("name")), zone(settings.at("zone")),
+      own_weight(settings.value("weight", 1.0)), around(around), group(group),
+      listener(
+          {.address = settings.at("address"), .port = settings.at("port"), .idle_seconds = 60}),
       cache(settings.value("cache_tokens", defaults.value("cache_tokens", 200'000))),
       slots(settings.value("slots", defaults.value("slots", 64))),
       cold_bearable(settings.value("cold_bearable", defaults.value("cold_bearable", 2))),
       warm_after(settings.value("warm_after", defaults.value("warm_after", 6))),
-      prefill_ms_per_1k(defaults.value("prefill_ms_per_1k", 60.0)), token_ms(defaults.value("token_ms", 20.0)),
+      prefill_ms_per_1k(defaults.value("prefill_ms_per_1k", 60.0)),
+      token_ms(defaults.value("token_ms", 20.0)),
       checks_fencing(settings.value("checks_fencing", false)), incarnation(fresh_incarnation()),
       model(defaults.value("model", "base"))
 {
@@ -152,22 +155,35 @@
         this->warm_since_ms = wall_clock_ms();
     }
     auto& http = this->listener.server();
-    http.Post("/v1/chat/completions", [this](const auto& request, auto& response) { this->handle_chat(request, response); });
-    http.Post(R"(/v1/streams/([^/]+)/resume)", [this](const auto& request, auto& response) { this->handle_resume(request, response); });
-    http.Get("/report", [this](const auto& request, auto& response) { this->handle_report(request, response); });
-    http.Post("/orders", [this](const auto& request, auto& response) { this->handle_order(request, response); });
+    http.Post("/v1/chat/completions", [this](const auto& request, auto& response)
+              { this->handle_chat(request, response); });
+    http.Post(R"(/v1/streams/([^/]+)/resume)", [this](const auto& request, auto& response)
+              { this->handle_resume(request, response); });
+    http.Get("/report", [this](const auto& request, auto& response)
+             { this->handle_report(request, response); });
+    http.Post("/orders", [this](const auto& request, auto& response)
+              { this->handle_order(request, response); });
 }
 
-auto engine::start() -> bool { return this->listener.start(); }
+auto engine::start() -> bool
+{
+    return this->listener.start();
+}
 
-auto engine::is_cold() const -> bool { return this->served_since_cold.load() < this->warm_after; }
+auto engine::is_cold() const -> bool
+{
+    return this->served_since_cold.load() < this->warm_after;
+}
 
-auto engine::bearable() const -> int { return this->is_cold() ? this->cold_bearable : this->slots * 4; }
+auto engine::bearable() const -> int
+{
+    return this->is_cold() ? this->cold_bearable : this->slots * 4;
+}
 
 auto engine::counts_towards_mean() const -> bool
 {
-    return !this->is_cold() && !this->faults.down && !this->faults.leaving && !this->faults.silent &&
-           wall_clock_ms() - this->warm_since_ms.load() > settle_ms &&
+    return !this->is_cold() && !this->faults.down && !this->faults.leaving &&
+           !this->faults.silent && wall_clock_ms() - this->warm_since_ms.load() > settle_ms &&
            wall_clock_ms() > this->down_until_ms.load() && !this->around.is_out(this->zone) &&
            !this->around.is_out(this->own_name);
 }
@@ -316,18 +332,24 @@
     reply(response, 200,
           {{"id", plan.id},
            {"object", "chat.completion"},
-           {"choices", {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", text}}}, {"finish_reason", "stop"}}}},
-           {"usage", {{"prompt_tokens", plan.prompt_token_count},
-                      {"completion_tokens", plan.length},
-                      {"prompt_tokens_details", {{"cached_tokens", plan.cached}}}}}});
+           {"choices",
+            {{{"index", 0},
+              {"message", {{"role", "assistant"}, {"content", text}}},
+              {"finish_reason", "stop"}}}},
+           {"usage",
+            {{"prompt_tokens", plan.prompt_token_count},
+             {"completion_tokens", plan.length},
+             {"prompt_tokens_details", {{"cached_tokens", plan.cached}}}}}});
 }
 
-auto engine::write_token(const answer_plan& plan, std::int64_t number, httplib::DataSink& sink) -> bool
+auto engine::write_token(const answer_plan& plan, std::int64_t number, httplib::DataSink& sink)
+    -> bool
 {
     const auto event = [&](const std::string& id)
     {
         return "id: " + std::to_string(number) + "\ndata: {\"id\":\"" + id +
-               "\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" +
+               "\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{"
+               "\"content\":\"" +
                token_text(plan.prompt, number) + "\"}}]}\n\n";
     };
     std::string text;
@@ -346,7 +368,10 @@
 auto engine::stream_events(const answer_plan& plan, httplib::DataSink& sink) -> bool
 {
     const auto is_broken = [&](std::int64_t number)
-    { return plan.generation != this->generation.load() || (plan.breaks && number > plan.first + plan.length / 3); };
+    {
+        return plan.generation != this->generation.load() ||
+               (plan.breaks && number > plan.first + plan.length / 3);
+    };
     for (auto number = plan.first; number <= plan.length; ++number)
     {
         sleep_ms(this->decode_ms());
@@ -367,11 +392,12 @@
     const nlohmann::json usage = {{"id", plan.id},
                                   {"object", "chat.completion.chunk"},
                                   {"choices", nlohmann::json::array()},
-                                  {"usage", {{"prompt_tokens", plan.prompt_token_count},
-                                             {"completion_tokens", plan.length},
-                                             {"prompt_tokens_details", {{"cached_tokens", plan.cached}}}}}};
-    const auto end = "id: " + last + "\ndata: " + usage.dump() + "\n\nid: " + std::to_string(plan.length + 2) +
-                     "\ndata: [DONE]\n\n";
+                                  {"usage",
+                                   {{"prompt_tokens", plan.prompt_token_count},
+                                    {"completion_tokens", plan.length},
+                                    {"prompt_tokens_details", {{"cached_tokens", plan.cached}}}}}};
+    const auto end = "id: " + last + "\ndata: " + usage.dump() +
+                     "\n\nid: " + std::to_string(plan.length + 2) + "\ndata: [DONE]\n\n";
     if (!sink.write(end.data(), end.size()))
     {
         return false;
@@ -430,13 +456,15 @@
     response.set_header("x-request-id", request.get_header_value("x-request-id"));
     response.set_header("x-stream-id", plan->id);
     response.set_chunked_content_provider(
-        "text/event-stream", [this, plan, held = std::move(held)](std::size_t, httplib::DataSink& sink)
+        "text/event-stream",
+        [this, plan, held = std::move(held)](std::size_t, httplib::DataSink& sink)
         { return this->stream_events(*plan, sink); });
 }
 
 auto engine::handle_report(const httplib::Request& request, httplib::Response& response) -> void
 {
-    if (this->faults.down || this->faults.silent || this->around.is_unreachable(request.remote_addr, this->zone) ||
+    if (this->faults.down || this->faults.silent ||
+        this->around.is_unreachable(request.remote_addr, this->zone) ||
         wall_clock_ms() <= this->down_until_ms.load())
     {
         drop_connection(response);
@@ -453,7 +481,8 @@
     fresh["model"] = this->model;
     // With a lag, what is told is what was true then.
     const auto now = wall_clock_ms();
-    if (this->lagged_report.is_null() || now - this->lagged_at_ms >= this->faults.report_lag_ms.load())
+    if (this->lagged_report.is_null() ||
+        now - this->lagged_at_ms >= this->faults.report_lag_ms.load())
     {
         this->lagged_report = std::move(fresh);
         this->lagged_at_ms = now;
--- a/src/emulator/engine.hpp
+++ b/src/emulator/engine.hpp
@@ -60,13 +60,13 @@
 /// Faults that an experiment switches on and off.
 struct engine_faults
 {
-    std::atomic<bool> down{false};      ///< refuses everything
-    std::atomic<bool> silent{false};    ///< connections stay open and nothing more comes
-    std::atomic<bool> leaving{false};   ///< says that it will stop
-    std::atomic<bool> nonsense{false};  ///< answers bytes that mean nothing
-    std::atomic<double> late_ms{0.0};   ///< added to every answer
-    std::atomic<double> cross{0.0};     ///< part of events that belong to another answer
-    std::atomic<double> reorder{0.0};   ///< part of events that come twice or after the next one
+    std::atomic<bool> down{false};     ///< refuses everything
+    std::atomic<bool> silent{false};   ///< connections stay open and nothing more comes
+    std::atomic<bool> leaving{false};  ///< says that it will stop
+    std::atomic<bool> nonsense{false}; ///< answers bytes that mean nothing
+    std::atomic<double> late_ms{0.0};  ///< added to every answer
+    std::atomic<double> cross{0.0};    ///< part of events that belong to another answer
+    std::atomic<double> reorder{0.0};  ///< part of events that come twice or after the next one
     std::atomic<double> break_streams{0.0}; ///< part of streams that break midway
     std::atomic<double> report_lag_ms{0.0};
 };
@@ -103,7 +103,8 @@
     auto answer_stream(std::shared_ptr<answer_plan> plan, std::shared_ptr<held_request> held,
                        httplib::Response& response) -> void;
     [[nodiscard]] auto stream_events(const answer_plan& plan, httplib::DataSink& sink) -> bool;
-    [[nodiscard]] auto write_token(const answer_plan& plan, std::int64_t number, httplib::DataSink& sink) -> bool;
+    [[nodiscard]] auto write_token(const answer_plan& plan, std::int64_t number,
+                                   httplib::DataSink& sink) -> bool;
     auto prefill(answer_plan& plan) -> void;
     auto finish(const answer_plan& plan) -> void;
     auto admit() -> bool;
@@ -120,9 +121,9 @@
     http_listener listener;
     engine_faults faults;
     prefix_cache cache;
-    int slots;                 ///< requests that it batches at once
-    int cold_bearable;         ///< requests that it bears in cold start
-    int warm_after;            ///< requests served until it is warm
+    int slots;         ///< requests that it batches at once
+    int cold_bearable; ///< requests that it bears in cold start
+    int warm_after;    ///< requests served until it is warm
     double prefill_ms_per_1k;
     double token_ms;
     bool checks_fencing;
--- a/src/emulator/link_relay.cpp
+++ b/src/emulator/link_relay.cpp
@@ -41,9 +41,10 @@
     // It listens at the address of the host that it leads to, as the host list gives only a port.
     auto local = address_of(this->to.address, 0);
     socklen_t size = sizeof(local);
-    const auto bound = ::bind(this->listener, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
-                       ::listen(this->listener, 16) == 0 &&
-                       ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&local), &size) == 0;
+    const auto bound =
+        ::bind(this->listener, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
+        ::listen(this->listener, 16) == 0 &&
+        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&local), &size) == 0;
     this->bound_port = bound ? ntohs(local.sin_port) : 0;
     this->acceptor = std::thread([this] { this->accept_loop(); });
 }
@@ -67,7 +68,8 @@
         const auto source = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
         const auto target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto remote = address_of(this->to.address, this->to.peer_port);
-        if (source < 0 || ::connect(target, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) != 0)
+        if (source < 0 ||
+            ::connect(target, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) != 0)
         {
             ::close(source);
             ::close(target);
@@ -79,7 +81,8 @@
         std::thread(
             [this, source, target, own_epoch]
             {
-                std::thread back([this, source, target, own_epoch] { this->forward(target, source, own_epoch); });
+                std::thread back([this, source, target, own_epoch]
+                                 { this->forward(target, source, own_epoch); });
                 this->forward(source, target, own_epoch);
                 back.join();
                 ::close(source);
@@ -94,7 +97,8 @@
     std::array<char, 65536> buffer{};
     while (!this->stopping)
     {
-        const auto silent = own_epoch != this->epoch.load() || this->around.are_cut(this->from.zone, this->to.zone);
+        const auto silent =
+            own_epoch != this->epoch.load() || this->around.are_cut(this->from.zone, this->to.zone);
         if (silent)
         {
             sleep_ms(20);
--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -21,18 +21,18 @@
 {
 public:
     explicit stand_ins(const nlohmann::json& settings)
-        : around(settings),
-          listener({.address = settings.at("platform").at("address"),
-                    .port = settings.at("platform").at("port"),
-                    .idle_seconds = 60,
-                    .most_body_bytes = 256u << 20}),
+        : around(settings), listener({.address = settings.at("platform").at("address"),
+                                      .port = settings.at("platform").at("port"),
+                                      .idle_seconds = 60,
+                                      .most_body_bytes = 256u << 20}),
           store(settings.at("platform"), around, listener.server())
     {
         const auto defaults = settings.value("defaults", nlohmann::json::object());
         this->group.set_bound(settings.value("load_bound", 1.25));
         for (const auto& item : settings.value("engines", nlohmann::json::array()))
         {
-            this->engines.push_back(std::make_unique<engine>(item, defaults, this->around, this->group));
+            this->engines.push_back(
+                std::make_unique<engine>(item, defaults, this->around, this->group));
             this->group.add(this->engines.back().get());
         }
         for (const auto& item : settings.value("services", nlohmann::json::array()))
@@ -87,8 +87,10 @@
     auto set_calls() -> void
     {
         auto& http = this->listener.server();
-        http.Post("/control", [this](const auto& request, auto& response) { this->control(request, response); });
-        http.Get("/stats", [this](const auto&, auto& response) { reply(response, 200, this->stats()); });
+        http.Post("/control", [this](const auto& request, auto& response)
+                  { this->control(request, response); });
+        http.Get("/stats",
+                 [this](const auto&, auto& response) { reply(response, 200, this->stats()); });
         http.Post("/stats/reset",
                   [this](const auto& request, auto& response)
                   {
@@ -96,8 +98,9 @@
                       reply(response, 200, {{"reset", true}});
                   });
         http.Get(R"(/bookings/(.+))",
-                 [this](const auto& request, auto& response)
-                 { reply(response, 200, {{"count", this->ledger.count(request.matches[1])}}); });
+                 [this](const auto& request, auto& response) {
+                     reply(response, 200, {{"count", this->ledger.count(request.matches[1])}});
+                 });
     }
 
     auto control(const httplib::Request& request, httplib::Response& response) -> void
@@ -212,7 +215,8 @@
 
 auto main(int argc, char** argv) -> int
 {
-    CLI::App app("poplardrift-emulator: stand-ins for the platform, model engines and plain services");
+    CLI::App app(
+        "poplardrift-emulator: stand-ins for the platform, model engines and plain services");
     std::string path;
     app.add_option("--settings", path, "JSON file with hosts, engines and services")->required();
     app.set_version_flag("--version", POPLARDRIFT_VERSION);
--- a/src/emulator/plain_service.cpp
+++ b/src/emulator/plain_service.cpp
@@ -39,19 +39,24 @@
     this->executions.clear();
 }
 
-plain_service::plain_service(const nlohmann::json& settings, const nlohmann::json& defaults, world& around,
-                             booking_ledger& ledger)
+plain_service::plain_service(const nlohmann::json& settings, const nlohmann::json& defaults,
+                             world& around, booking_ledger& ledger)
     : own_name(settings.at("name")), zone(settings.at("zone")), around(around), ledger(ledger),
-      listener({.address = settings.at("address"), .port = settings.at("port"), .idle_seconds = 60}),
+      listener(
+          {.address = settings.at("address"), .port = settings.at("port"), .idle_seconds = 60}),
       work_ms(defaults.value("service_ms", 20.0))
 {
     auto& http = this->listener.server();
-    http.Post(".*", [this](const auto& request, auto& response) { this->handle(request, response, true); });
-    http.Put(".*", [this](const auto& request, auto& response) { this->handle(request, response, true); });
-    http.Get(".*", [this](const auto& request, auto& response) { this->handle(request, response, false); });
+    http.Post(".*", [this](const auto& request, auto& response)
+              { this->handle(request, response, true); });
+    http.Put(".*", [this](const auto& request, auto& response)
+             { this->handle(request, response, true); });
+    http.Get(".*", [this](const auto& request, auto& response)
+             { this->handle(request, response, false); });
 }
 
-auto plain_service::handle(const httplib::Request& request, httplib::Response& response, bool books) -> void
+auto plain_service::handle(const httplib::Request& request, httplib::Response& response, bool books)
+    -> void
 {
     const auto reachable = this->around.wait_while_cut(request.remote_addr, this->zone);
     while (this->silent)
@@ -94,7 +99,9 @@
         drop_connection(response);
         return;
     }
-    reply(response, 200, {{"order", order}, {"booked", books}, {"service", this->own_name}, {"path", request.path}});
+    reply(
+        response, 200,
+        {{"order", order}, {"booked", books}, {"service", this->own_name}, {"path", request.path}});
 }
 
 auto plain_service::set_faults(const nlohmann::json& changes) -> void
@@ -109,7 +116,10 @@
 
 auto plain_service::stats() const -> nlohmann::json
 {
-    return {{"name", this->own_name}, {"zone", this->zone}, {"in_flight", this->running.load()}, {"served", this->served.load()}};
+    return {{"name", this->own_name},
+            {"zone", this->zone},
+            {"in_flight", this->running.load()},
+            {"served", this->served.load()}};
 }
 
 } // namespace poplardrift::emulator
--- a/src/emulator/platform.cpp
+++ b/src/emulator/platform.cpp
@@ -14,15 +14,20 @@
 
 } // namespace
 
-platform::platform(const nlohmann::json& settings, world& around, httplib::Server& http) : around(around)
+platform::platform(const nlohmann::json& settings, world& around, httplib::Server& http)
+    : around(around)
 {
     this->appends_a_second = settings.value("appends_a_second", this->appends_a_second);
     this->host_lag_ms = settings.value("host_lag_ms", std::int64_t{5000});
     this->retention_ms = settings.value("retention_ms", std::int64_t{3'600'000});
-    http.Post(R"(/log/([^/]+)/append)", [this](const auto& request, auto& response) { this->handle_append(request, response); });
-    http.Get(R"(/log/([^/]+))", [this](const auto& request, auto& response) { this->handle_read(request, response); });
-    http.Get("/hosts", [this](const auto& request, auto& response) { this->handle_hosts(request, response); });
-    http.Get(R"(/weights/(.+))", [this](const auto& request, auto& response) { this->handle_weights(request, response); });
+    http.Post(R"(/log/([^/]+)/append)", [this](const auto& request, auto& response)
+              { this->handle_append(request, response); });
+    http.Get(R"(/log/([^/]+))",
+             [this](const auto& request, auto& response) { this->handle_read(request, response); });
+    http.Get("/hosts", [this](const auto& request, auto& response)
+             { this->handle_hosts(request, response); });
+    http.Get(R"(/weights/(.+))", [this](const auto& request, auto& response)
+             { this->handle_weights(request, response); });
     this->watcher = std::thread([this] { this->watch_hosts(); });
 }
 
@@ -51,8 +56,9 @@
 auto platform::trim(stream& target) -> void
 {
     const auto oldest = wall_clock_ms() - this->retention_ms.load();
-    while (!target.records.empty() && (target.records.front().time_ms < oldest ||
-                                       static_cast<std::int64_t>(target.records.size()) > this->most_records))
+    while (!target.records.empty() &&
+           (target.records.front().time_ms < oldest ||
+            static_cast<std::int64_t>(target.records.size()) > this->most_records))
     {
         target.records.pop_front();
     }
@@ -109,24 +115,33 @@
         return;
     }
     const auto parameter = [&](const char* name, std::int64_t otherwise)
-    { return request.has_param(name) ? std::int64_t{std::atoll(request.get_param_value(name).c_str())} : otherwise; };
+    {
+        return request.has_param(name)
+                   ? std::int64_t{std::atoll(request.get_param_value(name).c_str())}
+                   : otherwise;
+    };
     const auto from = static_cast<std::uint64_t>(std::max<std::int64_t>(1, parameter("from", 1)));
     const auto wait = std::min(parameter("wait_ms", 0), longest_wait_ms);
     const std::string name = request.matches[1];
     std::unique_lock lock(this->mutex);
     this->appended.wait_for(lock, std::chrono::milliseconds(wait),
-                            [&] { return this->streams[name].next > from || this->log_down.load(); });
+                            [&]
+                            { return this->streams[name].next > from || this->log_down.load(); });
     auto& source = this->streams[name];
     this->trim(source);
     auto records = nlohmann::json::array();
-    auto position = std::lower_bound(source.records.begin(), source.records.end(), from,
-                                     [](const auto& item, std::uint64_t key) { return item.offset < key; });
+    auto position =
+        std::lower_bound(source.records.begin(), source.records.end(), from,
+                         [](const auto& item, std::uint64_t key) { return item.offset < key; });
     for (; position != source.records.end() && records.size() < most_read; ++position)
     {
-        records.push_back({{"offset", position->offset}, {"time_ms", position->time_ms}, {"data", position->data}});
+        records.push_back({{"offset", position->offset},
+                           {"time_ms", position->time_ms},
+                           {"data", position->data}});
     }
     const auto first = source.records.empty() ? source.next : source.records.front().offset;
-    reply(response, 200, {{"first", first}, {"next", source.next}, {"records", std::move(records)}});
+    reply(response, 200,
+          {{"first", first}, {"next", source.next}, {"records", std::move(records)}});
 }
 
 auto platform::handle_hosts(const httplib::Request& request, httplib::Response& response) -> void
@@ -187,7 +202,8 @@
     }
 }
 
-auto platform::set_link(const std::string& asker, const std::string& host, std::uint16_t port) -> void
+auto platform::set_link(const std::string& asker, const std::string& host, std::uint16_t port)
+    -> void
 {
     const std::lock_guard lock(this->mutex);
     this->links[{asker, host}] = port;
@@ -203,7 +219,8 @@
     const std::lock_guard lock(this->mutex);
     for (auto& [name, target] : this->streams)
     {
-        const auto keep = changes.value("trim_to", static_cast<std::int64_t>(target.records.size()));
+        const auto keep =
+            changes.value("trim_to", static_cast<std::int64_t>(target.records.size()));
         while (static_cast<std::int64_t>(target.records.size()) > keep)
         {
             target.records.pop_front();
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -120,7 +120,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto back = this->back_since_ms.find(name);
-    const auto just_back = back != this->back_since_ms.end() && wall_clock_ms() - back->second < out_grace_ms;
+    const auto just_back =
+        back != this->back_since_ms.end() && wall_clock_ms() - back->second < out_grace_ms;
     return this->out_since_ms.contains(name) || just_back;
 }
 
@@ -139,9 +140,9 @@
 
 auto drop_connection(httplib::Response& response) -> void
 {
-    response.set_content_provider(
-        1 << 20, "application/octet-stream",
-        [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+    response.set_content_provider(1 << 20, "application/octet-stream",
+                                  [](std::size_t, std::size_t, httplib::DataSink&)
+                                  { return false; });
 }
 
 auto sleep_ms(double milliseconds) -> void
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -52,11 +52,13 @@
     [[nodiscard]] auto hosts() const -> const std::vector<fleet_host>& { return this->fleet; }
     [[nodiscard]] auto are_cut(const std::string& left, const std::string& right) const -> bool;
     /// True when a caller at this address cannot reach something in `zone`.
-    [[nodiscard]] auto is_unreachable(const std::string& address, const std::string& zone) const -> bool;
+    [[nodiscard]] auto is_unreachable(const std::string& address, const std::string& zone) const
+        -> bool;
     auto set_cuts(const nlohmann::json& pairs) -> void;
 
     /// Waits while the caller is cut off; false when the wait was given up.
-    [[nodiscard]] auto wait_while_cut(const std::string& address, const std::string& zone) const -> bool;
+    [[nodiscard]] auto wait_while_cut(const std::string& address, const std::string& zone) const
+        -> bool;
 
     /// Zones (and upstreams, by name) that should get no new work, with when that began.
     auto set_out(const std::string& name, bool out) -> void;
--- a/src/gossip/byte_budget.cpp
+++ b/src/gossip/byte_budget.cpp
@@ -8,7 +8,8 @@
 
 auto to_text(control_traffic kind) -> std::string_view
 {
-    static constexpr std::string_view names[] = {"heartbeats", "urgent", "log", "host_list", "reports", "transactions"};
+    static constexpr std::string_view names[] = {"heartbeats", "urgent",  "log",
+                                                 "host_list",  "reports", "transactions"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -35,7 +36,10 @@
     return left > 0 ? static_cast<std::size_t>(left) : 0;
 }
 
-auto byte_budget::fits(std::size_t payload, time_point now) -> bool { return this->room(now) >= payload; }
+auto byte_budget::fits(std::size_t payload, time_point now) -> bool
+{
+    return this->room(now) >= payload;
+}
 
 auto byte_budget::total() const -> std::uint64_t
 {
--- a/src/gossip/codec.cpp
+++ b/src/gossip/codec.cpp
@@ -21,7 +21,11 @@
 
 auto pack(packer& out, const slot_report& item) -> void
 {
-    out.pack_array(4).pack(item.upstream.value()).pack(item.in_use).pack(item.wanted).pack(item.held);
+    out.pack_array(4)
+        .pack(item.upstream.value())
+        .pack(item.in_use)
+        .pack(item.wanted)
+        .pack(item.held);
 }
 
 auto pack(packer& out, const slot_grant& item) -> void
@@ -91,7 +95,10 @@
         return this->items.ptr[this->position++];
     }
 
-    [[nodiscard]] auto next_upstream() -> upstream_id { return upstream_id{this->next<std::uint32_t>()}; }
+    [[nodiscard]] auto next_upstream() -> upstream_id
+    {
+        return upstream_id{this->next<std::uint32_t>()};
+    }
 
     [[nodiscard]] auto next_state() -> upstream_state
     {
--- a/src/gossip/peer_link.cpp
+++ b/src/gossip/peer_link.cpp
@@ -3,10 +3,12 @@
 namespace poplardrift
 {
 
-peer_link::peer_link(time_point now) : sent_times(remembered), acknowledged_at(now) {}
+peer_link::peer_link(time_point now) : sent_times(remembered), acknowledged_at(now)
+{
+}
 
-auto peer_link::accept(const peer_message& message, incarnation_id own, time_point now, bool& restarted)
-    -> bool
+auto peer_link::accept(const peer_message& message, incarnation_id own, time_point now,
+                       bool& restarted) -> bool
 {
     restarted = message.incarnation != this->received_incarnation;
     if (restarted)
@@ -21,7 +23,8 @@
     this->received = message.sequence;
     this->heard_at = now;
     // An acknowledgement of a former process of this host says nothing about our messages.
-    const auto news = message.acknowledged_incarnation == own && message.acknowledged > this->last_acknowledged;
+    const auto news =
+        message.acknowledged_incarnation == own && message.acknowledged > this->last_acknowledged;
     if (news && message.acknowledged <= this->sent)
     {
         this->last_acknowledged = message.acknowledged;
@@ -54,7 +57,8 @@
 auto peer_link::is_one_way(duration limit, time_point now) const -> bool
 {
     const auto heard = now - this->heard_at < limit;
-    const auto unanswered = this->sent > this->last_acknowledged && now - this->acknowledged_at > limit;
+    const auto unanswered =
+        this->sent > this->last_acknowledged && now - this->acknowledged_at > limit;
     return heard && unanswered;
 }
 
--- a/src/leases/lease_book.cpp
+++ b/src/leases/lease_book.cpp
@@ -5,15 +5,20 @@
 
 auto to_json(const lease_record& record) -> nlohmann::json
 {
-    return {{"l", record.name.value()}, {"h", record.host.value()}, {"i", record.incarnation.value()}, {"d", record.length.count()}};
+    return {{"l", record.name.value()},
+            {"h", record.host.value()},
+            {"i", record.incarnation.value()},
+            {"d", record.length.count()}};
 }
 
 auto lease_record_from_json(const nlohmann::json& document) -> std::optional<lease_record>
 {
     try
     {
-        return lease_record{lease_name{document.at("l").get<std::string>()}, host_id{document.at("h").get<std::uint32_t>()},
-                            incarnation_id{document.at("i").get<std::uint64_t>()}, log_time{document.at("d").get<std::int64_t>()}};
+        return lease_record{lease_name{document.at("l").get<std::string>()},
+                            host_id{document.at("h").get<std::uint32_t>()},
+                            incarnation_id{document.at("i").get<std::uint64_t>()},
+                            log_time{document.at("d").get<std::int64_t>()}};
     }
     catch (const nlohmann::json::exception&)
     {
--- a/src/leases/order_core.cpp
+++ b/src/leases/order_core.cpp
@@ -11,7 +11,10 @@
 /// An order whose answer is lost is settled by the engine's reports within this time.
 constexpr duration settle_patience = std::chrono::seconds(10);
 
-auto weight_name(std::int64_t place) -> lease_name { return lease_name{"weights/" + std::to_string(place)}; }
+auto weight_name(std::int64_t place) -> lease_name
+{
+    return lease_name{"weights/" + std::to_string(place)};
+}
 
 } // namespace
 
@@ -20,7 +23,10 @@
 {
 }
 
-auto order_core::take_actions() -> std::vector<order_action> { return std::exchange(this->actions, {}); }
+auto order_core::take_actions() -> std::vector<order_action>
+{
+    return std::exchange(this->actions, {});
+}
 
 auto order_core::note(event_code code, std::string detail) -> void
 {
@@ -58,7 +64,8 @@
     }
     // The lease ends by the log's clock no earlier than this, since the append came after `sent`.
     this->held[record.name] = {offset, sent + this->settings.lease - this->settings.margin};
-    this->note(event_code::lease_acquired, record.name.value() + " fencing number " + std::to_string(offset.value()));
+    this->note(event_code::lease_acquired,
+               record.name.value() + " fencing number " + std::to_string(offset.value()));
 }
 
 auto order_core::valid_lease(const lease_name& name, time_point now) -> const held_lease*
@@ -69,7 +76,8 @@
         return nullptr;
     }
     const auto* by_log = this->leases.find(name);
-    const auto ours = by_log != nullptr && by_log->host == this->self && by_log->incarnation == this->incarnation;
+    const auto ours =
+        by_log != nullptr && by_log->host == this->self && by_log->incarnation == this->incarnation;
     if (now >= found->second.valid_until || !ours)
     {
         this->note(event_code::lease_lost, name.value());
@@ -141,7 +149,8 @@
     work.ordered = true;
     work.ordered_at = now;
     this->note(event_code::order_sent, engine.path + " model " + engine.declared_model);
-    this->actions.emplace_back(send_order{engine, lease->number, lease->valid_until, this->settings.order_timeout});
+    this->actions.emplace_back(
+        send_order{engine, lease->number, lease->valid_until, this->settings.order_timeout});
 }
 
 auto order_core::settle(const managed_engine& engine) -> void
--- a/src/leases/order_core_test.cpp
+++ b/src/leases/order_core_test.cpp
@@ -13,7 +13,8 @@
 const upstream_id engine_id{7};
 const time_point start{};
 
-auto make_engine(const std::string& declared, const std::string& reported, std::uint32_t in_use) -> managed_engine
+auto make_engine(const std::string& declared, const std::string& reported, std::uint32_t in_use)
+    -> managed_engine
 {
     return {engine_id, "/assist/upstreams/e1", "127.0.0.1", 80, declared, reported, in_use};
 }
@@ -24,7 +25,8 @@
     std::uint64_t offset = 0;
     std::vector<std::pair<log_time, lease_record>> records;
 
-    auto append(const lease_record& record, time_point now, std::vector<order_core*> readers) -> void
+    auto append(const lease_record& record, time_point now, std::vector<order_core*> readers)
+        -> void
     {
         const auto time = std::chrono::duration_cast<log_time>(now.time_since_epoch());
         ++this->offset;
@@ -36,7 +38,8 @@
 };
 
 /// Carries out appends and returns the orders that were to be sent.
-auto carry_out(order_core& core, lease_log& log, time_point now, std::vector<order_core*> readers) -> std::vector<send_order>
+auto carry_out(order_core& core, lease_log& log, time_point now, std::vector<order_core*> readers)
+    -> std::vector<send_order>
 {
     std::vector<send_order> orders;
     for (const auto& action : core.take_actions())
@@ -54,8 +57,8 @@
 }
 
 /// Ticks until an order comes out or time is over.
-auto run_until_order(order_core& core, lease_log& log, const managed_engine& engine, time_point& now,
-                     std::vector<order_core*> readers) -> std::vector<send_order>
+auto run_until_order(order_core& core, lease_log& log, const managed_engine& engine,
+                     time_point& now, std::vector<order_core*> readers) -> std::vector<send_order>
 {
     for (int step = 0; step < 40; ++step)
     {
--- a/src/load/callers.cpp
+++ b/src/load/callers.cpp
@@ -51,7 +51,9 @@
 {
     const auto document = nlohmann::json::parse(body, nullptr, false);
     const auto said = document.is_object() ? document.value("outcome", "") : "";
-    return said == "not-run" ? request_end::refused_not_run : said == "unknown" ? request_end::unknown : request_end::lost;
+    return said == "not-run"   ? request_end::refused_not_run
+           : said == "unknown" ? request_end::unknown
+                               : request_end::lost;
 }
 
 /// What a streamed answer gave.
@@ -79,7 +81,8 @@
     }
     if (document.contains("usage") && document["usage"].is_object())
     {
-        answer.cached = document["usage"]["prompt_tokens_details"].value("cached_tokens", std::int64_t{0});
+        answer.cached =
+            document["usage"]["prompt_tokens_details"].value("cached_tokens", std::int64_t{0});
         return;
     }
     if (!document.contains("choices"))
@@ -100,10 +103,10 @@
 
 } // namespace
 
-callers::callers(const nlohmann::json& client, const chat_shape& shape, balancer& hosts, placement_oracle& oracle,
-                 recorder& results, std::uint64_t seed)
-    : workspaces(client.at("workspaces")), shape(shape), hosts(hosts), oracle(oracle), results(results),
-      generator(seed), run_id(random_hex(4))
+callers::callers(const nlohmann::json& client, const chat_shape& shape, balancer& hosts,
+                 placement_oracle& oracle, recorder& results, std::uint64_t seed)
+    : workspaces(client.at("workspaces")), shape(shape), hosts(hosts), oracle(oracle),
+      results(results), generator(seed), run_id(random_hex(4))
 {
 }
 
@@ -118,7 +121,8 @@
     return std::uniform_real_distribution<double>(0.0, 1.0)(this->generator);
 }
 
-auto callers::extend(conversation& talk, const std::string& role, const std::string& content) -> void
+auto callers::extend(conversation& talk, const std::string& role, const std::string& content)
+    -> void
 {
     talk.messages.push_back({{"role", role}, {"content", content}});
     talk.prompt = emulator::extend_prompt(talk.prompt, role, content);
@@ -133,8 +137,7 @@
     if (returns)
     {
         const auto due = std::find_if(this->resting.begin(), this->resting.end(),
-                                      [&](const auto& item)
-                                      {
+                                      [&](const auto& item) {
                                           return item.ready_at <= now_seconds &&
                                                  (workspace.empty() || item.workspace == workspace);
                                       });
@@ -151,13 +154,17 @@
     std::advance(chosen, static_cast<std::ptrdiff_t>(talk.id % this->workspaces.size()));
     talk.workspace = workspace.empty() ? chosen.key() : workspace;
     talk.api_key = this->workspaces.at(talk.workspace).at("key");
-    this->extend(talk, "system", make_text(talk.id, 0, this->shape.first_prompt_tokens) + this->run_id);
+    this->extend(talk, "system",
+                 make_text(talk.id, 0, this->shape.first_prompt_tokens) + this->run_id);
     return talk;
 }
 
 auto callers::ask(conversation& talk, chat_sample& sample) -> std::string
 {
-    nlohmann::json body = {{"model", "base"}, {"stream", true}, {"max_tokens", this->shape.answer_tokens}, {"messages", talk.messages}};
+    nlohmann::json body = {{"model", "base"},
+                           {"stream", true},
+                           {"max_tokens", this->shape.answer_tokens},
+                           {"messages", talk.messages}};
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
@@ -197,7 +204,8 @@
     caller_endpoint host;
     auto error = httplib::Error::Connection;
     bool sent = false;
-    for (int attempt = 0; attempt < connect_tries && error == httplib::Error::Connection && !sent; ++attempt)
+    for (int attempt = 0; attempt < connect_tries && error == httplib::Error::Connection && !sent;
+         ++attempt)
     {
         // A balancer goes on to the next host when a connection cannot be made.
         host = this->hosts.pick(static_cast<std::uint64_t>(this->random() * 1e9));
@@ -222,8 +230,10 @@
         sample.why = refusal;
         return "";
     }
-    sample.end = this->hosts.was_killed(host.name) ? request_end::lost_with_host : request_end::lost;
-    sample.why = host.name + ": " + (answer.complete && !right ? "a wrong answer" : httplib::to_string(error));
+    sample.end =
+        this->hosts.was_killed(host.name) ? request_end::lost_with_host : request_end::lost;
+    sample.why = host.name + ": " +
+                 (answer.complete && !right ? "a wrong answer" : httplib::to_string(error));
     return "";
 }
 
@@ -260,13 +270,14 @@
 {
     const auto host = this->hosts.pick(static_cast<std::uint64_t>(this->random() * 1e9));
     auto client = open(host);
-    const httplib::Headers headers = {{"Authorization", "Bearer " + sample.workspace_key}, {"Idempotency-Key", sample.key}};
+    const httplib::Headers headers = {{"Authorization", "Bearer " + sample.workspace_key},
+                                      {"Idempotency-Key", sample.key}};
     const auto answer = client.Post("/passes/purchases", headers, body, "application/json");
     if (!answer)
     {
         sample.end = answer.error() == httplib::Error::Connection ? request_end::refused_not_run
-                     : this->hosts.was_killed(host.name)         ? request_end::lost_with_host
-                                                                 : request_end::lost;
+                     : this->hosts.was_killed(host.name)          ? request_end::lost_with_host
+                                                                  : request_end::lost;
         sample.why = host.name + ": " + httplib::to_string(answer.error());
         return false;
     }
@@ -299,14 +310,17 @@
     if (with_ticket)
     {
         auto client = open(this->hosts.pick(static_cast<std::uint64_t>(this->random() * 1e9)));
-        const auto answer = client.Post("/v1/transaction-keys", {{"Authorization", "Bearer " + sample.workspace_key}}, "", "application/json");
+        const auto answer = client.Post("/v1/transaction-keys",
+                                        {{"Authorization", "Bearer " + sample.workspace_key}}, "",
+                                        "application/json");
         if (answer && answer->status == 201)
         {
             sample.key = nlohmann::json::parse(answer->body).at("key");
         }
     }
     const auto body = nlohmann::json{{"order", sample.order}}.dump();
-    // A caller that gets no good end repeats the same request, at whichever host the balancer picks.
+    // A caller that gets no good end repeats the same request, at whichever host the balancer
+    // picks.
     bool ever_unknown = false;
     for (int attempt = 0; attempt <= repeats; ++attempt)
     {
--- a/src/load/callers.hpp
+++ b/src/load/callers.hpp
@@ -31,22 +31,23 @@
     int first_prompt_tokens = 1200; ///< of the first message, which is what a cache can save most
     int turn_tokens = 60;
     int answer_tokens = 24;
-    double pause_least = 4.0;       ///< seconds until a chat returns
+    double pause_least = 4.0; ///< seconds until a chat returns
     double pause_most = 15.0;
     int most_turns = 8;
-    double returning = 0.75;        ///< share of requests that are returns, when some are due
-    bool echo_hint = true;          ///< callers echo the affinity value
+    double returning = 0.75; ///< share of requests that are returns, when some are due
+    bool echo_hint = true;   ///< callers echo the affinity value
 };
 
 /// Sends chats and bookings as callers do, checks every answer, and records what came of it.
 class callers final
 {
 public:
-    callers(const nlohmann::json& client, const chat_shape& shape, balancer& hosts, placement_oracle& oracle,
-            recorder& results, std::uint64_t seed);
+    callers(const nlohmann::json& client, const chat_shape& shape, balancer& hosts,
+            placement_oracle& oracle, recorder& results, std::uint64_t seed);
 
     /// Takes a conversation for the next request: one whose time to return has come, or a new one.
-    [[nodiscard]] auto next_conversation(double now_seconds, const std::string& workspace) -> conversation;
+    [[nodiscard]] auto next_conversation(double now_seconds, const std::string& workspace)
+        -> conversation;
     /// One chat turn, blocking; the conversation goes back for its return.
     auto chat(conversation talk, double now_seconds) -> void;
     /// One booking with repeats at other hosts until its end is known or `repeats` are used up.
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -66,8 +66,10 @@
 } // namespace
 
 experiment::experiment(nlohmann::json plan_document, nlohmann::json client_document)
-    : plan(std::move(plan_document)), client(std::move(client_document)), hosts(this->client.at("hosts")),
-      oracle(this->client.at("engines"), this->client.at("defaults").value("cache_tokens", std::int64_t{200'000}),
+    : plan(std::move(plan_document)), client(std::move(client_document)),
+      hosts(this->client.at("hosts")),
+      oracle(this->client.at("engines"),
+             this->client.at("defaults").value("cache_tokens", std::int64_t{200'000}),
              this->client.value("load_bound", 1.25)),
       people(this->client, read_shape(this->plan), this->hosts, this->oracle, this->results,
              this->plan.value("seed", std::uint64_t{1}))
@@ -81,14 +83,16 @@
 
 auto experiment::emulator_get(const std::string& path) -> nlohmann::json
 {
-    httplib::Client http(this->client["platform"]["address"].get<std::string>(), this->client["platform"]["port"].get<int>());
+    httplib::Client http(this->client["platform"]["address"].get<std::string>(),
+                         this->client["platform"]["port"].get<int>());
     const auto answer = http.Get(path);
     return answer ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
 }
 
 auto experiment::emulator_post(const std::string& path, const nlohmann::json& body) -> void
 {
-    httplib::Client http(this->client["platform"]["address"].get<std::string>(), this->client["platform"]["port"].get<int>());
+    httplib::Client http(this->client["platform"]["address"].get<std::string>(),
+                         this->client["platform"]["port"].get<int>());
     http.Post(path, body.dump(), "application/json");
 }
 
@@ -116,9 +120,11 @@
     std::string command = "${POPLARDRIFT_BIN:-build/bin}/poplardriftctl";
     for (const auto& host : this->client["hosts"])
     {
-        command += " --admin " + host["address"].get<std::string>() + ":" + std::to_string(this->client["admin_port"].get<int>());
+        command += " --admin " + host["address"].get<std::string>() + ":" +
+                   std::to_string(this->client["admin_port"].get<int>());
     }
-    command += std::string(" zone ") + (in_service ? "undrain " : "drain ") + zone + " --key " + folder + "/fleet.key --author experiment >/dev/null 2>>" + folder + "/ctl.log";
+    command += std::string(" zone ") + (in_service ? "undrain " : "drain ") + zone + " --key " +
+               folder + "/fleet.key --author experiment >/dev/null 2>>" + folder + "/ctl.log";
     if (std::system(command.c_str()) != 0)
     {
         this->results.add_mark(this->seconds_now(), "the zone change failed");
@@ -193,7 +199,8 @@
     double phase_begin = 0;
     for (const auto& phase : this->plan.at("phases"))
     {
-        const auto described = [&](const char* name) { return phase.value(name, nlohmann::json::parse(phase_defaults).at(name).get<double>()); };
+        const auto described = [&](const char* name)
+        { return phase.value(name, nlohmann::json::parse(phase_defaults).at(name).get<double>()); };
         const auto chats = described("chats_per_second");
         const auto bookings = described("bookings_per_second");
         const auto workspace = phase.value("workspace", std::string());
@@ -206,20 +213,24 @@
         while (true)
         {
             at += rate > 0 ? gap(generator) : phase_end - phase_begin + 1;
-            while (next_event < events.size() && events[next_event].at("at").get<double>() <= std::min(at, phase_end))
+            while (next_event < events.size() &&
+                   events[next_event].at("at").get<double>() <= std::min(at, phase_end))
             {
                 const auto wait = events[next_event]["at"].get<double>() - this->seconds_now();
                 std::this_thread::sleep_for(std::chrono::duration<double>(std::max(wait, 0.0)));
-                std::thread([this, what = events[next_event]["do"]] { this->do_event(what); }).detach();
+                std::thread([this, what = events[next_event]["do"]] { this->do_event(what); })
+                    .detach();
                 ++next_event;
             }
             if (at >= phase_end)
             {
                 break;
             }
-            std::this_thread::sleep_for(std::chrono::duration<double>(std::max(at - this->seconds_now(), 0.0)));
+            std::this_thread::sleep_for(
+                std::chrono::duration<double>(std::max(at - this->seconds_now(), 0.0)));
             const auto kind = pick(generator);
-            const auto with_ticket = std::uniform_real_distribution<double>(0, 1)(generator) < ticket_share;
+            const auto with_ticket =
+                std::uniform_real_distribution<double>(0, 1)(generator) < ticket_share;
             ++this->running;
             std::thread(
                 [this, kind, chats, bookings, at, workspace, with_ticket, repeats]
@@ -248,7 +259,8 @@
 {
     if (!this->hosts.wait_ready(fleet_patience_seconds))
     {
-        std::cerr << "not all hosts are ready; the fleet of " << this->client["folder"] << " has to run\n";
+        std::cerr << "not all hosts are ready; the fleet of " << this->client["folder"]
+                  << " has to run\n";
         return false;
     }
     this->emulator_post("/stats/reset", nlohmann::json::object());
@@ -257,12 +269,13 @@
     this->begin_ms = static_cast<double>(wall_clock_ms());
     this->people.set_begin(this->begin_seconds);
     const auto warm_seconds = this->plan.value("warm_seconds", 0.0);
-    std::thread([this, warm_seconds]
-                {
-                    // What happens while engines warm up for the first time is no part of the skew.
-                    std::this_thread::sleep_for(std::chrono::duration<double>(warm_seconds));
-                    this->emulator_post("/stats/reset?keep_violations=1", nlohmann::json::object());
-                })
+    std::thread(
+        [this, warm_seconds]
+        {
+            // What happens while engines warm up for the first time is no part of the skew.
+            std::this_thread::sleep_for(std::chrono::duration<double>(warm_seconds));
+            this->emulator_post("/stats/reset?keep_violations=1", nlohmann::json::object());
+        })
         .detach();
     std::thread sampler([this] { this->sample_loop(); });
     this->schedule_loop();
@@ -294,7 +307,8 @@
         ++ends[end_name(sample.end)];
         if (sample.end == request_end::done)
         {
-            by_window[static_cast<int>(sample.at_seconds / 5) * 5].push_back(sample.first_token_seconds);
+            by_window[static_cast<int>(sample.at_seconds / 5) * 5].push_back(
+                sample.first_token_seconds);
         }
         if (sample.end == request_end::done && sample.at_seconds < warm_seconds)
         {
@@ -311,10 +325,13 @@
         }
         else if (complaints.size() < 10)
         {
-            complaints.push_back(std::string(end_name(sample.end)) + " at " + std::to_string(sample.at_seconds) + ": " + sample.why.substr(0, 200));
+            complaints.push_back(std::string(end_name(sample.end)) + " at " +
+                                 std::to_string(sample.at_seconds) + ": " +
+                                 sample.why.substr(0, 200));
         }
     }
-    const auto share = [&](std::int64_t part) { return cacheable > 0 ? static_cast<double>(part) / static_cast<double>(cacheable) : 0.0; };
+    const auto share = [&](std::int64_t part)
+    { return cacheable > 0 ? static_cast<double>(part) / static_cast<double>(cacheable) : 0.0; };
     this->figures["cache_reuse"] = share(cached);
     this->figures["cache_reuse_oracle"] = share(ideal);
     this->figures["chats"] = ends;
@@ -329,7 +346,8 @@
     }
     for (auto& [name, values] : by_workspace)
     {
-        this->figures["by_workspace"][name] = {{"done", values.size()}, {"first_token_p95_seconds", percentile(values, 0.95)}};
+        this->figures["by_workspace"][name] = {
+            {"done", values.size()}, {"first_token_p95_seconds", percentile(values, 0.95)}};
     }
 }
 
@@ -354,13 +372,18 @@
         }
         if (complaints.size() < 20)
         {
-            complaints.push_back(std::string(end_name(sample.end)) + " booking at " + std::to_string(sample.at_seconds) + ": " + sample.why.substr(0, 200));
+            complaints.push_back(std::string(end_name(sample.end)) + " booking at " +
+                                 std::to_string(sample.at_seconds) + ": " +
+                                 sample.why.substr(0, 200));
         }
         // The truth may be had later, at any host.
         const auto host = this->hosts.pick(0);
         httplib::Client http(host.address, host.port);
-        const auto found = http.Get("/v1/transactions/" + sample.key, {{"Authorization", "Bearer " + sample.workspace_key}});
-        const auto state = found && found->status == 200 ? nlohmann::json::parse(found->body).value("state", "") : "";
+        const auto found = http.Get("/v1/transactions/" + sample.key,
+                                    {{"Authorization", "Bearer " + sample.workspace_key}});
+        const auto state = found && found->status == 200
+                               ? nlohmann::json::parse(found->body).value("state", "")
+                               : "";
         settled_later += state == "done" ? 1 : 0;
     }
     this->figures["asked"] = this->results.bookings().size();
@@ -391,7 +414,9 @@
         for (const auto& [kind, bytes] : kinds)
         {
             const auto found = bytes_before.find(host);
-            const auto before = found == bytes_before.end() || !found->second.contains(kind) ? 0.0 : found->second.at(kind);
+            const auto before = found == bytes_before.end() || !found->second.contains(kind)
+                                    ? 0.0
+                                    : found->second.at(kind);
             // A host that was started anew counts from zero.
             const auto spent = (bytes - (before > bytes ? 0.0 : before)) / seconds;
             shown[kind] = spent;
@@ -415,7 +440,8 @@
     auto violations = stats.value("violations", nlohmann::json::object());
     const auto chats = this->figures["chats"];
     const auto bookings = this->figures["bookings"];
-    const auto lost = chats.value("lost", 0) + bookings.value("lost", 0) + chats.value("unknown", 0);
+    const auto lost =
+        chats.value("lost", 0) + bookings.value("lost", 0) + chats.value("unknown", 0);
     const auto add = [&](const char* promise, std::int64_t count)
     {
         if (count > 0)
--- a/src/load/fleet_files.cpp
+++ b/src/load/fleet_files.cpp
@@ -20,7 +20,8 @@
 
 auto address(int network, int group, int number) -> std::string
 {
-    return "127." + std::to_string(network) + "." + std::to_string(group) + "." + std::to_string(number);
+    return "127." + std::to_string(network) + "." + std::to_string(group) + "." +
+           std::to_string(number);
 }
 
 auto write_json(const std::filesystem::path& path, const nlohmann::json& document) -> bool
@@ -36,11 +37,13 @@
 {
     auto hosts = nlohmann::json::array();
     const auto described = fleet.at("hosts");
-    const auto count = options.hosts > 0 ? static_cast<std::size_t>(options.hosts) : described.size();
+    const auto count =
+        options.hosts > 0 ? static_cast<std::size_t>(options.hosts) : described.size();
     for (std::size_t index = 0; index < count; ++index)
     {
         const auto& model = described[index % described.size()];
-        const auto name = index < described.size() ? model.at("name").get<std::string>() : "host-" + std::to_string(index + 1);
+        const auto name = index < described.size() ? model.at("name").get<std::string>()
+                                                   : "host-" + std::to_string(index + 1);
         hosts.push_back({{"name", name},
                          {"zone", model.at("zone")},
                          {"address", address(options.network, 1, static_cast<int>(index) + 10)},
@@ -60,7 +63,8 @@
         {
             auto upstream = item;
             upstream.erase("count");
-            upstream["name"] = item.at("zone").get<std::string>() + "-" + item.value("prefix", "e") + std::to_string(copy);
+            upstream["name"] = item.at("zone").get<std::string>() + "-" +
+                               item.value("prefix", "e") + std::to_string(copy);
             upstream["address"] = address(network, group, number++);
             upstream["port"] = upstream_port;
             result.push_back(std::move(upstream));
@@ -69,10 +73,16 @@
     return result;
 }
 
-auto declare_upstream(const nlohmann::json& item, const std::string& pool, const std::string& kind) -> nlohmann::json
+auto declare_upstream(const nlohmann::json& item, const std::string& pool, const std::string& kind)
+    -> nlohmann::json
 {
-    nlohmann::json value = {{"address", item.at("address")}, {"port", item.at("port")}, {"zone", item.at("zone")}, {"pool", pool}, {"kind", kind}};
-    for (const auto* name : {"capacity", "cold_capacity", "weight", "checks_fencing", "refusals_are_true", "model"})
+    nlohmann::json value = {{"address", item.at("address")},
+                            {"port", item.at("port")},
+                            {"zone", item.at("zone")},
+                            {"pool", pool},
+                            {"kind", kind}};
+    for (const auto* name :
+         {"capacity", "cold_capacity", "weight", "checks_fencing", "refusals_are_true", "model"})
     {
         if (item.contains(name))
         {
@@ -82,7 +92,8 @@
     return value;
 }
 
-auto make_declarations(const nlohmann::json& fleet, const nlohmann::json& engines, const nlohmann::json& services) -> nlohmann::json
+auto make_declarations(const nlohmann::json& fleet, const nlohmann::json& engines,
+                       const nlohmann::json& services) -> nlohmann::json
 {
     nlohmann::json paths = nlohmann::json::object();
     paths["/fleet/limits"] = fleet.value("limits", nlohmann::json::object());
@@ -92,11 +103,13 @@
     }
     for (const auto& item : engines)
     {
-        paths["/assist/upstreams/" + item.at("name").get<std::string>()] = declare_upstream(item, "assistant", "engine");
+        paths["/assist/upstreams/" + item.at("name").get<std::string>()] =
+            declare_upstream(item, "assistant", "engine");
     }
     for (const auto& item : services)
     {
-        paths["/sales/upstreams/" + item.at("name").get<std::string>()] = declare_upstream(item, "sales", "service");
+        paths["/sales/upstreams/" + item.at("name").get<std::string>()] =
+            declare_upstream(item, "sales", "service");
     }
     for (const auto& [path, value] : fleet.at("routes").items())
     {
@@ -104,13 +117,16 @@
     }
     for (const auto& [name, item] : fleet.at("workspaces").items())
     {
-        paths["/assist/workspaces/" + name] = {{"share", item.value("share", 1.0)}, {"key_hashes", {sha256_hex(item.at("key").get<std::string>())}}};
+        paths["/assist/workspaces/" + name] = {
+            {"share", item.value("share", 1.0)},
+            {"key_hashes", {sha256_hex(item.at("key").get<std::string>())}}};
     }
     return paths;
 }
 
-auto make_host_settings(const nlohmann::json& host, const nlohmann::json& fleet, const prepare_options& options,
-                        const std::string& secret, const std::string& public_key) -> nlohmann::json
+auto make_host_settings(const nlohmann::json& host, const nlohmann::json& fleet,
+                        const prepare_options& options, const std::string& secret,
+                        const std::string& public_key) -> nlohmann::json
 {
     nlohmann::json settings = fleet.value("host_settings", nlohmann::json::object());
     settings["host"] = host;
@@ -136,8 +152,10 @@
     }
     const std::filesystem::path folder(options.folder);
     const auto hosts = make_hosts(fleet, options);
-    const auto engines = make_upstreams(fleet.value("engines", nlohmann::json::array()), options.network, 2);
-    const auto services = make_upstreams(fleet.value("services", nlohmann::json::array()), options.network, 3);
+    const auto engines =
+        make_upstreams(fleet.value("engines", nlohmann::json::array()), options.network, 2);
+    const auto services =
+        make_upstreams(fleet.value("services", nlohmann::json::array()), options.network, 3);
     const auto key = generate_key_pair();
     const auto secret = random_hex(24);
     nlohmann::json emulator = fleet.value("emulator", nlohmann::json::object());
@@ -148,22 +166,26 @@
     emulator["services"] = services;
     // Each pair of hosts has a link of its own; with many hosts that would be too many.
     emulator["links"] = hosts.size() <= 8;
-    nlohmann::json client = {{"platform", {{"address", address(options.network, 0, 2)}, {"port", platform_port}}},
-                             {"hosts", hosts},
-                             {"admin_port", admin_port},
-                             {"engines", engines},
-                             {"services", services},
-                             {"workspaces", fleet.at("workspaces")},
-                             {"placement", options.placement},
-                             {"folder", folder.string()},
-                             {"load_bound", fleet.value("limits", nlohmann::json::object()).value("load_bound", 1.25)},
-                             {"defaults", emulator.value("defaults", nlohmann::json::object())}};
-    bool written = write_json(folder / "emulator.json", emulator) && write_json(folder / "client.json", client) &&
-                   write_json(folder / "declarations" / "all.json", {{"paths", make_declarations(fleet, engines, services)}});
+    nlohmann::json client = {
+        {"platform", {{"address", address(options.network, 0, 2)}, {"port", platform_port}}},
+        {"hosts", hosts},
+        {"admin_port", admin_port},
+        {"engines", engines},
+        {"services", services},
+        {"workspaces", fleet.at("workspaces")},
+        {"placement", options.placement},
+        {"folder", folder.string()},
+        {"load_bound", fleet.value("limits", nlohmann::json::object()).value("load_bound", 1.25)},
+        {"defaults", emulator.value("defaults", nlohmann::json::object())}};
+    bool written = write_json(folder / "emulator.json", emulator) &&
+                   write_json(folder / "client.json", client) &&
+                   write_json(folder / "declarations" / "all.json",
+                              {{"paths", make_declarations(fleet, engines, services)}});
     for (const auto& host : hosts)
     {
-        written = written && write_json(folder / ("host-" + host.at("name").get<std::string>() + ".json"),
-                                        make_host_settings(host, fleet, options, secret, key.public_key));
+        written =
+            written && write_json(folder / ("host-" + host.at("name").get<std::string>() + ".json"),
+                                  make_host_settings(host, fleet, options, secret, key.public_key));
     }
     std::ofstream key_file(folder / "fleet.key");
     key_file << key.private_key << "\n";
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -25,7 +25,8 @@
     return nlohmann::json::parse(file, nullptr, false);
 }
 
-auto run_experiment(const std::string& plan_path, const std::string& client_path, const std::string& report_path, bool json) -> int
+auto run_experiment(const std::string& plan_path, const std::string& client_path,
+                    const std::string& report_path, bool json) -> int
 {
     const auto plan = read_json(plan_path);
     const auto client = read_json(client_path);
@@ -36,7 +37,8 @@
     }
     if (!json)
     {
-        std::cout << "needs the fleet of " << plan.value("fleet", "") << ", prepared and running, with its client.json at " << client_path << "\n";
+        std::cout << "needs the fleet of " << plan.value("fleet", "")
+                  << ", prepared and running, with its client.json at " << client_path << "\n";
     }
     experiment run(plan, client);
     if (!run.run())
@@ -82,12 +84,14 @@
     CLI::App app("poplardrift-load: load, experiments and measurement");
     app.set_version_flag("--version", POPLARDRIFT_VERSION);
     app.require_subcommand(1);
-    app.footer("Exit codes: 0 done, 1 the fleet is not there, 2 bad input, 3 a promise was broken.");
+    app.footer(
+        "Exit codes: 0 done, 1 the fleet is not there, 2 bad input, 3 a promise was broken.");
     std::signal(SIGPIPE, SIG_IGN);
     int result = exit_ok;
 
     prepare_options prepare;
-    auto* preparing = app.add_subcommand("prepare", "write the files that a fleet needs to run on this machine");
+    auto* preparing =
+        app.add_subcommand("prepare", "write the files that a fleet needs to run on this machine");
     preparing->add_option("--fleet", prepare.fleet_file, "description of the fleet")->required();
     preparing->add_option("--out", prepare.folder, "folder for the files")->required();
     preparing->add_option("--placement", prepare.placement, "placement policy of the hosts");
@@ -99,7 +103,8 @@
     std::string client = "run/fleet/client.json";
     std::string report;
     bool json = false;
-    auto* running = app.add_subcommand("run", "run an experiment against a fleet that stands already");
+    auto* running =
+        app.add_subcommand("run", "run an experiment against a fleet that stands already");
     running->add_option("plan", plan, "experiment file")->required();
     running->add_option("--client", client, "the fleet's client.json");
     running->add_option("--report", report, "write a page with plots to this file");
@@ -107,7 +112,8 @@
     running->callback([&] { result = run_experiment(plan, client, report, json); });
 
     stream_load_options streams;
-    auto* streaming = app.add_subcommand("streams", "open many streams at once and measure their events");
+    auto* streaming =
+        app.add_subcommand("streams", "open many streams at once and measure their events");
     streaming->add_option("--target", streams.target, "ADDRESS:PORT")->required();
     streaming->add_option("--streams", streams.streams, "open at once");
     streaming->add_option("--tokens", streams.tokens, "events of each answer");
@@ -116,7 +122,8 @@
     streaming->callback([&] { std::cout << run_streams(streams).dump() << "\n"; });
 
     std::vector<std::string> files;
-    auto* merging = app.add_subcommand("merge", "put results into one object; the first is the product's");
+    auto* merging =
+        app.add_subcommand("merge", "put results into one object; the first is the product's");
     merging->add_option("files", files, "result files")->required();
     merging->callback([&] { result = merge_results(files); });
     CLI11_PARSE(app, argc, argv);
--- a/src/load/oracle.cpp
+++ b/src/load/oracle.cpp
@@ -6,7 +6,8 @@
 namespace poplardrift::load
 {
 
-placement_oracle::placement_oracle(const nlohmann::json& engines, std::int64_t cache_tokens, double load_bound)
+placement_oracle::placement_oracle(const nlohmann::json& engines, std::int64_t cache_tokens,
+                                   double load_bound)
     : cache_tokens(cache_tokens), load_bound(load_bound)
 {
     for (const auto& item : engines)
@@ -18,7 +19,8 @@
     }
 }
 
-auto placement_oracle::longest(engine_state& at, const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
+auto placement_oracle::longest(engine_state& at,
+                               const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
     -> std::int64_t
 {
     for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix)
@@ -31,7 +33,8 @@
     return 0;
 }
 
-auto placement_oracle::begin(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes) -> choice
+auto placement_oracle::begin(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
+    -> choice
 {
     const std::lock_guard lock(this->mutex);
     int total = 1;
@@ -52,8 +55,9 @@
             continue;
         }
         const auto cached = this->longest(engine, prefixes);
-        const auto better = cached > best.cached ||
-                            (cached == best.cached && engine.in_flight < this->engines[best.engine].in_flight);
+        const auto better =
+            cached > best.cached ||
+            (cached == best.cached && engine.in_flight < this->engines[best.engine].in_flight);
         if (!found || better)
         {
             best = {index, cached};
--- a/src/load/oracle.hpp
+++ b/src/load/oracle.hpp
@@ -14,8 +14,8 @@
 namespace poplardrift::load
 {
 
-/// The best that any placement could do: it knows every engine's cache and load at every moment, and
-/// keeps the same bound. Fed with the requests of a run as they begin and end.
+/// The best that any placement could do: it knows every engine's cache and load at every moment,
+/// and keeps the same bound. Fed with the requests of a run as they begin and end.
 class placement_oracle final
 {
 public:
@@ -28,7 +28,8 @@
         std::size_t engine = 0;
         std::int64_t cached = 0;
     };
-    [[nodiscard]] auto begin(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes) -> choice;
+    [[nodiscard]] auto begin(const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
+        -> choice;
     /// It ended, and the engine now holds this prompt with its answer.
     auto end(std::size_t engine, std::uint64_t prompt, std::int64_t tokens) -> void;
     auto set_zone(const std::string& zone, bool in_service) -> void;
@@ -43,10 +44,13 @@
         int in_flight = 0;
         std::int64_t used_tokens = 0;
         std::list<std::pair<std::uint64_t, std::int64_t>> by_use;
-        std::unordered_map<std::uint64_t, std::list<std::pair<std::uint64_t, std::int64_t>>::iterator> entries;
+        std::unordered_map<std::uint64_t,
+                           std::list<std::pair<std::uint64_t, std::int64_t>>::iterator>
+            entries;
     };
 
-    [[nodiscard]] auto longest(engine_state& at, const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
+    [[nodiscard]] auto longest(engine_state& at,
+                               const std::vector<std::pair<std::uint64_t, std::int64_t>>& prefixes)
         -> std::int64_t;
 
     std::int64_t cache_tokens;
--- a/src/load/recorder.cpp
+++ b/src/load/recorder.cpp
@@ -36,7 +36,8 @@
         return 0.0;
     }
     const auto position = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(position), values.end());
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(position),
+                     values.end());
     return values[position];
 }
 
--- a/src/load/recorder.hpp
+++ b/src/load/recorder.hpp
@@ -24,7 +24,7 @@
 /// One chat turn as the caller saw it.
 struct chat_sample
 {
-    double at_seconds = 0;  ///< since the run's begin
+    double at_seconds = 0; ///< since the run's begin
     request_end end = request_end::lost;
     double first_token_seconds = 0;
     std::vector<float> gaps_seconds; ///< between tokens
@@ -58,10 +58,23 @@
     auto add_loads(double at_seconds, std::map<std::string, int> loads) -> void;
     auto add_mark(double at_seconds, const std::string& what) -> void;
 
-    [[nodiscard]] auto chats() const -> const std::vector<chat_sample>& { return this->chat_samples; }
-    [[nodiscard]] auto bookings() const -> const std::vector<booking_sample>& { return this->booking_samples; }
-    [[nodiscard]] auto loads() const -> const std::vector<std::pair<double, std::map<std::string, int>>>& { return this->load_samples; }
-    [[nodiscard]] auto marks() const -> const std::vector<std::pair<double, std::string>>& { return this->mark_list; }
+    [[nodiscard]] auto chats() const -> const std::vector<chat_sample>&
+    {
+        return this->chat_samples;
+    }
+    [[nodiscard]] auto bookings() const -> const std::vector<booking_sample>&
+    {
+        return this->booking_samples;
+    }
+    [[nodiscard]] auto loads() const
+        -> const std::vector<std::pair<double, std::map<std::string, int>>>&
+    {
+        return this->load_samples;
+    }
+    [[nodiscard]] auto marks() const -> const std::vector<std::pair<double, std::string>>&
+    {
+        return this->mark_list;
+    }
 
 private:
     std::mutex mutex;
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -26,7 +26,10 @@
     std::string result;
     for (const auto character : text)
     {
-        result += character == '<' ? "&lt;" : character == '&' ? "&amp;" : character == '>' ? "&gt;" : std::string(1, character);
+        result += character == '<'   ? "&lt;"
+                  : character == '&' ? "&amp;"
+                  : character == '>' ? "&gt;"
+                                     : std::string(1, character);
     }
     return result;
 }
@@ -36,7 +39,8 @@
     return "hsl(" + std::to_string(index * 47 % 360) + ",65%,42%)";
 }
 
-auto draw_plot(const std::string& title, const std::vector<plot_line>& lines, const std::vector<std::pair<double, std::string>>& marks) -> std::string
+auto draw_plot(const std::string& title, const std::vector<plot_line>& lines,
+               const std::vector<std::pair<double, std::string>>& marks) -> std::string
 {
     double most_x = 1;
     double most_y = 1e-9;
@@ -51,10 +55,13 @@
     const auto to_x = [&](double x) { return margin + x / most_x * (plot_width - 2 * margin); };
     const auto to_y = [&](double y) { return plot_height - 30 - y / most_y * (plot_height - 60); };
     std::ostringstream out;
-    out << "<h3>" << escape(title) << "</h3><svg width='" << plot_width << "' height='" << plot_height << "' style='background:#fafafa'>";
+    out << "<h3>" << escape(title) << "</h3><svg width='" << plot_width << "' height='"
+        << plot_height << "' style='background:#fafafa'>";
     for (const auto& [at, what] : marks)
     {
-        out << "<line x1='" << to_x(at) << "' x2='" << to_x(at) << "' y1='20' y2='" << plot_height - 30 << "' stroke='#c33' stroke-dasharray='3'><title>" << escape(what) << "</title></line>";
+        out << "<line x1='" << to_x(at) << "' x2='" << to_x(at) << "' y1='20' y2='"
+            << plot_height - 30 << "' stroke='#c33' stroke-dasharray='3'><title>" << escape(what)
+            << "</title></line>";
     }
     for (std::size_t index = 0; index < lines.size(); ++index)
     {
@@ -65,8 +72,10 @@
         }
         out << "'><title>" << escape(lines[index].name) << "</title></polyline>";
     }
-    out << "<text x='4' y='" << to_y(most_y) + 4 << "' font-size='11'>" << most_y << "</text><text x='4' y='" << to_y(0) << "' font-size='11'>0</text>"
-        << "<text x='" << plot_width - margin << "' y='" << plot_height - 10 << "' font-size='11'>" << most_x << " s</text></svg>";
+    out << "<text x='4' y='" << to_y(most_y) + 4 << "' font-size='11'>" << most_y
+        << "</text><text x='4' y='" << to_y(0) << "' font-size='11'>0</text>"
+        << "<text x='" << plot_width - margin << "' y='" << plot_height - 10 << "' font-size='11'>"
+        << most_x << " s</text></svg>";
     return out.str();
 }
 
@@ -124,14 +133,20 @@
 
 } // namespace
 
-auto write_report(const std::string& path, const nlohmann::json& figures, const recorder& samples) -> bool
+auto write_report(const std::string& path, const nlohmann::json& figures, const recorder& samples)
+    -> bool
 {
     std::ofstream file(path);
-    file << "<!doctype html><meta charset='utf-8'><title>" << escape(figures.value("experiment", "")) << "</title><body style='font-family:sans-serif;max-width:940px;margin:auto'>"
-         << "<h1>" << escape(figures.value("experiment", "")) << " (" << escape(figures.value("placement", "")) << ")</h1>"
+    file << "<!doctype html><meta charset='utf-8'><title>"
+         << escape(figures.value("experiment", ""))
+         << "</title><body style='font-family:sans-serif;max-width:940px;margin:auto'>"
+         << "<h1>" << escape(figures.value("experiment", "")) << " ("
+         << escape(figures.value("placement", "")) << ")</h1>"
          << draw_plot("Chats per second: done and not done", per_second(samples), samples.marks())
-         << draw_plot("Seconds to the first token: median and p95", first_tokens(samples), samples.marks())
-         << draw_plot("Requests in flight at each engine", engine_loads(samples), samples.marks()) << "<h3>Events</h3><ul>";
+         << draw_plot("Seconds to the first token: median and p95", first_tokens(samples),
+                      samples.marks())
+         << draw_plot("Requests in flight at each engine", engine_loads(samples), samples.marks())
+         << "<h3>Events</h3><ul>";
     for (const auto& [at, what] : samples.marks())
     {
         file << "<li>" << at << " s: " << escape(what) << "</li>";
--- a/src/load/report.hpp
+++ b/src/load/report.hpp
@@ -10,6 +10,7 @@
 {
 
 /// Writes an HTML page with the run's figures and plots (SVG inside) that a person can look at.
-auto write_report(const std::string& path, const nlohmann::json& figures, const recorder& samples) -> bool;
+auto write_report(const std::string& path, const nlohmann::json& figures, const recorder& samples)
+    -> bool;
 
 } // namespace poplardrift::load
--- a/src/load/stream_load.cpp
+++ b/src/load/stream_load.cpp
@@ -38,8 +38,14 @@
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
-    request.headers = {{"Authorization", "Bearer " + options.key}, {"Content-Type", "application/json"}};
-    request.body = nlohmann::json{{"stream", true}, {"max_tokens", options.tokens}, {"messages", {{{"role", "user"}, {"content", "stream " + std::to_string(number)}}}}}.dump();
+    request.headers = {{"Authorization", "Bearer " + options.key},
+                       {"Content-Type", "application/json"}};
+    request.body =
+        nlohmann::json{
+            {"stream", true},
+            {"max_tokens", options.tokens},
+            {"messages", {{{"role", "user"}, {"content", "stream " + std::to_string(number)}}}}}
+            .dump();
     sse_splitter splitter;
     std::vector<double> gaps;
     double first = 0;
@@ -83,7 +89,8 @@
     for (int number = 0; number < options.streams; ++number)
     {
         threads.emplace_back([&, number] { run_one(options, number, figures); });
-        std::this_thread::sleep_for(std::chrono::duration<double>(options.ramp_seconds / options.streams));
+        std::this_thread::sleep_for(
+            std::chrono::duration<double>(options.ramp_seconds / options.streams));
     }
     for (auto& thread : threads)
     {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -93,8 +93,8 @@
            now - times.back() < this->settings.damping;
 }
 
-auto membership::on_heartbeat(host_id from, incarnation_id incarnation, bool leaving, time_point now)
-    -> bool
+auto membership::on_heartbeat(host_id from, incarnation_id incarnation, bool leaving,
+                              time_point now) -> bool
 {
     const auto found = this->known.find(from);
     if (found == this->known.end() || from == this->self_id)
@@ -114,7 +114,8 @@
         item.incarnation = incarnation;
         ++this->revision_count;
     }
-    const auto was_silent = item.status == member_status::suspect || item.status == member_status::absent;
+    const auto was_silent =
+        item.status == member_status::suspect || item.status == member_status::absent;
     if (was_silent && item.ever_heard && now - item.last_heard > this->settings.suspicion_timeout)
     {
         this->returns[from].push_back(now);
@@ -212,7 +213,8 @@
 auto membership::zone_has_no_listed_host(const std::string& zone) const -> bool
 {
     return std::none_of(this->known.begin(), this->known.end(),
-                        [&](const auto& item) { return item.second.where.zone == zone && item.second.listed; });
+                        [&](const auto& item)
+                        { return item.second.where.zone == zone && item.second.listed; });
 }
 
 } // namespace poplardrift
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -24,7 +24,9 @@
 auto make_membership() -> membership
 {
     membership hosts({}, make_address("a-1", "a"), incarnation_id{1});
-    hosts.on_host_list({make_address("a-1", "a"), make_address("a-2", "a"), make_address("b-1", "b")}, {}, time_point{});
+    hosts.on_host_list(
+        {make_address("a-1", "a"), make_address("a-2", "a"), make_address("b-1", "b")}, {},
+        time_point{});
     for (const auto* name : {"a-2", "b-1"})
     {
         hosts.on_heartbeat(make_host_id(name), incarnation_id{5}, false, time_point{});
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -8,7 +8,8 @@
 /// Now on the machine's monotonic clock, as the shell feeds it to the core. Any thread.
 [[nodiscard]] inline auto monotonic_now() -> time_point
 {
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    return time_point(
+        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 /// Milliseconds of wall-clock time since 1970.
--- a/src/net/growing_task_queue.cpp
+++ b/src/net/growing_task_queue.cpp
@@ -14,9 +14,14 @@
 
 } // namespace
 
-growing_task_queue::growing_task_queue(std::size_t most) : most(most) {}
+growing_task_queue::growing_task_queue(std::size_t most) : most(most)
+{
+}
 
-auto growing_task_queue::is_overflow() -> bool { return overflow_connection; }
+auto growing_task_queue::is_overflow() -> bool
+{
+    return overflow_connection;
+}
 
 auto growing_task_queue::enqueue(std::function<void()> job) -> void
 {
--- a/src/net/growing_task_queue.hpp
+++ b/src/net/growing_task_queue.hpp
@@ -20,7 +20,8 @@
     explicit growing_task_queue(std::size_t most);
     ~growing_task_queue() override = default;
 
-    auto enqueue(std::function<void()> job) -> void override; // NOLINT(modernize-use-trailing-return-type)
+    auto enqueue(std::function<void()> job)
+        -> void override; // NOLINT(modernize-use-trailing-return-type)
     auto shutdown() -> void override;
 
     /// True on a thread whose connection is past the limit.
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -34,7 +34,10 @@
         });
 }
 
-http_listener::~http_listener() { this->stop(); }
+http_listener::~http_listener()
+{
+    this->stop();
+}
 
 auto http_listener::start() -> bool
 {
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -13,7 +13,7 @@
 /// Settings of one HTTP listener.
 struct http_listener_settings
 {
-    std::string address;                 ///< IP number to bind
+    std::string address; ///< IP number to bind
     std::uint16_t port = 0;
     std::size_t most_connections = 8192; ///< past this, connections are refused
     int backlog = 4096;                  ///< pending connections of the kernel
--- a/src/net/timer_service.cpp
+++ b/src/net/timer_service.cpp
@@ -3,12 +3,16 @@
 namespace poplardrift
 {
 
-timer_service::~timer_service() { this->stop(); }
+timer_service::~timer_service()
+{
+    this->stop();
+}
 
 auto timer_service::subscribe(duration interval, std::function<void()> callback) -> void
 {
     const std::lock_guard lock(this->mutex);
-    this->threads.emplace_back([this, interval, call = std::move(callback)] { this->run(interval, call); });
+    this->threads.emplace_back([this, interval, call = std::move(callback)]
+                               { this->run(interval, call); });
 }
 
 auto timer_service::run(duration interval, const std::function<void()>& callback) -> void
--- a/src/observability/logging.cpp
+++ b/src/observability/logging.cpp
@@ -37,7 +37,8 @@
 
 event_log::event_log(const std::string& host, const std::string& level) : host(host)
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n");
+    const auto layout =
+        std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
     logger()->removeAllAppenders();
     logger()->setAdditivity(false);
@@ -48,8 +49,8 @@
 auto event_log::write(const event& what) -> void
 {
     const auto& entry = describe(what.code);
-    auto line = "E" + std::to_string(static_cast<int>(what.code)) + " " + std::string(entry.name) + " host=" +
-                this->host + (what.detail.empty() ? "" : " " + what.detail);
+    auto line = "E" + std::to_string(static_cast<int>(what.code)) + " " + std::string(entry.name) +
+                " host=" + this->host + (what.detail.empty() ? "" : " " + what.detail);
     switch (entry.level)
     {
     case event_level::debug:
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -9,11 +9,12 @@
 {
 
 /// Bounds in seconds, closest around the aims: 0.35 s to the first token, 40 ms between tokens.
-const prometheus::Histogram::BucketBoundaries first_token_bounds{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3,
-                                                                 0.35, 0.4,   0.5,  0.75, 1,   2,   5,    10};
-const prometheus::Histogram::BucketBoundaries between_tokens_bounds{0.005, 0.01, 0.02, 0.03, 0.04,
-                                                                    0.05,  0.075, 0.1, 0.25, 1};
-const prometheus::Histogram::BucketBoundaries total_bounds{0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60, 300};
+const prometheus::Histogram::BucketBoundaries first_token_bounds{
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.75, 1, 2, 5, 10};
+const prometheus::Histogram::BucketBoundaries between_tokens_bounds{0.005, 0.01,  0.02, 0.03, 0.04,
+                                                                    0.05,  0.075, 0.1,  0.25, 1};
+const prometheus::Histogram::BucketBoundaries total_bounds{0.01, 0.05, 0.1, 0.25, 0.5, 1,
+                                                           2,    5,    10,  30,   60,  300};
 
 } // namespace
 
@@ -48,10 +49,11 @@
                   .Help("Requests of this host that wait for a slot")
                   .Register(this->registry)
                   .Add({})),
-      control_bytes(&prometheus::BuildGauge()
-                         .Name("poplardrift_control_bytes")
-                         .Help("Control bytes caused by this host since its start, overhead counted, by kind")
-                         .Register(this->registry)),
+      control_bytes(
+          &prometheus::BuildGauge()
+               .Name("poplardrift_control_bytes")
+               .Help("Control bytes caused by this host since its start, overhead counted, by kind")
+               .Register(this->registry)),
       placements(&prometheus::BuildGauge()
                       .Name("poplardrift_placements")
                       .Help("Requests of this host by how they got their place")
@@ -64,7 +66,8 @@
 {
 }
 
-auto metrics::of_route(const std::string& route, const std::string& workspace) -> const route_metrics&
+auto metrics::of_route(const std::string& route, const std::string& workspace)
+    -> const route_metrics&
 {
     const std::lock_guard lock(this->mutex);
     const auto [found, inserted] = this->by_route.try_emplace(route + "\n" + workspace);
@@ -83,12 +86,16 @@
     this->requests->Add({{"route", route}, {"outcome", outcome}}).Increment();
 }
 
-auto metrics::count_event(const std::string& name) -> void { this->events->Add({{"event", name}}).Increment(); }
+auto metrics::count_event(const std::string& name) -> void
+{
+    this->events->Add({{"event", name}}).Increment();
+}
 
 auto metrics::set_placements(const placement_counts& counts) -> void
 {
-    const auto set = [&](const char* kind, std::uint64_t value)
-    { this->placements->Add({{"kind", kind}}).Set(static_cast<double>(value)); };
+    const auto set = [&](const char* kind, std::uint64_t value) {
+        this->placements->Add({{"kind", kind}}).Set(static_cast<double>(value));
+    };
     set("preferred", counts.preferred);
     set("preferred_waited", counts.preferred_waited);
     set("elsewhere", counts.elsewhere);
@@ -104,10 +111,14 @@
     for (std::size_t kind = 0; kind < control_traffic_kinds; ++kind)
     {
         const std::string name(poplardrift::to_text(static_cast<control_traffic>(kind)));
-        this->control_bytes->Add({{"kind", name}}).Set(static_cast<double>(traffic.by_kind()[kind]));
+        this->control_bytes->Add({{"kind", name}})
+            .Set(static_cast<double>(traffic.by_kind()[kind]));
     }
 }
 
-auto metrics::to_text() const -> std::string { return prometheus::TextSerializer().Serialize(this->registry.Collect()); }
+auto metrics::to_text() const -> std::string
+{
+    return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
 
 } // namespace poplardrift
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -31,7 +31,8 @@
     metrics();
 
     /// Histograms of a route and workspace; made at their first use and never removed.
-    [[nodiscard]] auto of_route(const std::string& route, const std::string& workspace) -> const route_metrics&;
+    [[nodiscard]] auto of_route(const std::string& route, const std::string& workspace)
+        -> const route_metrics&;
     /// Counts a request by how it ended, such as `done`, `not-run` or `unknown`.
     auto count_request(const std::string& route, const std::string& outcome) -> void;
     auto count_event(const std::string& name) -> void;
--- a/src/placement/conversation.cpp
+++ b/src/placement/conversation.cpp
@@ -40,16 +40,18 @@
     return text;
 }
 
-auto hint_mac(std::string_view upstream, conversation_id conversation, std::string_view secret) -> std::string
+auto hint_mac(std::string_view upstream, conversation_id conversation, std::string_view secret)
+    -> std::string
 {
-    const auto message = "hint:" + std::string(upstream) + ":" + std::to_string(conversation.value());
+    const auto message =
+        "hint:" + std::string(upstream) + ":" + std::to_string(conversation.value());
     return to_hex(hmac_sha256(secret, message)).substr(0, mac_digits);
 }
 
 } // namespace
 
-auto identify_conversation(workspace_id workspace, std::string_view header, const nlohmann::json& body)
-    -> conversation_id
+auto identify_conversation(workspace_id workspace, std::string_view header,
+                           const nlohmann::json& body) -> conversation_id
 {
     std::string text(header);
     if (text.empty())
@@ -68,8 +70,8 @@
     return conversation_id{hash_bytes_64(text, workspace.value()) | 1U};
 }
 
-auto format_affinity_hint(conversation_id conversation, upstream_id upstream, std::string_view host_secret)
-    -> std::string
+auto format_affinity_hint(conversation_id conversation, upstream_id upstream,
+                          std::string_view host_secret) -> std::string
 {
     std::string digits(upstream_digits, '0');
     char buffer[upstream_digits + 1] = {};
@@ -79,15 +81,16 @@
     return digits + hint_mac(digits, conversation, host_secret);
 }
 
-auto parse_affinity_hint(std::string_view text, conversation_id conversation, std::string_view host_secret)
-    -> std::optional<upstream_id>
+auto parse_affinity_hint(std::string_view text, conversation_id conversation,
+                         std::string_view host_secret) -> std::optional<upstream_id>
 {
     if (text.size() != upstream_digits + mac_digits)
     {
         return std::nullopt;
     }
     const auto digits = text.substr(0, upstream_digits);
-    if (!equal_constant_time(hint_mac(digits, conversation, host_secret), text.substr(upstream_digits)))
+    if (!equal_constant_time(hint_mac(digits, conversation, host_secret),
+                             text.substr(upstream_digits)))
     {
         return std::nullopt;
     }
--- a/src/placement/routing_view.cpp
+++ b/src/placement/routing_view.cpp
@@ -17,8 +17,8 @@
         return false;
     }
     // A prefix matches whole segments only.
-    return prefix.ends_with('/') || target.size() == prefix.size() || target[prefix.size()] == '/' ||
-           target[prefix.size()] == '?';
+    return prefix.ends_with('/') || target.size() == prefix.size() ||
+           target[prefix.size()] == '/' || target[prefix.size()] == '?';
 }
 
 auto make_upstream_view(const upstream_declaration& declared, const upstream_knowledge& known,
@@ -35,13 +35,14 @@
     item.refusals_are_true = declared.refusals_are_true;
     item.owner = known.owner;
     item.state = known.status.state;
-    const auto takes_work = item.state == upstream_state::cold || item.state == upstream_state::warm;
+    const auto takes_work =
+        item.state == upstream_state::cold || item.state == upstream_state::warm;
     item.eligible = in_service && takes_work;
     return item;
 }
 
-auto make_pools(const declarations& declared, const std::map<upstream_id, upstream_knowledge>& known)
-    -> std::vector<pool_view>
+auto make_pools(const declarations& declared,
+                const std::map<upstream_id, upstream_knowledge>& known) -> std::vector<pool_view>
 {
     std::map<std::string, pool_view> by_name;
     for (const auto& [path, item] : declared.upstreams)
@@ -49,7 +50,8 @@
         auto& pool = by_name[item.pool];
         const auto found = known.find(make_upstream_id(path));
         const auto knowledge = found == known.end() ? upstream_knowledge{} : found->second;
-        pool.upstreams.push_back(make_upstream_view(item, knowledge, is_in_service(declared, item)));
+        pool.upstreams.push_back(
+            make_upstream_view(item, knowledge, is_in_service(declared, item)));
     }
     std::vector<pool_view> result;
     for (auto& [name, pool] : by_name)
@@ -59,8 +61,9 @@
         auto& upstreams = pool.upstreams;
         std::sort(upstreams.begin(), upstreams.end(),
                   [](const auto& left, const auto& right) { return left.id < right.id; });
-        pool.equal_weights = std::all_of(upstreams.begin(), upstreams.end(), [&](const auto& item)
-                                         { return item.weight == upstreams.front().weight; });
+        pool.equal_weights =
+            std::all_of(upstreams.begin(), upstreams.end(),
+                        [&](const auto& item) { return item.weight == upstreams.front().weight; });
         result.push_back(std::move(pool));
     }
     return result;
@@ -74,7 +77,8 @@
     return item.in_service && (zone == declared.zones.end() || zone->second.in_service);
 }
 
-auto routing_view::match(std::string_view method, std::string_view target) const -> const route_view*
+auto routing_view::match(std::string_view method, std::string_view target) const
+    -> const route_view*
 {
     for (const auto& route : this->routes)
     {
@@ -91,8 +95,9 @@
 {
     POPLARDRIFT_ASSERT(pool.value() < this->pools.size());
     const auto& upstreams = this->pools[pool.value()].upstreams;
-    const auto found = std::lower_bound(upstreams.begin(), upstreams.end(), id,
-                                        [](const auto& item, upstream_id key) { return item.id < key; });
+    const auto found =
+        std::lower_bound(upstreams.begin(), upstreams.end(), id,
+                         [](const auto& item, upstream_id key) { return item.id < key; });
     return found != upstreams.end() && found->id == id ? &*found : nullptr;
 }
 
@@ -108,8 +113,9 @@
     view->pools = make_pools(declared, known);
     for (const auto& [path, item] : declared.routes)
     {
-        const auto pool = std::find_if(view->pools.begin(), view->pools.end(),
-                                       [&](const auto& candidate) { return candidate.name == item.pool; });
+        const auto pool =
+            std::find_if(view->pools.begin(), view->pools.end(),
+                         [&](const auto& candidate) { return candidate.name == item.pool; });
         if (pool != view->pools.end())
         {
             const auto position = static_cast<std::uint32_t>(pool - view->pools.begin());
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -25,13 +25,15 @@
         for (const auto& item : document.at("records"))
         {
             page.records.push_back({log_offset{item.at("offset").get<std::uint64_t>()},
-                                    log_time(item.at("time_ms").get<std::int64_t>()), item.at("data")});
+                                    log_time(item.at("time_ms").get<std::int64_t>()),
+                                    item.at("data")});
         }
         return page;
     }
     catch (const nlohmann::json::exception& fault)
     {
-        return outcome<log_page>::failure(std::string("the log answered nonsense: ") + fault.what());
+        return outcome<log_page>::failure(std::string("the log answered nonsense: ") +
+                                          fault.what());
     }
 }
 
@@ -44,7 +46,8 @@
         const auto document = nlohmann::json::parse(body);
         for (const auto& item : document.at("hosts"))
         {
-            host_address where{item.at("name"), item.at("zone"), item.at("address"), item.at("peer_port"), item.at("http_port")};
+            host_address where{item.at("name"), item.at("zone"), item.at("address"),
+                               item.at("peer_port"), item.at("http_port")};
             result.emplace_back(std::move(where), item.value("state", "") == "leaving");
         }
         return result;
@@ -57,13 +60,16 @@
 
 } // namespace
 
-log_client::log_client(platform_settings settings) : settings(std::move(settings)) {}
+log_client::log_client(platform_settings settings) : settings(std::move(settings))
+{
+}
 
 auto log_client::dial(duration wait) -> void
 {
     if (!this->client)
     {
-        this->client = std::make_unique<httplib::Client>(this->settings.address, this->settings.port);
+        this->client =
+            std::make_unique<httplib::Client>(this->settings.address, this->settings.port);
         this->client->set_keep_alive(true);
         this->client->set_tcp_nodelay(true);
         this->client->set_connection_timeout(to_microseconds(this->settings.connect_timeout));
@@ -75,7 +81,8 @@
     this->client->set_read_timeout(to_microseconds(this->settings.answer_timeout + wait));
 }
 
-auto log_client::append(const std::string& stream, const std::vector<nlohmann::json>& records) -> append_result
+auto log_client::append(const std::string& stream, const std::vector<nlohmann::json>& records)
+    -> append_result
 {
     this->dial(duration{});
     this->rate_limited = false;
@@ -94,17 +101,20 @@
         this->rate_limited = answer->status == 429;
         return append_result::not_appended;
     }
-    const auto never_sent = error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
+    const auto never_sent = error == httplib::Error::Connection ||
+                            error == httplib::Error::ConnectionTimeout ||
                             error == httplib::Error::BindIPAddress;
     return never_sent ? append_result::not_appended : append_result::lost;
 }
 
-auto log_client::read(const std::string& stream, log_offset from, duration wait) -> outcome<log_page>
+auto log_client::read(const std::string& stream, log_offset from, duration wait)
+    -> outcome<log_page>
 {
     this->dial(wait);
     const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    const auto answer = this->client->Get("/log/" + stream + "?from=" + std::to_string(from.value()) +
-                                          "&wait_ms=" + std::to_string(wait_ms));
+    const auto answer =
+        this->client->Get("/log/" + stream + "?from=" + std::to_string(from.value()) +
+                          "&wait_ms=" + std::to_string(wait_ms));
     this->bytes += exchange_overhead;
     if (!answer || answer->status != 200)
     {
@@ -130,7 +140,8 @@
     const auto answer = client.Get("/hosts?asker=" + asker);
     if (!answer || answer->status != 200)
     {
-        return outcome<std::vector<std::pair<host_address, bool>>>::failure("the host list does not answer");
+        return outcome<std::vector<std::pair<host_address, bool>>>::failure(
+            "the host list does not answer");
     }
     return parse_hosts(answer->body);
 }
--- a/src/platform/log_client.hpp
+++ b/src/platform/log_client.hpp
@@ -17,9 +17,9 @@
 /// Where and how the platform is reached.
 struct platform_settings
 {
-    std::string address;     ///< IP number of the platform's API
+    std::string address; ///< IP number of the platform's API
     std::uint16_t port = 0;
-    std::string source;      ///< IP number that connections come from; empty: any
+    std::string source; ///< IP number that connections come from; empty: any
     duration connect_timeout = std::chrono::seconds(1);
     duration answer_timeout = std::chrono::seconds(2); ///< past the wait that was asked for
 };
@@ -39,9 +39,11 @@
     explicit log_client(platform_settings settings);
 
     /// Appends records in one batch.
-    [[nodiscard]] auto append(const std::string& stream, const std::vector<nlohmann::json>& records) -> append_result;
+    [[nodiscard]] auto append(const std::string& stream, const std::vector<nlohmann::json>& records)
+        -> append_result;
     /// Reads from an offset on, and waits up to `wait` for records if there are none.
-    [[nodiscard]] auto read(const std::string& stream, log_offset from, duration wait) -> outcome<log_page>;
+    [[nodiscard]] auto read(const std::string& stream, log_offset from, duration wait)
+        -> outcome<log_page>;
     /// True when the last append was refused because of the log's rate.
     [[nodiscard]] auto was_rate_limited() const noexcept -> bool { return this->rate_limited; }
     /// Bytes sent and received since the last call, headers estimated.
--- a/src/slots/slot_ledger.cpp
+++ b/src/slots/slot_ledger.cpp
@@ -101,12 +101,13 @@
     // Idle slots are partly handed out unasked, so that most requests need no message.
     const auto idle = limit > demand ? limit - demand : 0;
     const auto unasked = static_cast<std::uint32_t>(
-        this->settings.prefetch * idle / static_cast<double>(std::max<std::size_t>(this->holders.size(), 1)));
+        this->settings.prefetch * idle /
+        static_cast<double>(std::max<std::size_t>(this->holders.size(), 1)));
     return holder.in_use + granted + unasked;
 }
 
-auto slot_ledger::grant(host_id holder, std::uint32_t limit, bool may_add, message_sequence sequence,
-                        time_point now) -> slot_grant
+auto slot_ledger::grant(host_id holder, std::uint32_t limit, bool may_add,
+                        message_sequence sequence, time_point now) -> slot_grant
 {
     auto& account = this->holders[holder];
     std::uint32_t others = 0;
@@ -120,8 +121,8 @@
     return this->promise(account, slots, may_add, sequence, now);
 }
 
-auto slot_ledger::grant_rest(host_id self, std::uint32_t limit, bool may_add, message_sequence sequence,
-                             time_point now) -> slot_grant
+auto slot_ledger::grant_rest(host_id self, std::uint32_t limit, bool may_add,
+                             message_sequence sequence, time_point now) -> slot_grant
 {
     auto& account = this->holders[self];
     std::uint32_t others = 0;
@@ -133,13 +134,15 @@
     const auto free_slots = limit > others_in_use ? limit - others_in_use : 0;
     for (const auto& [id, item] : this->holders)
     {
-        others += id == self ? 0 : std::max(this->commitment(item, now), this->target_of(item, limit, free_slots));
+        others += id == self ? 0
+                             : std::max(this->commitment(item, now),
+                                        this->target_of(item, limit, free_slots));
     }
     return this->promise(account, limit > others ? limit - others : 0, may_add, sequence, now);
 }
 
-auto slot_ledger::promise(holder_account& account, std::uint32_t slots, bool may_add, message_sequence sequence,
-                          time_point now) -> slot_grant
+auto slot_ledger::promise(holder_account& account, std::uint32_t slots, bool may_add,
+                          message_sequence sequence, time_point now) -> slot_grant
 {
     if (!may_add)
     {
@@ -150,13 +153,16 @@
         slots = std::min(slots, standing);
     }
     account.sent.push_back({sequence, slots});
-    account.lease_end = std::max(account.lease_end,
-                                 account.reported + this->settings.lease + this->settings.owner_margin);
+    account.lease_end = std::max(account.lease_end, account.reported + this->settings.lease +
+                                                        this->settings.owner_margin);
     account.wanted = 0;
     return {upstream_id{}, slots, account.report};
 }
 
-auto slot_ledger::forget(host_id holder) -> void { this->holders.erase(holder); }
+auto slot_ledger::forget(host_id holder) -> void
+{
+    this->holders.erase(holder);
+}
 
 auto slot_ledger::expire(time_point now) -> void
 {
--- a/src/slots/slot_ledger_test.cpp
+++ b/src/slots/slot_ledger_test.cpp
@@ -20,7 +20,10 @@
     return {engine, in_use, wanted, held};
 }
 
-auto sequence(std::uint64_t value) -> message_sequence { return message_sequence{value}; }
+auto sequence(std::uint64_t value) -> message_sequence
+{
+    return message_sequence{value};
+}
 
 } // namespace
 
--- a/src/slots/slot_owner.cpp
+++ b/src/slots/slot_owner.cpp
@@ -38,8 +38,8 @@
     return found->second;
 }
 
-auto slot_owner::adopt(const upstream_declaration& declared, const std::optional<upstream_status>& published,
-                       time_point now) -> void
+auto slot_owner::adopt(const upstream_declaration& declared,
+                       const std::optional<upstream_status>& published, time_point now) -> void
 {
     const auto id = make_upstream_id(declared.path);
     const auto cold = static_cast<std::uint32_t>(declared.cold_capacity);
@@ -71,8 +71,9 @@
     return result;
 }
 
-auto slot_owner::on_slot_report(host_id holder, const slot_report& report, message_sequence sequence,
-                                message_sequence acknowledged, time_point now) -> void
+auto slot_owner::on_slot_report(host_id holder, const slot_report& report,
+                                message_sequence sequence, message_sequence acknowledged,
+                                time_point now) -> void
 {
     const auto found = this->owned.find(report.upstream);
     if (found != this->owned.end())
@@ -81,7 +82,8 @@
     }
 }
 
-auto slot_owner::on_upstream_report(upstream_id id, const upstream_report& report, time_point now) -> void
+auto slot_owner::on_upstream_report(upstream_id id, const upstream_report& report, time_point now)
+    -> void
 {
     const auto found = this->owned.find(id);
     if (found != this->owned.end())
@@ -171,12 +173,19 @@
     // What the owner holds idle itself is free for others too.
     const auto in_use = item.ledger.in_use();
     const auto free_slots = item.limit > in_use ? item.limit - in_use : 0;
-    return {id, item.condition.state(), item.condition.limit(), free_slots, item.condition.incarnation()};
+    return {id, item.condition.state(), item.condition.limit(), free_slots,
+            item.condition.incarnation()};
 }
 
-auto slot_owner::condition(upstream_id id) const -> const warmup& { return this->at(id).condition; }
+auto slot_owner::condition(upstream_id id) const -> const warmup&
+{
+    return this->at(id).condition;
+}
 
-auto slot_owner::in_use(upstream_id id) const -> std::uint32_t { return this->at(id).ledger.in_use(); }
+auto slot_owner::in_use(upstream_id id) const -> std::uint32_t
+{
+    return this->at(id).ledger.in_use();
+}
 
 auto slot_owner::promised(upstream_id id, time_point now) const -> std::uint32_t
 {
--- a/src/slots/warmup.cpp
+++ b/src/slots/warmup.cpp
@@ -20,7 +20,10 @@
     this->adaptive_limit = std::min<double>(this->adaptive_limit, most);
 }
 
-auto warmup::inherit(const upstream_status& published) -> void { this->inherited = published; }
+auto warmup::inherit(const upstream_status& published) -> void
+{
+    this->inherited = published;
+}
 
 auto warmup::start_step(time_point now) -> void
 {
@@ -48,7 +51,8 @@
     if (first || restarted)
     {
         this->turn_cold(now);
-        const auto same_process = first && this->inherited && this->inherited->incarnation == fresh.incarnation;
+        const auto same_process =
+            first && this->inherited && this->inherited->incarnation == fresh.incarnation;
         if (same_process && !fresh.cold)
         {
             this->now_state = this->inherited->state;
@@ -60,15 +64,17 @@
         this->now_state = upstream_state::leaving;
         return;
     }
-    if (this->now_state == upstream_state::leaving || (fresh.cold && this->now_state == upstream_state::warm))
+    if (this->now_state == upstream_state::leaving ||
+        (fresh.cold && this->now_state == upstream_state::warm))
     {
         this->turn_cold(now);
     }
     // Additive increase, multiplicative decrease on the upstream's own queue.
     const auto overloaded = fresh.waiting > 0 && this->now_state == upstream_state::warm;
-    this->adaptive_limit = overloaded ? std::max<double>(this->declared_cold,
-                                                         fresh.in_flight * this->settings.decrease)
-                                      : std::min<double>(this->capacity, this->adaptive_limit + 1.0);
+    this->adaptive_limit =
+        overloaded
+            ? std::max<double>(this->declared_cold, fresh.in_flight * this->settings.decrease)
+            : std::min<double>(this->capacity, this->adaptive_limit + 1.0);
 }
 
 auto warmup::on_sign(upstream_state suspected, time_point now) -> void
@@ -83,7 +89,8 @@
         return;
     }
     this->turn_cold(now);
-    const auto length = this->settings.ejection * (std::int64_t{1} << std::min(this->ejections, 10U));
+    const auto length =
+        this->settings.ejection * (std::int64_t{1} << std::min(this->ejections, 10U));
     this->ejected_until = now + std::min<duration>(length, this->settings.longest_ejection);
     this->now_state = upstream_state::ejected;
     ++this->ejections;
@@ -111,7 +118,8 @@
     {
         this->turn_cold(now);
     }
-    const auto silent = this->needs_reports && this->report && now - this->reported > this->settings.report_timeout;
+    const auto silent =
+        this->needs_reports && this->report && now - this->reported > this->settings.report_timeout;
     const auto doubt_holds = this->doubted && now - *this->doubted > this->settings.doubt_timeout;
     if ((silent || doubt_holds) && this->now_state == upstream_state::warm)
     {
@@ -139,7 +147,8 @@
     case upstream_state::cold:
         return this->step_limit;
     case upstream_state::warm:
-        return this->doubted ? this->declared_cold : static_cast<std::uint32_t>(this->adaptive_limit);
+        return this->doubted ? this->declared_cold
+                             : static_cast<std::uint32_t>(this->adaptive_limit);
     case upstream_state::ejected:
     case upstream_state::leaving:
         return 0;
--- a/src/slots/warmup_test.cpp
+++ b/src/slots/warmup_test.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-auto make_report(std::uint64_t served, bool cold = false, std::uint32_t incarnation = 1) -> upstream_report
+auto make_report(std::uint64_t served, bool cold = false, std::uint32_t incarnation = 1)
+    -> upstream_report
 {
     upstream_report report;
     report.incarnation = incarnation;
--- a/src/streams/event_sequencer.cpp
+++ b/src/streams/event_sequencer.cpp
@@ -11,7 +11,8 @@
 
 auto event_sequencer::is_foreign(const sse_event& event) -> bool
 {
-    const auto id = find_text_member(event.data.substr(0, std::min<std::size_t>(event.data.size(), 256)), "\"id\"");
+    const auto id = find_text_member(
+        event.data.substr(0, std::min<std::size_t>(event.data.size(), 256)), "\"id\"");
     if (id.empty())
     {
         return false;
--- a/src/streams/sse_splitter.cpp
+++ b/src/streams/sse_splitter.cpp
@@ -94,7 +94,10 @@
     return parse_event(raw);
 }
 
-auto is_done_event(const sse_event& event) -> bool { return event.data == "[DONE]"; }
+auto is_done_event(const sse_event& event) -> bool
+{
+    return event.data == "[DONE]";
+}
 
 auto find_text_member(std::string_view json, std::string_view quoted_name) -> std::string_view
 {
--- a/src/streams/streams_test.cpp
+++ b/src/streams/streams_test.cpp
@@ -38,7 +38,8 @@
 
 TEST_CASE("events come out whole, whatever the pieces they arrive in")
 {
-    const auto text = event_text(1, "a", "x") + event_text(2, "a", "y") + "id: 3\r\ndata: [DONE]\r\n\r\n";
+    const auto text =
+        event_text(1, "a", "x") + event_text(2, "a", "y") + "id: 3\r\ndata: [DONE]\r\n\r\n";
     for (std::size_t step = 1; step <= text.size(); ++step)
     {
         event_sequencer sequencer;
--- a/src/transactions/records.cpp
+++ b/src/transactions/records.cpp
@@ -16,8 +16,12 @@
 {
     auto operator()(const claim_record& item) const -> nlohmann::json
     {
-        return {{"t", "claim"}, {"k", item.key.value()}, {"f", item.fingerprint.value()},
-                {"h", item.host.value()}, {"i", item.incarnation.value()}, {"n", item.number.value()}};
+        return {{"t", "claim"},
+                {"k", item.key.value()},
+                {"f", item.fingerprint.value()},
+                {"h", item.host.value()},
+                {"i", item.incarnation.value()},
+                {"n", item.number.value()}};
     }
     auto operator()(const void_record& item) const -> nlohmann::json
     {
@@ -25,9 +29,13 @@
     }
     auto operator()(const done_record& item) const -> nlohmann::json
     {
-        return {{"t", "done"}, {"k", item.key.value()}, {"o", item.claim.value()},
-                {"s", item.answer.status}, {"c", item.answer.content_type},
-                {"b", item.answer.body}, {"w", item.answer.body_kept}};
+        return {{"t", "done"},
+                {"k", item.key.value()},
+                {"o", item.claim.value()},
+                {"s", item.answer.status},
+                {"c", item.answer.content_type},
+                {"b", item.answer.body},
+                {"w", item.answer.body_kept}};
     }
     auto operator()(const unknown_record& item) const -> nlohmann::json
     {
@@ -57,7 +65,8 @@
     }
     if (type == "done")
     {
-        return done_record{key, claim,
+        return done_record{key,
+                           claim,
                            {document.at("s").get<int>(), document.at("c").get<std::string>(),
                             document.at("b").get<std::string>(), document.at("w").get<bool>()}};
     }
@@ -68,7 +77,8 @@
 
 auto make_transaction_key(workspace_id workspace, std::string_view key) -> transaction_key
 {
-    return transaction_key{sha256_hex(std::to_string(workspace.value()) + ":" + std::string(key)).substr(0, kept_digits)};
+    return transaction_key{sha256_hex(std::to_string(workspace.value()) + ":" + std::string(key))
+                               .substr(0, kept_digits)};
 }
 
 auto make_fingerprint(std::string_view method, std::string_view target, std::string_view body)
@@ -82,9 +92,13 @@
     return request_fingerprint{sha256_hex(text).substr(0, kept_digits)};
 }
 
-auto to_json(const transaction_record& record) -> nlohmann::json { return std::visit(json_writer{}, record); }
+auto to_json(const transaction_record& record) -> nlohmann::json
+{
+    return std::visit(json_writer{}, record);
+}
 
-auto transaction_record_from_json(const nlohmann::json& document) -> std::optional<transaction_record>
+auto transaction_record_from_json(const nlohmann::json& document)
+    -> std::optional<transaction_record>
 {
     try
     {
--- a/src/transactions/tickets.cpp
+++ b/src/transactions/tickets.cpp
@@ -57,7 +57,10 @@
     return body + "." + mac_of(body, host_secret);
 }
 
-auto looks_like_ticket(std::string_view text) -> bool { return text.starts_with(ticket_prefix); }
+auto looks_like_ticket(std::string_view text) -> bool
+{
+    return text.starts_with(ticket_prefix);
+}
 
 auto parse_ticket(std::string_view text, std::string_view host_secret) -> std::optional<ticket>
 {
--- a/src/transactions/transaction_book.cpp
+++ b/src/transactions/transaction_book.cpp
@@ -3,7 +3,9 @@
 namespace poplardrift
 {
 
-transaction_book::transaction_book(transaction_book_settings settings) : settings(settings) {}
+transaction_book::transaction_book(transaction_book_settings settings) : settings(settings)
+{
+}
 
 auto transaction_book::find(const transaction_key& key) const -> const winning_claim*
 {
@@ -50,7 +52,8 @@
     }
 }
 
-auto transaction_book::set_status(const transaction_key& key, log_offset claim, claim_status status) -> void
+auto transaction_book::set_status(const transaction_key& key, log_offset claim, claim_status status)
+    -> void
 {
     const auto found = this->winners.find(key);
     // Only the winner's word counts, and a known answer is never forgotten for an unknown one.
@@ -81,8 +84,8 @@
     if (const auto* claim = std::get_if<claim_record>(&record))
     {
         const auto [found, won] = this->winners.try_emplace(
-            claim->key, winning_claim{offset, time, claim->fingerprint, claim->host, claim->incarnation,
-                                      claim->number, claim_open{}});
+            claim->key, winning_claim{offset, time, claim->fingerprint, claim->host,
+                                      claim->incarnation, claim->number, claim_open{}});
         if (won)
         {
             this->by_age.push_back({time, offset, claim->key});
--- a/src/transactions/transaction_core.cpp
+++ b/src/transactions/transaction_core.cpp
@@ -68,9 +68,11 @@
     return "";
 }
 
-transaction_core::transaction_core(transaction_settings settings, host_id self, incarnation_id incarnation)
+transaction_core::transaction_core(transaction_settings settings, host_id self,
+                                   incarnation_id incarnation)
     : settings(settings), self(self), incarnation(incarnation),
-      book({std::chrono::duration_cast<log_time>(settings.dedupe_window), settings.kept_answers_bytes})
+      book({std::chrono::duration_cast<log_time>(settings.dedupe_window),
+            settings.kept_answers_bytes})
 {
 }
 
@@ -103,11 +105,15 @@
     if (!this->recovered)
     {
         this->recovered = true;
-        this->note(event_code::transaction_recovered, "through offset " + std::to_string(this->applied().value()));
+        this->note(event_code::transaction_recovered,
+                   "through offset " + std::to_string(this->applied().value()));
     }
 }
 
-auto transaction_core::on_gap(time_point now) -> void { this->gap_until = now + this->settings.dedupe_window; }
+auto transaction_core::on_gap(time_point now) -> void
+{
+    this->gap_until = now + this->settings.dedupe_window;
+}
 
 auto transaction_core::on_host_seen(host_id host, incarnation_id seen) -> void
 {
@@ -119,7 +125,8 @@
 
 auto transaction_core::issue_ticket(workspace_id workspace, time_point now) -> std::string
 {
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
     return format_ticket({this->self, this->incarnation, ++this->next_ticket, seconds, workspace},
                          this->settings.host_secret);
 }
@@ -175,7 +182,8 @@
     }
     if (found == this->tickets.end())
     {
-        this->tickets.emplace(key, ticket_entry{request.fingerprint, now, request.id, claim_open{}});
+        this->tickets.emplace(key,
+                              ticket_entry{request.fingerprint, now, request.id, claim_open{}});
         this->start_run(request, {key, std::nullopt, now, {}});
         return;
     }
@@ -219,7 +227,8 @@
 }
 
 /// Deals with a request whose key was claimed before.
-auto transaction_core::resolve(const transaction_request& request, const winning_claim& winner) -> void
+auto transaction_core::resolve(const transaction_request& request, const winning_claim& winner)
+    -> void
 {
     if (winner.fingerprint != request.fingerprint)
     {
@@ -234,7 +243,8 @@
     const auto ours = winner.host == this->self && winner.incarnation == this->incarnation;
     if (ours)
     {
-        const auto runner = this->runner_of_key.find(make_transaction_key(request.workspace, request.key));
+        const auto runner =
+            this->runner_of_key.find(make_transaction_key(request.workspace, request.key));
         if (runner != this->runner_of_key.end())
         {
             this->join(request, runner->second);
@@ -251,7 +261,8 @@
                           (seen != this->live.end() && seen->second != winner.incarnation);
     if (request.forwarded || replaced || this->gone.contains(winner.host))
     {
-        this->note(event_code::transaction_unknown, "key " + make_transaction_key(request.workspace, request.key).value());
+        this->note(event_code::transaction_unknown,
+                   "key " + make_transaction_key(request.workspace, request.key).value());
         this->refuse(request.id, transaction_refusal::owner_gone);
         return;
     }
@@ -265,7 +276,8 @@
     found->second.joined.push_back(request.id);
 }
 
-auto transaction_core::answer_from(const transaction_request& request, const claim_status& status) -> void
+auto transaction_core::answer_from(const transaction_request& request, const claim_status& status)
+    -> void
 {
     if (const auto* done = std::get_if<claim_done>(&status))
     {
@@ -301,7 +313,8 @@
     const auto found = this->claims.find(number);
     if (found == this->claims.end() || result != append_result::not_appended)
     {
-        // An appended claim is acted on when it is read back; a lost answer is settled the same way.
+        // An appended claim is acted on when it is read back; a lost answer is settled the same
+        // way.
         return;
     }
     if (!found->second.abandoned)
@@ -324,7 +337,8 @@
     }
 }
 
-auto transaction_core::on_own_claim(claim_number number, const winning_claim& winner, time_point now) -> void
+auto transaction_core::on_own_claim(claim_number number, const winning_claim& winner,
+                                    time_point now) -> void
 {
     const auto found = this->claims.find(number);
     if (found == this->claims.end())
@@ -347,7 +361,8 @@
     if (claim.abandoned)
     {
         // It was given up before it was seen: say on the log that it never ran.
-        this->actions.emplace_back(append_transaction_record{void_record{claim.key, winner.offset}, std::nullopt});
+        this->actions.emplace_back(
+            append_transaction_record{void_record{claim.key, winner.offset}, std::nullopt});
         return;
     }
     this->note(event_code::transaction_claimed, "key " + claim.key.value());
@@ -359,7 +374,8 @@
 {
     const auto found = this->runs.find(id);
     return found != this->runs.end() &&
-           now - found->second.started < this->settings.dedupe_window - this->settings.window_margin;
+           now - found->second.started <
+               this->settings.dedupe_window - this->settings.window_margin;
 }
 
 // Ends.
@@ -367,12 +383,17 @@
 auto transaction_core::settle_claim(const running& item, const run_result& result) -> void
 {
     const auto claim = *item.claim;
-    const auto record = std::visit(
-        overloaded{[&](const run_not_sent&) -> transaction_record { return void_record{item.key, claim}; },
-                   [&](const run_answered& done) -> transaction_record
-                   { return done_record{item.key, claim, this->trimmed(done.answer)}; },
-                   [&](const run_unknown&) -> transaction_record { return unknown_record{item.key, claim}; }},
-        result);
+    const auto record =
+        std::visit(overloaded{[&](const run_not_sent&) -> transaction_record {
+                                  return void_record{item.key, claim};
+                              },
+                              [&](const run_answered& done) -> transaction_record {
+                                  return done_record{item.key, claim, this->trimmed(done.answer)};
+                              },
+                              [&](const run_unknown&) -> transaction_record {
+                                  return unknown_record{item.key, claim};
+                              }},
+                   result);
     this->actions.emplace_back(append_transaction_record{record, std::nullopt});
 }
 
@@ -388,7 +409,8 @@
                result);
 }
 
-auto transaction_core::on_run_result(request_id id, const run_result& result, time_point now) -> void
+auto transaction_core::on_run_result(request_id id, const run_result& result, time_point now)
+    -> void
 {
     (void)now;
     const auto found = this->runs.find(id);
@@ -409,8 +431,9 @@
     {
         std::visit(overloaded{[&](const run_not_sent&)
                               { this->refuse(joined, transaction_refusal::claim_not_confirmed); },
-                              [&](const run_answered& done)
-                              { this->actions.emplace_back(replay_answer{joined, done.answer}); },
+                              [&](const run_answered& done) {
+                                  this->actions.emplace_back(replay_answer{joined, done.answer});
+                              },
                               [&](const run_unknown&)
                               { this->refuse(joined, transaction_refusal::outcome_unknown); }},
                    result);
@@ -437,15 +460,19 @@
 {
     for (auto& [number, claim] : this->claims)
     {
-        const auto late = now - claim.started >= this->settings.claim_timeout || now >= claim.request.deadline;
+        const auto late =
+            now - claim.started >= this->settings.claim_timeout || now >= claim.request.deadline;
         if (late)
         {
             this->abandon(claim, transaction_refusal::claim_not_confirmed);
         }
     }
     // A claim that has not shown up within the window lost its chance to.
-    std::erase_if(this->claims, [&](const auto& item)
-                  { return item.second.abandoned && now - item.second.started > 2 * this->settings.dedupe_window; });
+    std::erase_if(this->claims,
+                  [&](const auto& item) {
+                      return item.second.abandoned &&
+                             now - item.second.started > 2 * this->settings.dedupe_window;
+                  });
     std::erase_if(this->tickets,
                   [&](const auto& item)
                   {
--- a/src/transactions/transaction_core_test.cpp
+++ b/src/transactions/transaction_core_test.cpp
@@ -114,12 +114,14 @@
         auto& host = this->hosts[index];
         host = {};
         host.incarnation = incarnation_id{++this->incarnations};
-        host.core = std::make_unique<transaction_core>(make_settings(), host_id{static_cast<std::uint32_t>(index + 1)}, host.incarnation);
+        host.core = std::make_unique<transaction_core>(
+            make_settings(), host_id{static_cast<std::uint32_t>(index + 1)}, host.incarnation);
         for (std::size_t other = 0; other < host_count; ++other)
         {
             if (this->hosts[other].core)
             {
-                this->hosts[other].core->on_host_seen(host_id{static_cast<std::uint32_t>(index + 1)}, host.incarnation);
+                this->hosts[other].core->on_host_seen(
+                    host_id{static_cast<std::uint32_t>(index + 1)}, host.incarnation);
             }
         }
     }
@@ -158,11 +160,13 @@
             }
             return;
         }
-        this->log.push_back({std::chrono::duration_cast<log_time>(this->now.time_since_epoch()), item.record});
+        this->log.push_back(
+            {std::chrono::duration_cast<log_time>(this->now.time_since_epoch()), item.record});
         const auto lost = choice % 3 == 0;
         if (item.number)
         {
-            host.core->on_append(*item.number, lost ? append_result::lost : append_result::appended, this->now);
+            host.core->on_append(*item.number, lost ? append_result::lost : append_result::appended,
+                                 this->now);
         }
         else if (lost)
         {
@@ -202,7 +206,9 @@
         }
         ++this->executions[key];
         this->ran_after_refusal = this->ran_after_refusal || this->refused.contains(id);
-        const auto result = choice % 4 == 1 ? run_result{run_unknown{}} : run_result{run_answered{{200, "text/plain", key, true}}};
+        const auto result = choice % 4 == 1
+                                ? run_result{run_unknown{}}
+                                : run_result{run_answered{{200, "text/plain", key, true}}};
         host.core->on_run_result(id, result, this->now);
     }
 
@@ -273,7 +279,8 @@
     return core;
 }
 
-auto make_request(std::uint64_t id, const std::string& key, const std::string& fingerprint = "f") -> transaction_request
+auto make_request(std::uint64_t id, const std::string& key, const std::string& fingerprint = "f")
+    -> transaction_request
 {
     transaction_request request;
     request.id = request_id{id};
@@ -327,7 +334,8 @@
         transaction_world world;
         for (int step = 0; step < 120; ++step)
         {
-            world.run({static_cast<int>(random() % 9), random() % host_count, static_cast<int>(random() % 64)});
+            world.run({static_cast<int>(random() % 9), random() % host_count,
+                       static_cast<int>(random() % 64)});
         }
         INFO("seed " << seed);
         REQUIRE(world.is_sound());
@@ -340,7 +348,8 @@
 TEST_CASE("schedules that a library makes up, and shrinks when one fails")
 {
     setenv("RC_PARAMS", "seed=7 max_success=200 max_size=120", 0);
-    const auto result = rc::check("at most once", [](const std::vector<std::tuple<int, int, int>>& raw)
+    const auto result = rc::check("at most once",
+                                  [](const std::vector<std::tuple<int, int, int>>& raw)
                                   {
                                       auto schedule = raw;
                                       for (auto& [kind, host, choice] : schedule)
@@ -386,7 +395,8 @@
     CHECK(std::holds_alternative<void_record>(voided->record));
 }
 
-TEST_CASE("a repeat gets the answer that the key got, at another host too; another request is refused")
+TEST_CASE(
+    "a repeat gets the answer that the key got, at another host too; another request is refused")
 {
     auto first = make_ready_core(1);
     auto second = make_ready_core(2);
@@ -399,14 +409,18 @@
     CHECK(find_action<replay_answer>(actions)->answer.body == "booked");
     const auto done = find_action<append_transaction_record>(actions);
     // The other host has read the log.
-    second.on_record(log_offset{1}, log_time{1}, claim_record{make_transaction_key(workspace, "k"), request_fingerprint{"f"}, host_id{1}, incarnation_id{1}, claim_number{1}}, start);
+    second.on_record(log_offset{1}, log_time{1},
+                     claim_record{make_transaction_key(workspace, "k"), request_fingerprint{"f"},
+                                  host_id{1}, incarnation_id{1}, claim_number{1}},
+                     start);
     second.begin(make_request(3, "k"), start);
     CHECK(find_action<forward_transaction>(second.take_actions())->to == host_id{1});
     second.on_record(log_offset{2}, log_time{2}, done->record, start);
     second.begin(make_request(4, "k"), start);
     CHECK(find_action<replay_answer>(second.take_actions())->answer.status == 201);
     second.begin(make_request(5, "k", "another"), start);
-    CHECK(find_action<refuse_transaction>(second.take_actions())->reason == transaction_refusal::key_conflict);
+    CHECK(find_action<refuse_transaction>(second.take_actions())->reason ==
+          transaction_refusal::key_conflict);
     // Another workspace's key is another key.
     auto other = make_request(6, "k");
     other.workspace = workspace_id{6};
@@ -417,7 +431,10 @@
 TEST_CASE("when the host that may have run it is gone, the outcome is unknown and nobody runs it")
 {
     auto second = make_ready_core(2);
-    second.on_record(log_offset{1}, log_time{1}, claim_record{make_transaction_key(workspace, "k"), request_fingerprint{"f"}, host_id{1}, incarnation_id{1}, claim_number{1}}, start);
+    second.on_record(log_offset{1}, log_time{1},
+                     claim_record{make_transaction_key(workspace, "k"), request_fingerprint{"f"},
+                                  host_id{1}, incarnation_id{1}, claim_number{1}},
+                     start);
     second.on_host_seen(host_id{1}, incarnation_id{2});
     second.begin(make_request(1, "k"), start);
     const auto refusal = find_action<refuse_transaction>(second.take_actions());
@@ -434,17 +451,20 @@
     CHECK(find_action<run_transaction>(first.take_actions()));
     first.on_run_result(request_id{1}, run_unknown{}, start);
     first.begin(make_request(2, key), start);
-    CHECK(find_action<refuse_transaction>(first.take_actions())->reason == transaction_refusal::outcome_unknown);
+    CHECK(find_action<refuse_transaction>(first.take_actions())->reason ==
+          transaction_refusal::outcome_unknown);
     transaction_core second(make_settings(), host_id{2}, incarnation_id{1});
     second.begin(make_request(3, key), start);
     CHECK(find_action<forward_transaction>(second.take_actions())->to == host_id{1});
     transaction_core replaced(make_settings(), host_id{1}, incarnation_id{9});
     replaced.begin(make_request(4, key), start);
-    CHECK(find_action<refuse_transaction>(replaced.take_actions())->reason == transaction_refusal::owner_gone);
+    CHECK(find_action<refuse_transaction>(replaced.take_actions())->reason ==
+          transaction_refusal::owner_gone);
     // A key that was changed, or that is another workspace's, is none of ours.
     auto forged = make_request(5, key.substr(0, key.size() - 1) + (key.back() == '0' ? '1' : '0'));
     second.begin(forged, start);
-    CHECK(find_action<refuse_transaction>(second.take_actions())->reason == transaction_refusal::bad_ticket);
+    CHECK(find_action<refuse_transaction>(second.take_actions())->reason ==
+          transaction_refusal::bad_ticket);
 }
 
 TEST_CASE("without the log a caller's key is refused, truthfully")
@@ -463,7 +483,8 @@
     transaction_core core(make_settings(), host_id{1}, incarnation_id{1});
     core.on_log_reachable(true);
     core.begin(make_request(1, "k"), start);
-    CHECK(find_action<refuse_transaction>(core.take_actions())->reason == transaction_refusal::recovering);
+    CHECK(find_action<refuse_transaction>(core.take_actions())->reason ==
+          transaction_refusal::recovering);
 }
 
 TEST_CASE("after records were lost, keys that may have been claimed in them are not run")
@@ -471,7 +492,8 @@
     auto core = make_ready_core();
     core.on_gap(start);
     core.begin(make_request(1, "k"), start + 1s);
-    CHECK(find_action<refuse_transaction>(core.take_actions())->reason == transaction_refusal::recovering);
+    CHECK(find_action<refuse_transaction>(core.take_actions())->reason ==
+          transaction_refusal::recovering);
     core.begin(make_request(2, "k"), start + 61s);
     CHECK(find_action<append_transaction_record>(core.take_actions()));
 }
@@ -490,7 +512,8 @@
     REQUIRE(claim_and_run(core, 1, 1));
     core.on_run_result(request_id{1}, run_unknown{}, start);
     (void)core.take_actions();
-    core.on_record(log_offset{2}, log_time{60'001}, void_record{transaction_key{"x"}, log_offset{1}}, start + 60s);
+    core.on_record(log_offset{2}, log_time{60'001},
+                   void_record{transaction_key{"x"}, log_offset{1}}, start + 60s);
     core.begin(make_request(2, "k"), start + 61s);
     CHECK(find_action<append_transaction_record>(core.take_actions()));
 }
--- a/tests/documents_test.cpp
+++ b/tests/documents_test.cpp
@@ -43,7 +43,9 @@
         const auto code = read_file(source);
         // Every name that a reader asks for stands between quotation marks after an opening bracket
         // or a comma.
-        for (const std::string call : {"text(\"", "integer(\"", "number(\"", "flag(\"", "choice(\"", "texts(\"", "read_ms(reader, \"", "read_milliseconds(reader, \"", "read_port(reader, \""})
+        for (const std::string call :
+             {"text(\"", "integer(\"", "number(\"", "flag(\"", "choice(\"", "texts(\"",
+              "read_ms(reader, \"", "read_milliseconds(reader, \"", "read_port(reader, \""})
         {
             for (auto at = code.find(call); at != std::string::npos; at = code.find(call, at + 1))
             {
@@ -67,8 +69,10 @@
     const auto result = parse_daemon_settings(faulty);
     REQUIRE_FALSE(result);
     const auto& why = result.last_reason();
-    CHECK(why.find("/host/http_prt: unknown key; did you mean \"http_port\"?") != std::string::npos);
-    CHECK(why.find("/platform/address: is \"localhost\"; allowed: an IP number") != std::string::npos);
+    CHECK(why.find("/host/http_prt: unknown key; did you mean \"http_port\"?") !=
+          std::string::npos);
+    CHECK(why.find("/platform/address: is \"localhost\"; allowed: an IP number") !=
+          std::string::npos);
     CHECK(why.find("/placement: is \"random\"; allowed: ") != std::string::npos);
     CHECK(why.find("/transactions/dedupe_window_ms") != std::string::npos);
 }
