--- a/include/poplardrift/admission/admission.hpp
+++ b/include/poplardrift/admission/admission.hpp
@@ -231,6 +231,7 @@
     {
         std::int32_t negated_priority = 0;
         std::uint64_t arrival = 0;
+        // NOLINTNEXTLINE: the linter does not know a defaulted comparison
         friend auto operator<=>(const waiter_key&, const waiter_key&) = default;
     };
 
--- a/include/poplardrift/base/outcome.hpp
+++ b/include/poplardrift/base/outcome.hpp
@@ -15,10 +15,10 @@
     outcome(T result) : held(std::move(result)) {} // NOLINT: implicit by intent
 
     /// An outcome without a value.
-    [[nodiscard]] static auto failure(std::string why) -> outcome
+    [[nodiscard]] static auto failure(const std::string& why) -> outcome
     {
         outcome result;
-        result.why = std::move(why);
+        result.why = why;
         return result;
     }
 
--- a/include/poplardrift/base/strong_type.hpp
+++ b/include/poplardrift/base/strong_type.hpp
@@ -22,6 +22,7 @@
     /// The wrapped value.
     [[nodiscard]] constexpr auto value() const noexcept -> const Rep& { return this->held; }
 
+    // NOLINTNEXTLINE: the linter does not know a defaulted comparison
     [[nodiscard]] friend auto operator<=>(const strong_type&, const strong_type&) = default;
 
     /// Lets Abseil's containers hash the value.
--- a/include/poplardrift/core/control_core.hpp
+++ b/include/poplardrift/core/control_core.hpp
@@ -176,7 +176,7 @@
 class control_core final : private membership_listener
 {
 public:
-    control_core(control_settings settings, host_address self, incarnation_id incarnation,
+    control_core(const control_settings& settings, host_address self, incarnation_id incarnation,
                  time_point now);
 
     auto add_seeds(const std::vector<host_address>& seeds) -> void { this->hosts.add_seeds(seeds); }
@@ -281,6 +281,7 @@
     {
         host_id from;
         upstream_id upstream;
+        // NOLINTNEXTLINE: the linter does not know a defaulted comparison
         friend auto operator<=>(const heard_sign&, const heard_sign&) = default;
     };
 
--- a/include/poplardrift/transactions/transaction_core.hpp
+++ b/include/poplardrift/transactions/transaction_core.hpp
@@ -140,7 +140,8 @@
 class transaction_core final
 {
 public:
-    transaction_core(transaction_settings settings, host_id self, incarnation_id incarnation);
+    transaction_core(const transaction_settings& settings, host_id self,
+                     incarnation_id incarnation);
 
     /// A key that only this process may run.
     [[nodiscard]] auto issue_ticket(workspace_id workspace, time_point now) -> std::string;
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -61,8 +61,8 @@
 
 } // namespace
 
-control_core::control_core(control_settings settings, host_address self, incarnation_id incarnation,
-                           time_point now)
+control_core::control_core(const control_settings& settings, host_address self,
+                           incarnation_id incarnation, time_point now)
     : settings(settings), incarnation(incarnation),
       hosts(settings.membership, std::move(self), incarnation), configured(settings.configuration),
       budget(settings.budget, now), owner(settings.slots, settings.warmup), members_changed(now),
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -160,6 +160,7 @@
 auto to_sets(const std::vector<planned_set>& plan) -> std::vector<change_set_item>
 {
     std::vector<change_set_item> sets;
+    sets.reserve(plan.size());
     for (const auto& item : plan)
     {
         sets.push_back({item.path, log_offset{item.version},
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -217,8 +217,8 @@
     const auto until = monotonic_now() + change_patience;
     while (monotonic_now() < until)
     {
-        const auto entry = this->context.control.inspect([&](const control_core& core)
-                                                         { return core.config().result_of(id); });
+        auto entry = this->context.control.inspect([&](const control_core& core)
+                                                   { return core.config().result_of(id); });
         if (entry)
         {
             return entry;
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -86,7 +86,7 @@
 
 auto control_service::start() -> std::optional<std::string>
 {
-    if (const auto fault = this->transport.start())
+    if (auto fault = this->transport.start())
     {
         return fault;
     }
--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -113,7 +113,9 @@
                 .idle_seconds = static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(
                                                      context.settings.idle_connection)
                                                      .count()),
-                .most_body_bytes = largest_body_read})
+                .most_body_bytes = largest_body_read,
+                .certificate = context.settings.callers.certificate,
+                .key = context.settings.callers.key})
 {
     auto& http = this->listener.server();
     const auto handler = [this](const httplib::Request& request, httplib::Response& response)
@@ -362,7 +364,7 @@
     auto relay = std::make_shared<chat_relay>(this->context, std::move(asked));
     if (relay->request().stream)
     {
-        this->answer_stream(std::move(relay), response);
+        this->answer_stream(relay, response);
         return;
     }
     relay->run_whole();
@@ -390,8 +392,8 @@
                          relay.whole_type().empty() ? "application/json" : relay.whole_type());
 }
 
-auto http_front::answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response)
-    -> void
+auto http_front::answer_stream(const std::shared_ptr<chat_relay>& relay,
+                               httplib::Response& response) -> void
 {
     auto session = std::make_shared<stream_session>(this->context, relay);
     // Runs until the engine's headers are there, or until there is no answer.
--- a/src/daemon/http_front.hpp
+++ b/src/daemon/http_front.hpp
@@ -33,7 +33,8 @@
                         const caller_request& caller) -> void;
     auto handle_new_key(const httplib::Request& request, httplib::Response& response) -> void;
     auto handle_lookup(const httplib::Request& request, httplib::Response& response) -> void;
-    auto answer_stream(std::shared_ptr<chat_relay> relay, httplib::Response& response) -> void;
+    auto answer_stream(const std::shared_ptr<chat_relay>& relay, httplib::Response& response)
+        -> void;
     auto answer_whole(chat_relay& relay, httplib::Response& response) -> void;
     [[nodiscard]] auto workspace_of(const httplib::Request& request, const routing_view& view) const
         -> const workspace_view*;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -45,7 +45,7 @@
     /// Starts everything; the reason tells what cannot be bound.
     [[nodiscard]] auto start() -> std::optional<std::string>
     {
-        if (const auto fault = this->control.start())
+        if (auto fault = this->control.start())
         {
             return fault;
         }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -172,6 +172,7 @@
         {"rendezvous", placement_policy::rendezvous},
         {"bounded_rendezvous", placement_policy::bounded_rendezvous}};
     std::vector<std::string> names;
+    names.reserve(policies.size());
     for (const auto& [name, policy] : policies)
     {
         names.push_back(name);
--- a/src/daemon/transaction_service.cpp
+++ b/src/daemon/transaction_service.cpp
@@ -224,6 +224,7 @@
                                       std::vector<append_transaction_record> batch) -> void
 {
     std::vector<nlohmann::json> records;
+    records.reserve(batch.size());
     for (const auto& item : batch)
     {
         records.push_back(to_json(item.record));
--- a/src/load/fleet_files.cpp
+++ b/src/load/fleet_files.cpp
@@ -36,7 +36,7 @@
 auto make_hosts(const nlohmann::json& fleet, const prepare_options& options) -> nlohmann::json
 {
     auto hosts = nlohmann::json::array();
-    const auto described = fleet.at("hosts");
+    const auto& described = fleet.at("hosts");
     const auto count =
         options.hosts > 0 ? static_cast<std::size_t>(options.hosts) : described.size();
     for (std::size_t index = 0; index < count; ++index)
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -124,6 +124,7 @@
         }
     }
     std::vector<plot_line> result;
+    result.reserve(lines.size());
     for (auto& [name, line] : lines)
     {
         result.push_back(std::move(line));
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -17,15 +17,24 @@
 
 http_listener::http_listener(http_listener_settings settings) : settings(std::move(settings))
 {
+    if (this->settings.certificate.empty())
+    {
+        this->http = std::make_unique<httplib::Server>();
+    }
+    else
+    {
+        this->http = std::make_unique<httplib::SSLServer>(this->settings.certificate.c_str(),
+                                                          this->settings.key.c_str());
+    }
     const auto most = this->settings.most_connections;
-    this->http.new_task_queue = [most] { return new growing_task_queue(most); };
-    this->http.set_tcp_nodelay(true);
-    this->http.set_keep_alive_max_count(most_requests_a_connection);
-    this->http.set_keep_alive_timeout(this->settings.idle_seconds);
-    this->http.set_read_timeout(this->settings.read_seconds);
-    this->http.set_write_timeout(this->settings.write_seconds);
-    this->http.set_payload_max_length(this->settings.most_body_bytes);
-    this->http.set_socket_options(
+    this->http->new_task_queue = [most] { return new growing_task_queue(most); };
+    this->http->set_tcp_nodelay(true);
+    this->http->set_keep_alive_max_count(most_requests_a_connection);
+    this->http->set_keep_alive_timeout(this->settings.idle_seconds);
+    this->http->set_read_timeout(this->settings.read_seconds);
+    this->http->set_write_timeout(this->settings.write_seconds);
+    this->http->set_payload_max_length(this->settings.most_body_bytes);
+    this->http->set_socket_options(
         [this](socket_t descriptor)
         {
             const int yes = 1;
@@ -41,13 +50,15 @@
 
 auto http_listener::start() -> bool
 {
-    if (!this->http.bind_to_port(this->settings.address, this->settings.port))
+    // Certificates that cannot be read make a server that is not valid.
+    if (!this->http->is_valid() ||
+        !this->http->bind_to_port(this->settings.address, this->settings.port))
     {
         return false;
     }
     // The library listens with a backlog of 5; a burst of connections would lose its SYNs.
     ::listen(this->socket, this->settings.backlog);
-    this->acceptor = std::thread([this] { this->http.listen_after_bind(); });
+    this->acceptor = std::thread([this] { this->http->listen_after_bind(); });
     return true;
 }
 
@@ -57,11 +68,11 @@
     {
         return;
     }
-    while (!this->http.is_running())
+    while (!this->http->is_running())
     {
         std::this_thread::yield();
     }
-    this->http.stop();
+    this->http->stop();
     this->acceptor.join();
 }
 
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -21,6 +22,8 @@
     int read_seconds = 30;               ///< a request must arrive within that
     int write_seconds = 30;              ///< a client that takes nothing for that long is dropped
     std::size_t most_body_bytes = 1 << 20;
+    std::string certificate = {}; ///< PEM file; empty: no TLS
+    std::string key = {};         ///< PEM file of the certificate's key
 };
 
 /// An HTTP server with its accepting thread. Handlers are set on `server` before `start`.
@@ -32,7 +35,7 @@
     http_listener(const http_listener&) = delete;
     auto operator=(const http_listener&) -> http_listener& = delete;
 
-    [[nodiscard]] auto server() -> httplib::Server& { return this->http; }
+    [[nodiscard]] auto server() -> httplib::Server& { return *this->http; }
     /// Binds and begins to accept. False when the address cannot be bound.
     [[nodiscard]] auto start() -> bool;
     /// Accepts nothing more and waits until all connections have ended.
@@ -40,7 +43,7 @@
 
 private:
     http_listener_settings settings;
-    httplib::Server http;
+    std::unique_ptr<httplib::Server> http;
     std::thread acceptor;
     int socket = -1;
 };
--- a/src/placement/routing_view.cpp
+++ b/src/placement/routing_view.cpp
@@ -113,9 +113,9 @@
     view->pools = make_pools(declared, known);
     for (const auto& [path, item] : declared.routes)
     {
-        const auto pool =
-            std::find_if(view->pools.begin(), view->pools.end(),
-                         [&](const auto& candidate) { return candidate.name == item.pool; });
+        const auto pool = std::find_if(view->pools.begin(), view->pools.end(),
+                                       [&wanted = item.pool](const auto& candidate)
+                                       { return candidate.name == wanted; });
         if (pool != view->pools.end())
         {
             const auto position = static_cast<std::uint32_t>(pool - view->pools.begin());
--- a/src/transactions/transaction_core.cpp
+++ b/src/transactions/transaction_core.cpp
@@ -68,7 +68,7 @@
     return "";
 }
 
-transaction_core::transaction_core(transaction_settings settings, host_id self,
+transaction_core::transaction_core(const transaction_settings& settings, host_id self,
                                    incarnation_id incarnation)
     : settings(settings), self(self), incarnation(incarnation),
       book({std::chrono::duration_cast<log_time>(settings.dedupe_window),
