--- a/include/poplardrift/streams/sse_splitter.hpp
+++ b/include/poplardrift/streams/sse_splitter.hpp
@@ -31,6 +31,11 @@
     auto feed(std::string_view bytes) -> void;
     /// The next whole event; nothing until more bytes come.
     [[nodiscard]] auto next() -> std::optional<sse_event>;
+    /// True when bytes of an event without its end are left.
+    [[nodiscard]] auto has_partial_event() const -> bool
+    {
+        return this->start < this->buffer.size();
+    }
     /// True when an event has grown past the limit.
     [[nodiscard]] auto is_oversized() const -> bool
     {
--- /dev/null
+++ b/src/fleet/fleet_state.cpp
@@ -0,0 +1,254 @@
+#include "fleet/fleet_state.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace poplardrift::fleet
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Entries that lapsed while the platform was away are renewed about this long after its return.
+constexpr duration renewal_time = 2500ms;
+/// Kept of the time in which a removal has to take effect: reading it and requests on their way.
+constexpr duration removal_margin = 500ms;
+
+} // namespace
+
+fleet_state::fleet_state(const record_decoder& decoder, decision_log& log)
+    : decoder(decoder), log(log)
+{
+}
+
+auto fleet_state::set_bounds(const routing::fleet_bounds& next) -> void
+{
+    this->bounds = next;
+    this->changed = true;
+}
+
+auto fleet_state::set_host_count(std::size_t count) -> void
+{
+    if (count != this->host_count)
+    {
+        this->host_count = count;
+        this->changed = true;
+    }
+}
+
+auto fleet_state::on_records(record_stream stream, const std::vector<published_record>& records,
+                             record_position end, time_point now) -> void
+{
+    auto& mirror = this->mirrors[static_cast<std::size_t>(stream)];
+    if (!mirror.is_complete())
+    {
+        this->changed = true;
+    }
+    for (const auto& record : records)
+    {
+        if (mirror.apply(record))
+        {
+            this->fold(stream, record, now);
+        }
+    }
+    mirror.advance(end);
+}
+
+auto fleet_state::on_listing(record_stream stream, const std::vector<published_record>& records,
+                             record_position end, time_point now) -> void
+{
+    auto& mirror = this->mirrors[static_cast<std::size_t>(stream)];
+    this->changed = this->changed || !mirror.is_complete();
+    for (const auto& news : mirror.apply_listing(records, end))
+    {
+        this->fold(stream, news, now);
+    }
+}
+
+auto fleet_state::on_platform_reachable(bool reachable, time_point now) -> void
+{
+    if (reachable == this->platform_reachable)
+    {
+        return;
+    }
+    this->platform_reachable = reachable;
+    if (reachable)
+    {
+        this->platform_back_at = now;
+    }
+    this->log.write(reachable ? event_code::log_reachable : event_code::log_unreachable,
+                    {{"operators_position", this->mirrors[0].end().value()},
+                     {"upstreams_position", this->mirrors[1].end().value()}});
+}
+
+auto fleet_state::fold(record_stream stream, const published_record& record, time_point now) -> void
+{
+    auto change = this->decoder.decode(stream, record);
+    if (!change)
+    {
+        this->log.write(event_code::record_ignored, {{"key", record.key},
+                                                     {"position", record.position.value()},
+                                                     {"reason", change.last_reason()}});
+        return;
+    }
+    struct visitor
+    {
+        fleet_state& self;
+        time_point now;
+        auto operator()(const configuration_published& it) -> void { self.on_configuration(it); }
+        auto operator()(const zone_switched& it) -> void { self.on_zone(it, now); }
+        auto operator()(const upstream_announced& it) -> void { self.on_announced(it, now); }
+        auto operator()(const upstream_removed& it) -> void { self.on_removed(it, now); }
+        auto operator()(const nothing_said&) -> void {}
+    };
+    std::visit(visitor{*this, now}, *change);
+}
+
+auto fleet_state::on_configuration(const configuration_published& published) -> void
+{
+    if (this->configuration && published.configuration->version <= this->configuration->version)
+    {
+        return;
+    }
+    this->configuration = published.configuration;
+    this->changed = true;
+    this->log.write(event_code::configuration_applied,
+                    {{"version", this->configuration->version.value()},
+                     {"routes", this->configuration->routes.size()},
+                     {"workspaces", this->configuration->workspaces.size()}});
+}
+
+auto fleet_state::on_zone(const zone_switched& change, time_point now) -> void
+{
+    const auto was_out = this->zones_out.contains(change.zone);
+    if (was_out == change.out)
+    {
+        return;
+    }
+    this->changed = true;
+    this->log.write(change.out ? event_code::zone_out : event_code::zone_in,
+                    {{"zone", change.zone.value()}});
+    if (change.out)
+    {
+        this->zones_out.insert(change.zone);
+        return;
+    }
+    this->zones_out.erase(change.zone);
+    this->warm_up_zone(change.zone, now);
+}
+
+auto fleet_state::warm_up_zone(const zone_name& zone, time_point now) -> void
+{
+    if (!this->configuration)
+    {
+        return;
+    }
+    for (auto& [name, known] : this->upstreams)
+    {
+        const auto service = this->configuration->find_service(known.entry.service);
+        if (known.entry.zone == zone && service)
+        {
+            // Their registry entries may not say yet that they are cold.
+            const auto cold_start = this->configuration->services[*service].cold_start;
+            known.cold_until = std::max(known.cold_until, now + cold_start);
+        }
+    }
+}
+
+auto fleet_state::on_announced(const upstream_announced& announced, time_point now) -> void
+{
+    const auto& entry = announced.entry;
+    const auto found = this->upstreams.find(entry.name);
+    const auto is_new = found == this->upstreams.end();
+    const auto restarted = !is_new && found->second.entry.start_number != entry.start_number;
+    if (is_new || restarted)
+    {
+        this->log.write(event_code::upstream_joined,
+                        {{"upstream", entry.name.value()},
+                         {"service", entry.service},
+                         {"zone", entry.zone.value()},
+                         {"start_number", entry.start_number},
+                         {"cold_ms", entry.cold_left / 1ms}});
+    }
+    if (entry.leaving && (is_new || !found->second.entry.leaving))
+    {
+        this->log.write(event_code::upstream_leaving, {{"upstream", entry.name.value()}});
+    }
+    auto& known = this->upstreams[entry.name];
+    const auto cold_until = entry.cold_left > 0ns ? now + entry.cold_left : time_point{};
+    const auto same = !is_new && !restarted && known.entry.leaving == entry.leaving &&
+                      known.entry.address == entry.address &&
+                      known.entry.service == entry.service && known.entry.zone == entry.zone &&
+                      known.usable_until == time_point::max() && cold_until <= known.cold_until;
+    const auto was_leaving = !is_new && !restarted && known.entry.leaving;
+    known.entry = entry;
+    known.entry.leaving = entry.leaving || was_leaving;
+    known.usable_until = time_point::max();
+    known.cold_until = restarted ? cold_until : std::max(known.cold_until, cold_until);
+    this->changed = this->changed || !same;
+}
+
+auto fleet_state::may_have_lapsed(time_point now) const -> bool
+{
+    return !this->platform_reachable ||
+           (this->platform_back_at && now - *this->platform_back_at < renewal_time);
+}
+
+auto fleet_state::on_removed(const upstream_removed& removed, time_point now) -> void
+{
+    const auto found = this->upstreams.find(removed.name);
+    if (found == this->upstreams.end())
+    {
+        return;
+    }
+    this->changed = true;
+    auto& known = found->second;
+    if (this->may_have_lapsed(now) && !known.entry.leaving)
+    {
+        known.usable_until = now + std::max<duration>(this->bounds.leave_within - removal_margin, 0s);
+        return;
+    }
+    this->log.write(event_code::upstream_gone, {{"upstream", removed.name.value()}});
+    this->upstreams.erase(found);
+}
+
+auto fleet_state::drop_lapsed(time_point now) -> void
+{
+    for (auto item = this->upstreams.begin(); item != this->upstreams.end();)
+    {
+        if (now < item->second.usable_until)
+        {
+            ++item;
+            continue;
+        }
+        this->log.write(event_code::upstream_gone,
+                        {{"upstream", item->first.value()}, {"reason", "entry not renewed"}});
+        item = this->upstreams.erase(item);
+        this->changed = true;
+    }
+}
+
+auto fleet_state::take_view(time_point now) -> std::shared_ptr<const routing::fleet_view>
+{
+    this->drop_lapsed(now);
+    if (!this->changed)
+    {
+        return nullptr;
+    }
+    this->changed = false;
+    auto view = std::make_shared<routing::fleet_view>();
+    view->configuration = this->configuration;
+    for (const auto& [name, known] : this->upstreams)
+    {
+        view->upstreams.push_back(known);
+    }
+    view->zones_out = this->zones_out;
+    view->host_count = this->host_count;
+    view->bounds = this->bounds;
+    view->upstreams_known = this->mirror_of(record_stream::upstreams).is_complete();
+    return view;
+}
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/fleet_state.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "fleet/keyed_mirror.hpp"
+#include "fleet/record_decoder.hpp"
+#include "observability/decision_log.hpp"
+#include "routing/fleet_view.hpp"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace poplardrift::fleet
+{
+
+/// What this host believes of the fleet: folds published records into configuration, zones and
+/// upstreams, and builds the view that the traffic thread works with. Free of I/O; time comes in.
+/// Control thread.
+class fleet_state final
+{
+public:
+    fleet_state(const record_decoder& decoder, decision_log& log);
+
+    auto set_bounds(const routing::fleet_bounds& bounds) -> void;
+    auto set_host_count(std::size_t count) -> void;
+    /// Records that follow each other, from the platform or another host. `end` is the position up
+    /// to which the sender knows the stream.
+    auto on_records(record_stream stream, const std::vector<published_record>& records,
+                    record_position end, time_point now) -> void;
+    /// All newest records of a stream, as the platform lists them.
+    auto on_listing(record_stream stream, const std::vector<published_record>& records,
+                    record_position end, time_point now) -> void;
+    /// The platform does not serve this host, or does again.
+    auto on_platform_reachable(bool reachable, time_point now) -> void;
+
+    [[nodiscard]] auto mirror_of(record_stream stream) const -> const keyed_mirror&
+    {
+        return this->mirrors[static_cast<std::size_t>(stream)];
+    }
+    /// A new view if anything has changed since the last call; null otherwise.
+    [[nodiscard]] auto take_view(time_point now) -> std::shared_ptr<const routing::fleet_view>;
+
+private:
+    auto fold(record_stream stream, const published_record& record, time_point now) -> void;
+    auto on_configuration(const configuration_published& published) -> void;
+    auto on_zone(const zone_switched& change, time_point now) -> void;
+    auto on_announced(const upstream_announced& announced, time_point now) -> void;
+    auto on_removed(const upstream_removed& removed, time_point now) -> void;
+    auto warm_up_zone(const zone_name& zone, time_point now) -> void;
+    auto drop_lapsed(time_point now) -> void;
+    [[nodiscard]] auto may_have_lapsed(time_point now) const -> bool;
+
+    const record_decoder& decoder;
+    decision_log& log;
+    routing::fleet_bounds bounds;
+    std::size_t host_count = 1;
+    std::array<keyed_mirror, 2> mirrors;
+    std::shared_ptr<const routing::routing_configuration> configuration;
+    std::map<routing::upstream_name, routing::known_upstream> upstreams;
+    std::set<zone_name> zones_out;
+    bool platform_reachable = true;
+    std::optional<time_point> platform_back_at;
+    bool changed = true;
+};
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/peer_link.cpp
@@ -0,0 +1,361 @@
+#include "fleet/peer_link.hpp"
+
+#include "net/clock.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplardrift::fleet
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using boost::asio::ip::address_v4;
+using boost::system::error_code;
+
+constexpr duration least_beacon_interval = 100ms; ///< age of the load that others see
+/// Peers for which beacons go out at the least interval; with more, the interval grows alike, so
+/// that a host's beacons cost the same whatever the size of the fleet.
+constexpr std::size_t peers_at_least_interval = 8;
+constexpr duration silent_beacon_interval = 1s; ///< to peers that have not been heard
+constexpr duration alive_time = 1500ms;         ///< since the last beacon
+/// A silent peer may be cut off and still send to upstreams; for this long it keeps its share of
+/// what is divided among the hosts.
+constexpr duration share_time = 45s;
+constexpr duration forget_time = 300s;
+/// Shares are counted for at least this many hosts while none has been heard.
+constexpr std::size_t hosts_when_unknown = 8;
+/// The platform's own delivery: configuration by a waiting read, the registry by polls.
+constexpr std::array<duration, 2> delivery_time = {150ms, 800ms};
+constexpr duration fetch_timeout = 500ms;
+constexpr std::string_view fetch_path = "/records/";
+
+auto number_after(std::string_view target, std::string_view label) -> std::uint64_t
+{
+    const auto at = target.find(label);
+    if (at == std::string_view::npos)
+    {
+        return 0;
+    }
+    auto text = target.substr(at + label.size());
+    return http::parse_number(text.substr(0, text.find('/'))).value_or(0);
+}
+
+} // namespace
+
+/// One fetch of records from another host.
+class peer_link::batch_fetch final : public http::response_receiver
+{
+public:
+    batch_fetch(peer_link& owner, const address_v4& address)
+        : owner(owner), timer(owner.io),
+          connection(std::make_shared<http::upstream_connection>(
+              owner.io, boost::asio::ip::tcp::endpoint(address, owner.settings.port),
+              http::connection_settings{fetch_timeout, fetch_timeout}))
+    {
+    }
+    ~batch_fetch() override { this->connection->abandon(); }
+
+    auto start() -> void
+    {
+        const auto& state = this->owner.state;
+        http::upstream_request request;
+        request.head =
+            "GET " + std::string(fetch_path) + "operators=" +
+            std::to_string(state.mirror_of(record_stream::operators).end().value()) +
+            "/upstreams=" +
+            std::to_string(state.mirror_of(record_stream::upstreams).end().value()) +
+            "/ HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
+        this->timer.expires_after(fetch_timeout);
+        this->timer.async_wait(
+            [this](const error_code& error)
+            {
+                if (!error)
+                {
+                    this->owner.fetch = nullptr;
+                }
+            });
+        this->connection->send(std::move(request), this);
+    }
+
+private:
+    auto on_request_sent() -> void override {}
+    auto on_response_head(const http::response_head& head) -> void override
+    {
+        this->accepted = head.status == 200;
+    }
+    auto on_response_body(std::string bytes) -> void override { this->body.append(bytes); }
+    auto on_response_end() -> void override
+    {
+        const auto self = std::exchange(this->owner.fetch, nullptr);
+        if (this->accepted)
+        {
+            this->owner.on_batch(this->body);
+        }
+    }
+    auto on_response_failed(http::transport_failure) -> void override
+    {
+        const auto self = std::exchange(this->owner.fetch, nullptr);
+    }
+
+    peer_link& owner;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<http::upstream_connection> connection;
+    std::string body;
+    bool accepted = false;
+};
+
+peer_link::peer_link(boost::asio::io_context& io, peer_settings settings, fleet_state& state,
+                     traffic::load_board& board, decision_log& log, std::function<void()> on_news)
+    : io(io), settings(std::move(settings)), state(state), board(board), log(log),
+      on_news(std::move(on_news)), socket(io)
+{
+}
+
+auto peer_link::open() -> bool
+{
+    error_code error;
+    this->socket.open(boost::asio::ip::udp::v4(), error);
+    if (!error)
+    {
+        this->socket.bind({this->settings.address, this->settings.port}, error);
+    }
+    if (error)
+    {
+        return false;
+    }
+    this->fetch_listener = std::make_shared<http::listener>(
+        this->io,
+        [this](boost::asio::ip::tcp::socket accepted)
+        {
+            std::make_shared<traffic::status_session>(
+                std::move(accepted), [this](const http::request_head& head)
+                { return this->answer_fetch(head); })
+                ->start();
+        });
+    this->receive();
+    this->add_known_hosts(this->settings.seeds, boot_clock_now());
+    return this->fetch_listener->open({this->settings.address, this->settings.port});
+}
+
+auto peer_link::add_known_hosts(const std::vector<address_v4>& addresses, time_point now) -> void
+{
+    for (const auto& address : addresses)
+    {
+        if (address != this->settings.address && this->peers.try_emplace(address).second)
+        {
+            this->peers[address].known_since = now;
+        }
+    }
+}
+
+auto peer_link::receive() -> void
+{
+    this->socket.async_receive_from(boost::asio::buffer(this->datagram), this->sender,
+                                    [this](const error_code& error, std::size_t size)
+                                    {
+                                        if (error == boost::asio::error::operation_aborted)
+                                        {
+                                            return;
+                                        }
+                                        if (!error)
+                                        {
+                                            this->on_datagram(size);
+                                        }
+                                        this->receive();
+                                    });
+}
+
+auto peer_link::on_datagram(std::size_t size) -> void
+{
+    const auto now = boot_clock_now();
+    auto beacon = decode_beacon({this->datagram.data(), size});
+    if (!beacon)
+    {
+        this->log.write(event_code::peer_message_rejected,
+                        {{"from", this->sender.address().to_string()},
+                         {"reason", beacon.last_reason()}});
+        return;
+    }
+    if (beacon->host == this->settings.host)
+    {
+        return;
+    }
+    const auto address = this->sender.address().to_v4();
+    auto& other = this->peers[address];
+    if (other.incarnation != beacon->incarnation || !this->is_alive(other, now))
+    {
+        this->log.write(event_code::member_changed, {{"peer", beacon->host},
+                                                     {"state", "alive"},
+                                                     {"incarnation", beacon->incarnation}});
+        other.next_beacon = {}; // it may know nobody yet
+    }
+    other.host = beacon->host;
+    other.incarnation = beacon->incarnation;
+    other.heard_at = now;
+    other.ends = beacon->ends;
+    other.loads = std::move(beacon->loads);
+    this->loads_changed = true;
+}
+
+auto peer_link::is_alive(const peer& other, time_point now) const -> bool
+{
+    return !other.host.empty() && now - other.heard_at < alive_time;
+}
+
+auto peer_link::beacon_interval() const -> duration
+{
+    const auto factor = std::max<std::size_t>(1, this->peers.size() / peers_at_least_interval);
+    return least_beacon_interval * factor;
+}
+
+auto peer_link::tick(time_point now) -> void
+{
+    for (auto item = this->peers.begin(); item != this->peers.end();)
+    {
+        auto& [address, other] = *item;
+        if (now - std::max(other.heard_at, other.known_since) > forget_time)
+        {
+            item = this->peers.erase(item);
+            continue;
+        }
+        if (now >= other.next_beacon)
+        {
+            other.next_beacon = now + (this->is_alive(other, now) ? this->beacon_interval()
+                                                                  : silent_beacon_interval);
+            this->send_beacon(address);
+        }
+        if (!other.loads.empty() && !this->is_alive(other, now))
+        {
+            this->log.write(event_code::member_changed, {{"peer", other.host}, {"state", "silent"}});
+            other.loads.clear();
+            this->loads_changed = true;
+        }
+        ++item;
+    }
+    this->add_up_loads(now);
+    this->look_for_news(now);
+}
+
+auto peer_link::send_beacon(const address_v4& to) -> void
+{
+    host_beacon beacon;
+    beacon.host = this->settings.host;
+    beacon.incarnation = this->settings.incarnation;
+    beacon.ends = {this->state.mirror_of(record_stream::operators).end(),
+                   this->state.mirror_of(record_stream::upstreams).end()};
+    beacon.loads = this->board.get_own();
+    const auto bytes = encode_beacon(beacon);
+    error_code ignored; // a beacon that cannot be sent is like one that is lost
+    this->socket.send_to(boost::asio::buffer(bytes), {to, this->settings.port}, 0, ignored);
+}
+
+auto peer_link::add_up_loads(time_point) -> void
+{
+    if (!std::exchange(this->loads_changed, false))
+    {
+        return;
+    }
+    std::map<std::uint64_t, traffic::upstream_load> sums;
+    for (const auto& [address, other] : this->peers)
+    {
+        for (const auto& load : other.loads)
+        {
+            auto& sum = sums[load.upstream];
+            sum.upstream = load.upstream;
+            sum.in_flight += load.in_flight;
+            sum.ejected = sum.ejected || load.ejected;
+        }
+    }
+    std::vector<traffic::upstream_load> loads;
+    loads.reserve(sums.size());
+    for (const auto& [upstream, sum] : sums)
+    {
+        loads.push_back(sum);
+    }
+    this->board.set_others(std::move(loads));
+}
+
+auto peer_link::look_for_news(time_point now) -> void
+{
+    for (auto& [address, other] : this->peers)
+    {
+        for (std::size_t stream = 0; stream < delivery_time.size(); ++stream)
+        {
+            const auto& mirror = this->state.mirror_of(static_cast<record_stream>(stream));
+            const auto ahead = this->is_alive(other, now) && other.ends[stream] > mirror.end();
+            auto& since = other.ahead_since[stream];
+            since = !ahead ? time_point{} : since == time_point{} ? now : since;
+            const auto is_late =
+                ahead && (now - since >= delivery_time[stream] || !mirror.is_complete());
+            if (is_late && !this->fetch)
+            {
+                this->fetch_from(address);
+                since = now;
+            }
+        }
+    }
+}
+
+auto peer_link::fetch_from(const address_v4& address) -> void
+{
+    this->fetch = std::make_shared<batch_fetch>(*this, address);
+    this->fetch->start();
+}
+
+auto peer_link::on_batch(const std::string& body) -> void
+{
+    const auto batch = decode_batch(body);
+    if (!batch)
+    {
+        this->log.write(event_code::peer_message_rejected, {{"reason", batch.last_reason()}});
+        return;
+    }
+    const auto now = boot_clock_now();
+    for (std::size_t stream = 0; stream < batch->ends.size(); ++stream)
+    {
+        const auto which = static_cast<record_stream>(stream);
+        if (batch->ends[stream] > this->state.mirror_of(which).end())
+        {
+            this->state.on_records(which, batch->records[stream], batch->ends[stream], now);
+        }
+    }
+    this->log.write(event_code::peer_records_taken, {{"operators", batch->records[0].size()},
+                                                     {"upstreams", batch->records[1].size()}});
+    this->on_news();
+}
+
+auto peer_link::answer_fetch(const http::request_head& head) const -> traffic::status_answer
+{
+    const std::string_view target = head.target;
+    if (head.method != "GET" || target.substr(0, fetch_path.size()) != fetch_path)
+    {
+        return {404, "no such page\n"};
+    }
+    const auto& operators = this->state.mirror_of(record_stream::operators);
+    const auto& upstreams = this->state.mirror_of(record_stream::upstreams);
+    record_batch batch;
+    batch.ends = {operators.end(), upstreams.end()};
+    batch.records = {operators.since(record_position(number_after(target, "operators="))),
+                     upstreams.since(record_position(number_after(target, "upstreams=")))};
+    return {200, encode_batch(batch)};
+}
+
+auto peer_link::count_hosts(time_point now) const -> std::size_t
+{
+    std::size_t count = 1;
+    bool any_heard = false;
+    for (const auto& [address, other] : this->peers)
+    {
+        const auto last = std::max(other.heard_at, other.known_since);
+        any_heard = any_heard || !other.host.empty();
+        count += now - last < share_time ? 1 : 0;
+    }
+    return any_heard ? count : std::max(count, hosts_when_unknown);
+}
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/peer_link.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "fleet/fleet_state.hpp"
+#include "fleet/peer_messages.hpp"
+#include "http/listener.hpp"
+#include "http/upstream_connection.hpp"
+#include "observability/decision_log.hpp"
+#include "traffic/load_board.hpp"
+#include "traffic/status_session.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplardrift::fleet
+{
+
+/// Who this host is for the others.
+struct peer_settings
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    boost::asio::ip::address_v4 address;
+    std::uint16_t port = 0;                          ///< the same on all hosts, UDP and TCP
+    std::vector<boost::asio::ip::address_v4> seeds; ///< hosts to try when none is known
+};
+
+/// Talks to the other hosts: sends each a beacon with this host's load and how far it knows the
+/// platform's streams, adds up what others say, and fetches records from a host that is ahead when
+/// the platform does not deliver them. Hosts learn of each other from beacons; a few addresses to
+/// begin with come from the platform's directory and the settings. Control thread.
+class peer_link final
+{
+public:
+    peer_link(boost::asio::io_context& io, peer_settings settings, fleet_state& state,
+              traffic::load_board& board, decision_log& log, std::function<void()> on_news);
+
+    [[nodiscard]] auto open() -> bool;
+    /// Addresses of hosts that the platform's directory lists.
+    auto add_known_hosts(const std::vector<boost::asio::ip::address_v4>& addresses,
+                         time_point now) -> void;
+    /// Sends what is due, and looks for peers that are ahead. Call about every 50 ms.
+    auto tick(time_point now) -> void;
+    /// Hosts that may be alive, this one included.
+    [[nodiscard]] auto count_hosts(time_point now) const -> std::size_t;
+
+private:
+    struct peer
+    {
+        std::string host; ///< empty before the first beacon
+        std::uint64_t incarnation = 0;
+        time_point known_since{};
+        time_point heard_at{};
+        time_point next_beacon{};
+        std::array<record_position, 2> ends;
+        std::array<time_point, 2> ahead_since{}; ///< time_point{}: not ahead
+        std::vector<traffic::upstream_load> loads;
+    };
+    class batch_fetch;
+
+    auto receive() -> void;
+    auto on_datagram(std::size_t size) -> void;
+    auto send_beacon(const boost::asio::ip::address_v4& to) -> void;
+    auto add_up_loads(time_point now) -> void;
+    auto look_for_news(time_point now) -> void;
+    auto fetch_from(const boost::asio::ip::address_v4& address) -> void;
+    auto on_batch(const std::string& body) -> void;
+    auto answer_fetch(const http::request_head& head) const -> traffic::status_answer;
+    [[nodiscard]] auto is_alive(const peer& other, time_point now) const -> bool;
+    [[nodiscard]] auto beacon_interval() const -> duration;
+
+    boost::asio::io_context& io;
+    peer_settings settings;
+    fleet_state& state;
+    traffic::load_board& board;
+    decision_log& log;
+    std::function<void()> on_news;
+    boost::asio::ip::udp::socket socket;
+    boost::asio::ip::udp::endpoint sender;
+    std::array<char, 2048> datagram{};
+    std::shared_ptr<http::listener> fetch_listener;
+    std::map<boost::asio::ip::address_v4, peer> peers;
+    std::shared_ptr<batch_fetch> fetch;
+    bool loads_changed = false;
+};
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/peer_messages.cpp
@@ -0,0 +1,130 @@
+#include "fleet/peer_messages.hpp"
+
+#include <msgpack.hpp>
+
+#include <exception>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace poplardrift::fleet
+{
+
+namespace
+{
+
+/// First field of each message; a host passes over messages of another version.
+constexpr std::uint32_t protocol_version = 1;
+/// Loads in one datagram, so that it stays within one packet of an ordinary network.
+constexpr std::size_t most_loads = 90;
+
+using load_row = std::tuple<std::uint64_t, std::uint32_t, bool>;
+using record_row = std::tuple<std::string, std::uint64_t, bool, std::string>;
+
+template <class Body>
+auto pack(const Body& body) -> std::string
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, body);
+    return {buffer.data(), buffer.size()};
+}
+
+/// Reads a packed tuple; nothing when the bytes are anything else. The library reports by exception.
+template <class Body>
+auto unpack(std::string_view bytes) -> outcome<Body>
+{
+    try
+    {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return handle.get().as<Body>();
+    }
+    catch (const std::exception& error)
+    {
+        return outcome<Body>::failure(error.what());
+    }
+}
+
+auto to_rows(const std::vector<published_record>& records) -> std::vector<record_row>
+{
+    std::vector<record_row> rows;
+    rows.reserve(records.size());
+    for (const auto& record : records)
+    {
+        rows.emplace_back(record.key, record.position.value(), record.value.has_value(),
+                          record.value.value_or(""));
+    }
+    return rows;
+}
+
+auto from_rows(const std::vector<record_row>& rows) -> std::vector<published_record>
+{
+    std::vector<published_record> records;
+    records.reserve(rows.size());
+    for (const auto& [key, position, present, value] : rows)
+    {
+        records.push_back({key, record_position(position),
+                           present ? std::optional(value) : std::nullopt});
+    }
+    return records;
+}
+
+using beacon_body = std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint64_t,
+                               std::uint64_t, std::vector<load_row>>;
+using batch_body = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<record_row>,
+                              std::vector<record_row>>;
+
+} // namespace
+
+auto encode_beacon(const host_beacon& beacon) -> std::string
+{
+    std::vector<load_row> loads;
+    for (const auto& load : beacon.loads)
+    {
+        if (loads.size() < most_loads)
+        {
+            loads.emplace_back(load.upstream, load.in_flight, load.ejected);
+        }
+    }
+    return pack(beacon_body(protocol_version, beacon.host, beacon.incarnation,
+                            beacon.ends[0].value(), beacon.ends[1].value(), loads));
+}
+
+auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
+{
+    const auto body = unpack<beacon_body>(bytes);
+    if (!body || std::get<0>(*body) != protocol_version)
+    {
+        return outcome<host_beacon>::failure(body ? "another protocol version" : body.last_reason());
+    }
+    host_beacon beacon;
+    beacon.host = std::get<1>(*body);
+    beacon.incarnation = std::get<2>(*body);
+    beacon.ends = {record_position(std::get<3>(*body)), record_position(std::get<4>(*body))};
+    for (const auto& [upstream, in_flight, ejected] : std::get<5>(*body))
+    {
+        beacon.loads.push_back({upstream, in_flight, ejected});
+    }
+    return beacon;
+}
+
+auto encode_batch(const record_batch& batch) -> std::string
+{
+    return pack(batch_body(protocol_version, batch.ends[0].value(), batch.ends[1].value(),
+                           to_rows(batch.records[0]), to_rows(batch.records[1])));
+}
+
+auto decode_batch(std::string_view bytes) -> outcome<record_batch>
+{
+    const auto body = unpack<batch_body>(bytes);
+    if (!body || std::get<0>(*body) != protocol_version)
+    {
+        return outcome<record_batch>::failure(body ? "another protocol version"
+                                                   : body.last_reason());
+    }
+    record_batch batch;
+    batch.ends = {record_position(std::get<1>(*body)), record_position(std::get<2>(*body))};
+    batch.records = {from_rows(std::get<3>(*body)), from_rows(std::get<4>(*body))};
+    return batch;
+}
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/peer_messages.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "fleet/published_record.hpp"
+#include "poplardrift/base/outcome.hpp"
+#include "traffic/load_board.hpp"
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplardrift::fleet
+{
+
+/// What a host tells each other host several times a second, in one datagram.
+struct host_beacon
+{
+    std::string host;
+    std::uint64_t incarnation = 0; ///< differs between starts of the host
+    std::array<record_position, 2> ends; ///< up to where the host knows each stream
+    std::vector<traffic::upstream_load> loads;
+};
+
+/// Records that one host fetches from another.
+struct record_batch
+{
+    std::array<record_position, 2> ends;
+    std::array<std::vector<published_record>, 2> records;
+};
+
+[[nodiscard]] auto encode_beacon(const host_beacon& beacon) -> std::string;
+[[nodiscard]] auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>;
+[[nodiscard]] auto encode_batch(const record_batch& batch) -> std::string;
+[[nodiscard]] auto decode_batch(std::string_view bytes) -> outcome<record_batch>;
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/fleet/record_decoder.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "fleet/published_record.hpp"
+#include "poplardrift/base/outcome.hpp"
+#include "routing/fleet_view.hpp"
+
+#include <memory>
+#include <variant>
+
+namespace poplardrift::fleet
+{
+
+/// A configuration was published.
+struct configuration_published
+{
+    std::shared_ptr<const routing::routing_configuration> configuration;
+};
+
+/// Operators took a zone out of service, or back in.
+struct zone_switched
+{
+    zone_name zone;
+    bool out = false;
+};
+
+/// An upstream said something of itself.
+struct upstream_announced
+{
+    routing::upstream_entry entry;
+};
+
+/// The entry of an upstream has ended.
+struct upstream_removed
+{
+    routing::upstream_name name;
+};
+
+/// A record that says nothing to the router, such as a key it does not know.
+struct nothing_said
+{
+};
+
+using fleet_change = std::variant<configuration_published, zone_switched, upstream_announced,
+                                  upstream_removed, nothing_said>;
+
+/// Decodes records of the platform into what they mean. Holds no state.
+class record_decoder
+{
+public:
+    record_decoder() = default;
+    record_decoder(const record_decoder&) = delete;
+    auto operator=(const record_decoder&) -> record_decoder& = delete;
+    virtual ~record_decoder() = default;
+
+    /// No value when the record is malformed; the reason says how.
+    [[nodiscard]] virtual auto decode(record_stream stream, const published_record& record) const
+        -> outcome<fleet_change> = 0;
+};
+
+} // namespace poplardrift::fleet
--- /dev/null
+++ b/src/http/byte_stream.cpp
@@ -0,0 +1,222 @@
+#include "http/byte_stream.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstdlib>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace poplardrift::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t read_buffer_bytes = 65'536; ///< one read of a fast peer
+constexpr int keep_alive_probes = 3;              ///< lost probes before a peer counts as gone
+
+auto read_buffer() -> std::array<char, read_buffer_bytes>&
+{
+    thread_local std::array<char, read_buffer_bytes> buffer;
+    return buffer;
+}
+
+auto set_option(int socket, int level, int name, int value) -> void
+{
+    // A platform without the option still works; the time-outs of the callers remain.
+    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
+}
+
+auto set_silence_limit(int socket, duration limit) -> void
+{
+    const auto milliseconds =
+        static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    const auto seconds = std::max(1, milliseconds / 1000 / keep_alive_probes);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+} // namespace
+
+byte_stream::byte_stream(asio::ip::tcp::socket socket, stream_listener* listener)
+    : socket(std::move(socket)), listener(listener)
+{
+}
+
+auto byte_stream::start(duration silence_limit) -> void
+{
+    error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    set_option(this->socket.native_handle(), IPPROTO_TCP, TCP_NODELAY, 1);
+    set_silence_limit(this->socket.native_handle(), silence_limit);
+    this->wait_readable();
+}
+
+auto byte_stream::wait_readable() -> void
+{
+    if (this->read_pending || !this->reading || !this->socket.is_open())
+    {
+        return;
+    }
+    this->read_pending = true;
+    this->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                            [self = this->shared_from_this()](const error_code& error)
+                            {
+                                self->read_pending = false;
+                                if (!error && self->reading)
+                                {
+                                    self->read_available();
+                                }
+                            });
+}
+
+auto byte_stream::read_available() -> void
+{
+    if (!this->socket.is_open())
+    {
+        return;
+    }
+    error_code error;
+    auto& buffer = read_buffer();
+    const auto count = this->socket.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block || error == asio::error::interrupted)
+    {
+        this->wait_readable();
+        return;
+    }
+    if (error)
+    {
+        this->fail(error == asio::error::eof ? close_kind::end_of_stream : close_kind::broken);
+        return;
+    }
+    if (!this->closing && this->listener != nullptr)
+    {
+        this->listener->on_bytes(std::string_view(buffer.data(), count));
+    }
+    this->wait_readable();
+}
+
+auto byte_stream::set_reading(bool wanted) -> void
+{
+    this->reading = wanted;
+    this->wait_readable();
+}
+
+auto byte_stream::write(std::string bytes) -> void
+{
+    if (!this->socket.is_open() || this->closing)
+    {
+        return;
+    }
+    if (this->waiting.empty())
+    {
+        this->waiting = std::move(bytes);
+    }
+    else
+    {
+        this->waiting.append(bytes);
+    }
+    this->flush();
+}
+
+auto byte_stream::flush() -> void
+{
+    if (this->writing || this->waiting.empty() || !this->socket.is_open())
+    {
+        return;
+    }
+    this->in_write = std::exchange(this->waiting, {});
+    this->writing = true;
+    asio::async_write(this->socket, asio::buffer(this->in_write),
+                      [self = this->shared_from_this()](const error_code& error, std::size_t count)
+                      { self->on_flushed(error, count); });
+}
+
+auto byte_stream::on_flushed(const error_code& error, std::size_t) -> void
+{
+    this->writing = false;
+    this->in_write.clear();
+    if (error)
+    {
+        // The peer may have answered before it stopped reading.
+        this->read_available();
+        this->fail(close_kind::broken);
+        return;
+    }
+    this->flush();
+    if (this->writing)
+    {
+        return;
+    }
+    if (this->closing)
+    {
+        this->finish_closing();
+    }
+    else if (this->listener != nullptr)
+    {
+        this->listener->on_written();
+    }
+}
+
+auto byte_stream::fail(close_kind kind) -> void
+{
+    if (!this->socket.is_open())
+    {
+        return;
+    }
+    auto* const heard_by = std::exchange(this->listener, nullptr);
+    const auto self = this->shared_from_this();
+    this->close();
+    if (heard_by != nullptr)
+    {
+        heard_by->on_closed(kind);
+    }
+}
+
+auto byte_stream::close() -> void
+{
+    this->listener = nullptr;
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+auto byte_stream::close_after_writing(duration linger_time) -> void
+{
+    if (!this->socket.is_open() || this->closing)
+    {
+        return;
+    }
+    this->listener = nullptr;
+    this->closing = true;
+    this->linger = linger_time;
+    // Reading goes on, so that unread bytes do not turn the close into a reset.
+    this->set_reading(true);
+    if (!this->writing)
+    {
+        this->finish_closing();
+    }
+}
+
+auto byte_stream::finish_closing() -> void
+{
+    error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    auto timer = std::make_shared<asio::steady_timer>(this->socket.get_executor(), this->linger);
+    timer->async_wait([self = this->shared_from_this(), timer](const error_code&)
+                      { self->close(); });
+}
+
+} // namespace poplardrift::http
--- /dev/null
+++ b/src/http/byte_stream.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "poplardrift/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace poplardrift::http
+{
+
+/// How a connection ended.
+enum class close_kind : std::uint8_t
+{
+    end_of_stream, ///< the peer closed its side in order
+    broken,        ///< reset, silent beyond the limit, or another error
+};
+
+/// Hears what happens on a connection. Calls come on the connection's thread and never from within
+/// a call that the listener made.
+class stream_listener
+{
+public:
+    stream_listener() = default;
+    stream_listener(const stream_listener&) = delete;
+    auto operator=(const stream_listener&) -> stream_listener& = delete;
+    virtual ~stream_listener() = default;
+
+    virtual auto on_bytes(std::string_view bytes) -> void = 0;
+    virtual auto on_closed(close_kind kind) -> void = 0;
+    /// All bytes that were waiting have been given to the kernel.
+    virtual auto on_written() -> void = 0;
+};
+
+/// A connected TCP socket that reads as bytes come and writes in order, without blocking. Reading
+/// uses one buffer for all connections of a thread, so an idle connection costs little memory.
+/// One thread.
+class byte_stream final : public std::enable_shared_from_this<byte_stream>
+{
+public:
+    byte_stream(boost::asio::ip::tcp::socket socket, stream_listener* listener);
+
+    /// Sets the options of a connected socket and starts reading. A peer that acknowledges nothing
+    /// for `silence_limit` counts as broken, also while the connection is idle.
+    auto start(duration silence_limit) -> void;
+    /// Queues bytes.
+    auto write(std::string bytes) -> void;
+    /// Stops or goes on reading; while it is stopped, the end of the connection goes unseen.
+    auto set_reading(bool wanted) -> void;
+    /// Closes at once. The listener is not called again.
+    auto close() -> void;
+    /// Sends what waits, then closes in order once the peer has closed or `linger` has passed.
+    auto close_after_writing(duration linger) -> void;
+
+    [[nodiscard]] auto is_open() const -> bool { return this->socket.is_open(); }
+    /// Bytes not yet given to the kernel.
+    [[nodiscard]] auto bytes_waiting() const -> std::size_t
+    {
+        return this->in_write.size() + this->waiting.size();
+    }
+
+private:
+    auto wait_readable() -> void;
+    auto read_available() -> void;
+    auto flush() -> void;
+    auto on_flushed(const boost::system::error_code& error, std::size_t written) -> void;
+    auto fail(close_kind kind) -> void;
+    auto finish_closing() -> void;
+
+    boost::asio::ip::tcp::socket socket;
+    stream_listener* listener;
+    std::string in_write;
+    std::string waiting;
+    bool writing = false;
+    bool reading = true;
+    bool read_pending = false;
+    bool closing = false;
+    duration linger{};
+};
+
+} // namespace poplardrift::http
--- /dev/null
+++ b/src/http/message_reader.cpp
@@ -0,0 +1,346 @@
+#include "http/message_reader.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <optional>
+
+namespace poplardrift::http
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+
+constexpr std::size_t response_head_bytes = 65'536; ///< as much as any usual server accepts
+/// Beast needs a finite limit for bodies with a length; bodies of responses are not bounded here.
+constexpr std::uint64_t unbounded_body = std::uint64_t{1} << 40;
+
+auto to_view(beast::string_view text) -> std::string_view { return {text.data(), text.size()}; }
+
+/// Collects what Beast's parser finds. Fields after the head are trailers and are dropped.
+template <bool IsRequest, class Head>
+class collecting_parser final : public beast::http::basic_parser<IsRequest>
+{
+public:
+    Head head;
+    std::string body;
+    bool head_done = false;
+
+private:
+    using text = beast::string_view;
+    using code = beast::error_code;
+
+    auto on_request_impl(beast::http::verb, text method, text target, int, code&) -> void override
+    {
+        if constexpr (IsRequest)
+        {
+            this->head.method = to_view(method);
+            this->head.target = to_view(target);
+        }
+    }
+    auto on_response_impl(int status, text reason, int, code&) -> void override
+    {
+        if constexpr (!IsRequest)
+        {
+            this->head.status = status;
+            this->head.reason = to_view(reason);
+        }
+    }
+    auto on_field_impl(beast::http::field, text name, text value, code&) -> void override
+    {
+        if (!this->head_done)
+        {
+            this->head.fields.add(to_view(name), to_view(value));
+        }
+    }
+    auto on_header_impl(code&) -> void override { this->head_done = true; }
+    auto on_body_init_impl(const boost::optional<std::uint64_t>&, code&) -> void override {}
+    auto on_body_impl(text bytes, code&) -> std::size_t override
+    {
+        this->body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    auto on_chunk_header_impl(std::uint64_t, text, code&) -> void override {}
+    auto on_chunk_body_impl(std::uint64_t, text bytes, code&) -> std::size_t override
+    {
+        this->body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    auto on_finish_impl(code&) -> void override {}
+};
+
+using request_parser = collecting_parser<true, request_head>;
+using response_parser = collecting_parser<false, response_head>;
+
+auto to_read_error(const beast::error_code& code) -> read_error
+{
+    if (code == beast::http::error::header_limit)
+    {
+        return read_error::head_too_large;
+    }
+    if (code == beast::http::error::body_limit)
+    {
+        return read_error::body_too_large;
+    }
+    return read_error::malformed;
+}
+
+/// Feeds pending bytes to a parser; what it does not consume stays pending.
+template <class Parser>
+auto advance(Parser& parser, std::string& pending) -> read_error
+{
+    while (!pending.empty() && !parser.is_done())
+    {
+        beast::error_code code;
+        const auto used =
+            parser.put(boost::asio::const_buffer(pending.data(), pending.size()), code);
+        pending.erase(0, used);
+        if (code == beast::http::error::need_more)
+        {
+            return read_error::none;
+        }
+        if (code)
+        {
+            return to_read_error(code);
+        }
+        if (used == 0 && !parser.is_done())
+        {
+            return read_error::none;
+        }
+    }
+    return read_error::none;
+}
+
+template <class Head>
+auto framing_of(const Head& head, bool chunked, bool has_length) -> std::optional<body_framing>
+{
+    const auto coding = head.fields.find("Transfer-Encoding");
+    if (coding)
+    {
+        // Another coding before "chunked" would have to be undone; senders here never use one.
+        return chunked && equal_names(*coding, "chunked") ? std::optional(body_framing::chunked)
+                                                          : std::nullopt;
+    }
+    return has_length ? body_framing::length : body_framing::none;
+}
+
+} // namespace
+
+class request_reader::implementation final
+{
+public:
+    explicit implementation(reader_limits limits) { this->restart(limits); }
+
+    auto restart(reader_limits limits) -> void
+    {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+        this->parser->body_limit(limits.body_bytes);
+        this->failure = read_error::none;
+        this->checked = false;
+    }
+
+    auto advance_parser() -> void
+    {
+        if (this->failure != read_error::none)
+        {
+            return;
+        }
+        this->failure = advance(*this->parser, this->pending);
+        if (this->failure == read_error::none && this->parser->head_done && !this->checked)
+        {
+            this->check_head();
+        }
+    }
+
+    auto check_head() -> void
+    {
+        this->checked = true;
+        auto& head = this->parser->head;
+        const auto framing = framing_of(head, this->parser->chunked(),
+                                        this->parser->content_length().has_value());
+        if (!framing)
+        {
+            this->failure = read_error::unknown_coding;
+            return;
+        }
+        head.framing = *framing;
+        head.keep_alive = this->parser->keep_alive();
+        const auto expect = head.fields.find("Expect");
+        head.expects_continue = expect && equal_names(*expect, "100-continue");
+        if (head.fields.count("Host") != 1)
+        {
+            this->failure = read_error::malformed;
+        }
+    }
+
+    std::optional<request_parser> parser;
+    std::string pending;
+    read_error failure = read_error::none;
+    bool checked = false;
+};
+
+request_reader::request_reader(reader_limits limits)
+    : self(std::make_unique<implementation>(limits))
+{
+}
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+auto request_reader::operator=(request_reader&&) noexcept -> request_reader& = default;
+
+auto request_reader::feed(std::string_view bytes) -> void
+{
+    this->self->pending.append(bytes);
+    this->self->advance_parser();
+}
+
+auto request_reader::next(reader_limits limits) -> void
+{
+    this->self->restart(limits);
+    this->self->advance_parser();
+}
+
+auto request_reader::error() const -> read_error { return this->self->failure; }
+auto request_reader::has_head() const -> bool { return this->self->parser->head_done; }
+auto request_reader::is_complete() const -> bool
+{
+    return this->self->failure == read_error::none && this->self->parser->is_done();
+}
+auto request_reader::has_begun() const -> bool
+{
+    return this->self->parser->got_some() || !this->self->pending.empty();
+}
+auto request_reader::bytes_ahead() const -> std::size_t { return this->self->pending.size(); }
+auto request_reader::head() const -> const request_head& { return this->self->parser->head; }
+auto request_reader::take_body() -> std::string
+{
+    return std::exchange(this->self->parser->body, {});
+}
+
+class response_reader::implementation final
+{
+public:
+    implementation() { this->restart(); }
+
+    auto restart() -> void
+    {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->header_limit(response_head_bytes);
+        this->parser->body_limit(unbounded_body);
+        this->parser->skip(this->to_head_request);
+        this->failure = read_error::none;
+        this->checked = false;
+    }
+
+    auto advance_parser() -> void
+    {
+        while (this->failure == read_error::none)
+        {
+            this->failure = advance(*this->parser, this->pending);
+            if (this->failure != read_error::none || !this->parser->head_done)
+            {
+                return;
+            }
+            if (this->parser->head.status / 100 == 1)
+            {
+                this->restart();
+                continue;
+            }
+            if (!this->checked)
+            {
+                this->check_head();
+            }
+            return;
+        }
+    }
+
+    auto check_head() -> void
+    {
+        this->checked = true;
+        auto& head = this->parser->head;
+        const auto length = this->parser->content_length();
+        const auto framing = framing_of(head, this->parser->chunked(), length.has_value());
+        if (!framing)
+        {
+            this->failure = read_error::unknown_coding;
+            return;
+        }
+        head.framing = *framing;
+        if (this->parser->need_eof())
+        {
+            head.framing = body_framing::until_close;
+        }
+        head.content_length = length ? *length : 0;
+        head.keep_alive = this->parser->keep_alive();
+    }
+
+    std::optional<response_parser> parser;
+    std::string pending;
+    read_error failure = read_error::none;
+    bool checked = false;
+    bool to_head_request = false;
+};
+
+response_reader::response_reader() : self(std::make_unique<implementation>()) {}
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader&&) noexcept = default;
+auto response_reader::operator=(response_reader&&) noexcept -> response_reader& = default;
+
+auto response_reader::next(bool to_head_request) -> void
+{
+    this->self->to_head_request = to_head_request;
+    this->self->restart();
+    this->self->advance_parser();
+}
+
+auto response_reader::feed(std::string_view bytes) -> void
+{
+    this->self->pending.append(bytes);
+    this->self->advance_parser();
+}
+
+auto response_reader::feed_end() -> void
+{
+    auto& parser = *this->self->parser;
+    if (this->self->failure != read_error::none || parser.is_done())
+    {
+        return;
+    }
+    beast::error_code code;
+    if (parser.head_done && parser.need_eof())
+    {
+        parser.put_eof(code);
+    }
+    if (code || !parser.is_done())
+    {
+        this->self->failure = read_error::malformed;
+    }
+}
+
+auto response_reader::error() const -> read_error { return this->self->failure; }
+auto response_reader::has_begun() const -> bool
+{
+    return this->self->parser->got_some() || !this->self->pending.empty();
+}
+auto response_reader::has_head() const -> bool
+{
+    return this->self->checked && this->self->parser->head_done;
+}
+auto response_reader::is_complete() const -> bool
+{
+    return this->self->failure == read_error::none && this->self->parser->is_done();
+}
+auto response_reader::bytes_ahead() const -> std::size_t { return this->self->pending.size(); }
+auto response_reader::head() const -> const response_head& { return this->self->parser->head; }
+auto response_reader::take_body() -> std::string
+{
+    return std::exchange(this->self->parser->body, {});
+}
+
+} // namespace poplardrift::http
--- /dev/null
+++ b/src/http/upstream_connection.cpp
@@ -0,0 +1,254 @@
+#include "http/upstream_connection.hpp"
+
+#include <utility>
+
+namespace poplardrift::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/// An upstream that repeats itself more often than this is not worth listening to.
+constexpr int most_foreign_answers = 3;
+
+auto keep_alive_of(const response_head& head) -> std::optional<std::uint64_t>
+{
+    constexpr std::string_view label = "timeout=";
+    const auto value = head.fields.find("Keep-Alive");
+    if (!value || value->find(label) == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    auto text = value->substr(value->find(label) + label.size());
+    return parse_number(text.substr(0, text.find_first_of(", ;")));
+}
+
+} // namespace
+
+upstream_connection::upstream_connection(asio::io_context& io, endpoint to,
+                                         connection_settings settings)
+    : io(io), to(std::move(to)), settings(settings), timer(io)
+{
+}
+
+auto upstream_connection::send(upstream_request next_request, response_receiver* next_receiver)
+    -> void
+{
+    this->request = std::move(next_request);
+    this->receiver = next_receiver;
+    this->head_delivered = false;
+    this->reusable = false;
+    this->foreign_answers = 0;
+    if (this->stream)
+    {
+        this->transmit();
+        return;
+    }
+    this->connect();
+}
+
+auto upstream_connection::connect() -> void
+{
+    this->connecting = std::make_shared<asio::ip::tcp::socket>(this->io);
+    auto self = this->shared_from_this();
+    this->timer.expires_after(this->settings.connect_timeout);
+    this->timer.async_wait(
+        [self](const error_code& error)
+        {
+            if (!error && self->connecting)
+            {
+                self->fail(transport_failure::not_connected);
+            }
+        });
+    this->connecting->async_connect(
+        this->to,
+        [self, socket = this->connecting](const error_code& error)
+        {
+            if (!self->connecting)
+            {
+                return; // timed out or abandoned
+            }
+            self->timer.cancel();
+            if (error)
+            {
+                self->fail(transport_failure::not_connected);
+                return;
+            }
+            self->connecting.reset();
+            self->stream = std::make_shared<byte_stream>(std::move(*socket), self.get());
+            self->stream->start(self->settings.silence_limit);
+            self->transmit();
+        });
+}
+
+auto upstream_connection::transmit() -> void
+{
+    this->reader.next(this->request.is_head_request);
+    auto bytes = std::move(this->request.head);
+    bytes.append(this->request.body);
+    this->request.body.clear();
+    this->stream->write(std::move(bytes));
+    if (this->receiver != nullptr)
+    {
+        this->receiver->on_request_sent();
+    }
+}
+
+auto upstream_connection::on_bytes(std::string_view bytes) -> void
+{
+    const auto self = this->shared_from_this();
+    if (this->receiver == nullptr)
+    {
+        // Nobody asked: a second answer, or noise after a whole one.
+        this->abandon();
+        return;
+    }
+    this->reader.feed(bytes);
+    this->deliver();
+}
+
+auto upstream_connection::is_expected_answer() const -> bool
+{
+    if (this->request.echo_field.empty())
+    {
+        return true;
+    }
+    const auto echoed = this->reader.head().fields.find(this->request.echo_field);
+    return !echoed || *echoed == this->request.echo_value;
+}
+
+auto upstream_connection::skip_foreign_answer() -> bool
+{
+    ++this->foreign_answers;
+    this->reader.next(this->request.is_head_request);
+    return this->foreign_answers <= most_foreign_answers;
+}
+
+auto upstream_connection::deliver() -> void
+{
+    while (this->receiver != nullptr)
+    {
+        if (this->reader.error() != read_error::none)
+        {
+            this->fail(transport_failure::malformed);
+            return;
+        }
+        if (!this->reader.has_head())
+        {
+            return;
+        }
+        if (!this->head_delivered && !this->is_expected_answer())
+        {
+            if (!this->reader.is_complete())
+            {
+                static_cast<void>(this->reader.take_body());
+                return;
+            }
+            if (!this->skip_foreign_answer())
+            {
+                this->fail(transport_failure::malformed);
+                return;
+            }
+            continue;
+        }
+        if (!this->head_delivered)
+        {
+            this->head_delivered = true;
+            this->keep_alive = keep_alive_of(this->reader.head());
+            this->receiver->on_response_head(this->reader.head());
+            continue;
+        }
+        if (auto body = this->reader.take_body(); !body.empty())
+        {
+            this->receiver->on_response_body(std::move(body));
+            continue;
+        }
+        if (this->reader.is_complete())
+        {
+            this->deliver_end();
+        }
+        return;
+    }
+}
+
+auto upstream_connection::deliver_end() -> void
+{
+    ++this->answers;
+    const auto& head = this->reader.head();
+    const auto written = this->stream && this->stream->bytes_waiting() == 0;
+    // An answer before the whole request was written leaves a body under way; bytes ahead belong to
+    // no request; foreign answers show that this upstream's order cannot be trusted.
+    this->reusable = this->stream && this->stream->is_open() && written && head.keep_alive &&
+                     head.framing != body_framing::until_close && this->reader.bytes_ahead() == 0 &&
+                     this->foreign_answers == 0;
+    auto* const heard_by = std::exchange(this->receiver, nullptr);
+    if (!this->reusable)
+    {
+        this->abandon();
+    }
+    heard_by->on_response_end();
+}
+
+auto upstream_connection::on_closed(close_kind kind) -> void
+{
+    const auto self = this->shared_from_this();
+    this->ended = true;
+    this->reusable = false;
+    if (this->receiver == nullptr)
+    {
+        return;
+    }
+    if (kind == close_kind::end_of_stream)
+    {
+        this->reader.feed_end();
+        if (this->reader.is_complete())
+        {
+            this->deliver();
+        }
+    }
+    this->fail(transport_failure::broken);
+}
+
+auto upstream_connection::fail(transport_failure why) -> void
+{
+    auto* const heard_by = std::exchange(this->receiver, nullptr);
+    const auto self = this->shared_from_this();
+    this->abandon();
+    if (heard_by != nullptr)
+    {
+        heard_by->on_response_failed(why);
+    }
+}
+
+auto upstream_connection::abandon() -> void
+{
+    this->receiver = nullptr;
+    this->ended = true;
+    this->reusable = false;
+    this->timer.cancel();
+    if (this->connecting)
+    {
+        error_code ignored;
+        auto socket = std::exchange(this->connecting, nullptr);
+        socket->close(ignored);
+    }
+    if (this->stream)
+    {
+        this->stream->close();
+    }
+}
+
+auto upstream_connection::set_reading(bool wanted) -> void
+{
+    if (this->stream)
+    {
+        this->stream->set_reading(wanted);
+    }
+}
+
+auto upstream_connection::is_reusable() const -> bool { return this->reusable && !this->ended; }
+
+} // namespace poplardrift::http
--- /dev/null
+++ b/src/http/upstream_connection.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http/byte_stream.hpp"
+#include "http/message_reader.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace poplardrift::http
+{
+
+using endpoint = boost::asio::ip::tcp::endpoint;
+
+/// Why a request got no whole answer.
+enum class transport_failure : std::uint8_t
+{
+    not_connected, ///< no connection: the request was not sent
+    broken,        ///< the connection broke after bytes of the request had been sent
+    malformed,     ///< what came is not an answer
+};
+
+/// Receives the answer to one request. Calls come on the connection's thread; exactly one of the
+/// last two is the last call, unless the request is abandoned.
+class response_receiver
+{
+public:
+    response_receiver() = default;
+    response_receiver(const response_receiver&) = delete;
+    auto operator=(const response_receiver&) -> response_receiver& = delete;
+    virtual ~response_receiver() = default;
+
+    /// The connection stands and the request is on its way.
+    virtual auto on_request_sent() -> void = 0;
+    virtual auto on_response_head(const response_head& head) -> void = 0;
+    virtual auto on_response_body(std::string bytes) -> void = 0;
+    virtual auto on_response_end() -> void = 0;
+    virtual auto on_response_failed(transport_failure why) -> void = 0;
+};
+
+/// A request ready to be sent.
+struct upstream_request
+{
+    std::string head; ///< request line and fields with the blank line
+    std::string body;
+    bool is_head_request = false;
+    /// A response must echo `echo_value` in this field; another one belongs to an earlier request.
+    std::string echo_field;
+    std::string echo_value;
+};
+
+/// Settings of connections to upstreams.
+struct connection_settings
+{
+    duration connect_timeout;
+    duration silence_limit; ///< without acknowledgement for this long, a connection is broken
+};
+
+/// One connection to an upstream; carries one request at a time. Foreign answers that precede the
+/// expected one are passed over. Bytes that come while no request waits end the connection.
+class upstream_connection final : public stream_listener,
+                                  public std::enable_shared_from_this<upstream_connection>
+{
+public:
+    upstream_connection(boost::asio::io_context& io, endpoint to, connection_settings settings);
+
+    /// Connects if needed and sends. The connection must be idle or new.
+    auto send(upstream_request request, response_receiver* receiver) -> void;
+    /// Drops the request and closes. The receiver is not called again.
+    auto abandon() -> void;
+    /// Holds back or lets flow the answer.
+    auto set_reading(bool wanted) -> void;
+
+    /// True when another request may be sent.
+    [[nodiscard]] auto is_reusable() const -> bool;
+    /// True when this connection has carried an answer before.
+    [[nodiscard]] auto was_used() const -> bool { return this->answers > 0; }
+    /// End of the time in which the upstream keeps the idle connection, if it said so.
+    [[nodiscard]] auto keep_alive_seconds() const -> std::optional<std::uint64_t>
+    {
+        return this->keep_alive;
+    }
+
+private:
+    auto on_bytes(std::string_view bytes) -> void override;
+    auto on_closed(close_kind kind) -> void override;
+    auto on_written() -> void override {}
+    auto connect() -> void;
+    auto transmit() -> void;
+    auto deliver() -> void;
+    auto deliver_end() -> void;
+    auto is_expected_answer() const -> bool;
+    auto skip_foreign_answer() -> bool;
+    auto fail(transport_failure why) -> void;
+
+    boost::asio::io_context& io;
+    endpoint to;
+    connection_settings settings;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<boost::asio::ip::tcp::socket> connecting;
+    std::shared_ptr<byte_stream> stream;
+    response_reader reader;
+    upstream_request request;
+    response_receiver* receiver = nullptr;
+    std::optional<std::uint64_t> keep_alive;
+    std::uint64_t answers = 0;
+    int foreign_answers = 0;
+    bool head_delivered = false;
+    bool reusable = false;
+    bool ended = false; ///< no further request may use this connection
+};
+
+} // namespace poplardrift::http
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -2,6 +2,9 @@
 
 #include "poplardrift/base/time.hpp"
 
+#include <chrono>
+#include <ctime>
+
 namespace poplardrift
 {
 
@@ -12,6 +15,15 @@
         std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// Now on the clock that also counts while the machine is suspended, so that deadlines and leases run
+/// on during that time. Any thread.
+[[nodiscard]] inline auto boot_clock_now() -> time_point
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /// Milliseconds of wall-clock time since 1970.
 [[nodiscard]] inline auto wall_clock_ms() -> std::int64_t
 {
--- /dev/null
+++ b/src/observability/decision_log.cpp
@@ -0,0 +1,121 @@
+#include "observability/decision_log.hpp"
+
+#include "net/clock.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <unistd.h>
+
+namespace poplardrift
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t most_queued_bytes = 1 << 19; ///< about 2,000 lines
+/// Lines in a second. Requests that went well are logged up to this rate; beyond it metrics count.
+constexpr int most_debug_lines = 150;
+/// All other lines: enough for every request of a host that fails all of them.
+constexpr int most_other_lines = 500;
+/// Lines are written together, so that a busy host does not make a system call for each.
+constexpr auto write_interval = 100ms;
+
+auto write_all(std::string_view bytes) -> void
+{
+    while (!bytes.empty())
+    {
+        const auto written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+        if (written <= 0)
+        {
+            return; // nobody reads any more; there is no other place to say so
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace
+
+decision_log::decision_log(std::string host) : host(std::move(host))
+{
+    this->writer = std::thread([this] { this->run(); });
+}
+
+decision_log::~decision_log()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_one();
+    this->writer.join();
+}
+
+auto decision_log::admit(event_level level, std::int64_t now_ms) -> bool
+{
+    if (now_ms / 1000 != this->second)
+    {
+        this->second = now_ms / 1000;
+        this->debug_lines = 0;
+        this->other_lines = 0;
+    }
+    const auto in_rate = level == event_level::debug ? this->debug_lines++ < most_debug_lines
+                                                     : this->other_lines++ < most_other_lines;
+    return in_rate && this->queue.size() < most_queued_bytes;
+}
+
+auto decision_log::write(event_code code, nlohmann::json fields) -> void
+{
+    const auto& entry = describe(code);
+    const auto now_ms = wall_clock_ms();
+    fields["time_ms"] = now_ms;
+    fields["event"] = static_cast<int>(code);
+    fields["name"] = entry.name;
+    fields["host"] = this->host;
+    auto line = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    line.push_back('\n');
+    const std::lock_guard lock(this->mutex);
+    if (!this->admit(entry.level, now_ms))
+    {
+        ++this->dropped;
+        return;
+    }
+    const auto was_empty = this->queue.empty();
+    this->queue.append(line);
+    if (was_empty)
+    {
+        this->wake.notify_one();
+    }
+}
+
+auto decision_log::run() -> void
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping || !this->queue.empty())
+    {
+        this->wake.wait(lock, [this] { return this->stopping || !this->queue.empty(); });
+        if (!this->stopping)
+        {
+            // The daemon's stop ends this wait early, so no line is late at the end.
+            this->wake.wait_for(lock, write_interval, [this] { return this->stopping; });
+        }
+        auto lines = std::exchange(this->queue, {});
+        if (const auto count = std::exchange(this->dropped, 0); count > 0)
+        {
+            lines += nlohmann::json{{"event", static_cast<int>(event_code::lines_dropped)},
+                                    {"name", describe(event_code::lines_dropped).name},
+                                    {"host", this->host},
+                                    {"time_ms", wall_clock_ms()},
+                                    {"count", count}}
+                         .dump() +
+                     "\n";
+        }
+        lock.unlock();
+        write_all(lines);
+        lock.lock();
+    }
+}
+
+} // namespace poplardrift
--- /dev/null
+++ b/src/routing/placement.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "routing/prompt.hpp"
+#include "routing/upstream_state.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+
+namespace poplardrift::routing
+{
+
+/// Why an upstream may not take a request now.
+enum class exclusion : std::uint8_t
+{
+    none,
+    other_service,
+    leaving,
+    zone_out,
+    lapsed,
+    misaddressed,
+    tried,
+    ejected,
+    probation_full,
+    silent,
+    cold_limit,
+    load_bound,
+    full,
+};
+
+[[nodiscard]] auto to_text(exclusion why) -> std::string_view;
+
+/// What the choice of an upstream depends on besides the upstreams.
+struct placement_query
+{
+    std::size_t service = 0;
+    const service_rules* rules = nullptr;
+    const prompt_shape* prompt = nullptr; ///< null for plain services
+    std::uint64_t affinity = 0;           ///< hash that requests with the same prompt share
+    std::span<const upstream_state* const> tried; ///< where this request was sent before
+    const zone_name* own_zone = nullptr;
+    time_point now{};
+    const fleet_bounds* bounds = nullptr;
+    std::size_t host_count = 1;
+};
+
+/// The chosen upstream and what decided.
+struct placement_choice
+{
+    std::size_t position = 0;
+    double cost_ms = 0.0;
+    std::uint32_t cached_tokens = 0;
+    int candidates = 0;
+};
+
+/// Why no upstream was chosen.
+struct placement_refusal
+{
+    exclusion most_common = exclusion::other_service;
+    int considered = 0;
+};
+
+/// May this upstream take one more request? Bounds over all hosts are kept by this host's part.
+[[nodiscard]] auto judge(const live_upstream& candidate, const placement_query& query,
+                         double mean_in_flight) -> exclusion;
+
+/// Chooses the upstream that costs the request least, in milliseconds of expected wait. Walks all
+/// upstreams twice and allocates nothing. `why_not` says what stood against it when none is found.
+[[nodiscard]] auto choose_upstream(std::span<const live_upstream> upstreams,
+                                   const placement_query& query, placement_refusal& why_not)
+    -> std::optional<placement_choice>;
+
+/// Requests that this host may send to a cold upstream in one second.
+[[nodiscard]] auto cold_share(const service_rules& rules, const fleet_bounds& bounds,
+                              std::size_t host_count) -> double;
+
+} // namespace poplardrift::routing
--- /dev/null
+++ b/src/routing/prompt_cache_model.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "poplardrift/base/time.hpp"
+#include "routing/prompt.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <list>
+
+namespace poplardrift::routing
+{
+
+/// What this host believes one engine keeps of the prompts that it sent there: least recently used
+/// parts go first when the engine's memory is full. An estimate; other hosts' requests are not in
+/// it. One thread.
+class prompt_cache_model final
+{
+public:
+    /// `capacity_tokens` is the part of the engine's memory that this model may fill.
+    explicit prompt_cache_model(std::uint64_t capacity_tokens) : capacity(capacity_tokens) {}
+
+    /// Tokens at the start of the prompt that the engine need not read again.
+    [[nodiscard]] auto cached_tokens(const prompt_shape& prompt) const -> std::uint32_t;
+    /// The engine has read this prompt.
+    auto on_read(const prompt_shape& prompt) -> void;
+    auto clear() -> void;
+
+private:
+    struct entry
+    {
+        std::uint64_t chain_hash;
+        std::uint32_t tokens;
+    };
+
+    std::uint64_t capacity;
+    std::uint64_t used = 0;
+    std::list<entry> by_use; ///< most recent first
+    absl::flat_hash_map<std::uint64_t, std::list<entry>::iterator> by_hash;
+};
+
+} // namespace poplardrift::routing
--- /dev/null
+++ b/src/routing/sliding_counter.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "poplardrift/base/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace poplardrift::routing
+{
+
+/// Counts events in a window that slides in steps of a 64th of its length. Counts up to one step
+/// longer than the window, so a limit on it is kept for every span of that length. Allocates
+/// nothing. One thread.
+class sliding_counter final
+{
+public:
+    explicit sliding_counter(duration window) : step(window / (steps - 1)) {}
+
+    auto add(time_point now) -> void
+    {
+        this->advance(now);
+        ++this->counts[this->position];
+        ++this->sum;
+    }
+    /// Events in the window that ends now.
+    [[nodiscard]] auto total(time_point now) -> std::uint64_t
+    {
+        this->advance(now);
+        return this->sum;
+    }
+
+private:
+    static constexpr std::size_t steps = 64;
+
+    auto advance(time_point now) -> void
+    {
+        const auto target = now.time_since_epoch() / this->step;
+        if (target - this->current >= static_cast<std::int64_t>(steps))
+        {
+            this->counts.fill(0);
+            this->sum = 0;
+            this->current = target;
+            return;
+        }
+        while (this->current < target)
+        {
+            ++this->current;
+            this->position = (this->position + 1) % steps;
+            this->sum -= this->counts[this->position];
+            this->counts[this->position] = 0;
+        }
+    }
+
+    duration step;
+    std::array<std::uint32_t, steps> counts{};
+    std::size_t position = 0;
+    std::uint64_t sum = 0;
+    std::int64_t current = 0;
+};
+
+} // namespace poplardrift::routing
--- /dev/null
+++ b/src/traffic/caller_session.cpp
@@ -0,0 +1,300 @@
+#include "traffic/caller_session.hpp"
+
+#include "net/clock.hpp"
+#include "traffic/traffic_service.hpp"
+
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A caller that acknowledges nothing for this long has gone without a word.
+constexpr duration caller_silence = 8s;
+/// Time in which a caller may take the end of its last answer before the connection is closed.
+constexpr duration close_linger = 1s;
+/// Bytes of later requests that are read ahead; beyond them reading stops until their turn.
+constexpr std::size_t most_bytes_ahead = 65'536;
+constexpr duration look_interval = 500ms; ///< time-outs of callers are whole seconds
+
+} // namespace
+
+caller_session::caller_session(traffic_service& service, boost::asio::ip::tcp::socket socket)
+    : service(service), stream(std::make_shared<http::byte_stream>(std::move(socket), this)),
+      reader(service.get_reader_limits()), timer(service.get_io())
+{
+}
+
+auto caller_session::start() -> void
+{
+    this->idle_since = boot_clock_now();
+    this->stream->start(caller_silence);
+    this->arm_timer();
+}
+
+auto caller_session::is_idle() const -> bool { return !this->current && !this->reader.has_begun(); }
+
+auto caller_session::close_when_idle() -> void
+{
+    this->closing = true;
+    if (this->is_idle())
+    {
+        this->finish();
+    }
+}
+
+auto caller_session::cut() -> void
+{
+    const auto self = this->shared_from_this();
+    if (this->current)
+    {
+        std::exchange(this->current, nullptr)->on_caller_gone();
+    }
+    this->stream->close();
+    this->finish();
+}
+
+auto caller_session::on_bytes(std::string_view bytes) -> void
+{
+    const auto self = this->shared_from_this();
+    if (!this->current && !this->is_reading_message)
+    {
+        this->is_reading_message = true;
+        this->message_began = boot_clock_now();
+    }
+    this->reader.feed(bytes);
+    if (this->current)
+    {
+        if (this->reader.bytes_ahead() > most_bytes_ahead)
+        {
+            this->stream->set_reading(false);
+        }
+        return;
+    }
+    this->read_requests();
+}
+
+auto caller_session::read_requests() -> void
+{
+    switch (this->reader.error())
+    {
+    case http::read_error::none:
+        break;
+    case http::read_error::head_too_large:
+        this->refuse_input(431, "head too large");
+        return;
+    case http::read_error::body_too_large:
+        this->refuse_input(413, "body too large");
+        return;
+    case http::read_error::unknown_coding:
+        this->refuse_input(501, "unknown transfer coding");
+        return;
+    case http::read_error::malformed:
+        this->refuse_input(400, "malformed request");
+        return;
+    }
+    if (this->reader.is_complete())
+    {
+        this->start_exchange();
+        return;
+    }
+    if (this->reader.has_head() && this->reader.head().expects_continue && !this->continue_sent)
+    {
+        this->continue_sent = true;
+        this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+auto caller_session::start_exchange() -> void
+{
+    this->is_reading_message = false;
+    this->continue_sent = false;
+    auto head = this->reader.head();
+    this->keep_alive = head.keep_alive;
+    this->bodiless = head.method == "HEAD";
+    auto body = this->reader.take_body();
+    this->reader.next(this->service.get_reader_limits());
+    this->current = std::make_shared<exchange>(this->service, this, std::move(head),
+                                               std::move(body), boot_clock_now());
+    this->current->start();
+}
+
+auto caller_session::refuse_input(int status, const char* reason) -> void
+{
+    this->service.get_log().write(event_code::request_invalid,
+                                  {{"status", status}, {"reason", reason}});
+    this->closing = true;
+    this->bodiless = false;
+    http::response_head head;
+    head.status = status;
+    head.reason = http::reason_phrase(status);
+    head.fields.add("Content-Type", "text/plain");
+    const auto text = std::string(reason) + "\n";
+    this->begin_answer(head, text.size());
+    this->write_body(text);
+    this->finish();
+}
+
+auto caller_session::begin_answer(const http::response_head& head,
+                                  std::optional<std::uint64_t> length) -> void
+{
+    std::string out;
+    out.reserve(512);
+    out.append("HTTP/1.1 ");
+    out.append(std::to_string(head.status));
+    out.push_back(' ');
+    out.append(head.reason.empty() ? http::reason_phrase(head.status) : head.reason);
+    out.append("\r\n");
+    const auto connection = head.fields.find("Connection").value_or("");
+    for (const auto& field : head.fields)
+    {
+        if (!http::is_connection_field(field.name, connection))
+        {
+            http::append_field(out, field.name, field.value);
+        }
+    }
+    if (this->service.is_leaving() || !this->keep_alive)
+    {
+        this->closing = true;
+    }
+    if (this->closing)
+    {
+        http::append_field(out, "Connection", "close");
+    }
+    this->chunked = !length && !this->bodiless;
+    if (this->chunked)
+    {
+        http::append_field(out, "Transfer-Encoding", "chunked");
+    }
+    else if (length && !(this->bodiless && *length == 0))
+    {
+        http::append_field(out, "Content-Length", std::to_string(*length));
+    }
+    out.append("\r\n");
+    this->stream->write(std::move(out));
+}
+
+auto caller_session::write_body(std::string_view bytes) -> void
+{
+    if (bytes.empty() || this->bodiless)
+    {
+        return;
+    }
+    if (!this->chunked)
+    {
+        this->stream->write(std::string(bytes));
+        return;
+    }
+    std::string chunk;
+    chunk.reserve(bytes.size() + 16);
+    http::append_chunk(chunk, bytes);
+    this->stream->write(std::move(chunk));
+}
+
+auto caller_session::end_answer() -> void
+{
+    if (this->chunked)
+    {
+        this->stream->write(std::string(http::last_chunk));
+    }
+    const auto self = this->shared_from_this();
+    const auto ended = std::exchange(this->current, nullptr);
+    this->idle_since = boot_clock_now();
+    if (this->closing)
+    {
+        this->finish();
+        return;
+    }
+    // The next request is read from the event loop, so that a caller that sends many at once does
+    // not starve others.
+    boost::asio::post(this->service.get_io(),
+                      [self]
+                      {
+                          if (!self->finished && !self->current)
+                          {
+                              self->stream->set_reading(true);
+                              if (self->reader.has_begun())
+                              {
+                                  self->is_reading_message = true;
+                                  self->message_began = boot_clock_now();
+                                  self->read_requests();
+                              }
+                          }
+                      });
+}
+
+auto caller_session::break_off() -> void
+{
+    const auto self = this->shared_from_this();
+    const auto ended = std::exchange(this->current, nullptr);
+    this->finish();
+}
+
+auto caller_session::bytes_waiting() const -> std::size_t { return this->stream->bytes_waiting(); }
+
+auto caller_session::on_closed(http::close_kind) -> void
+{
+    const auto self = this->shared_from_this();
+    if (this->current)
+    {
+        std::exchange(this->current, nullptr)->on_caller_gone();
+    }
+    this->finish();
+}
+
+auto caller_session::on_written() -> void
+{
+    if (this->current)
+    {
+        this->current->on_caller_drained();
+    }
+}
+
+auto caller_session::finish() -> void
+{
+    if (std::exchange(this->finished, true))
+    {
+        return;
+    }
+    this->timer.cancel();
+    this->stream->close_after_writing(close_linger);
+    this->service.on_session_ended(this->shared_from_this());
+}
+
+auto caller_session::arm_timer() -> void
+{
+    this->timer.expires_after(look_interval);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const boost::system::error_code& error)
+        {
+            if (!error && !self->finished)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+auto caller_session::on_timer() -> void
+{
+    const auto now = boot_clock_now();
+    const auto limits = this->service.get_caller_limits();
+    if (this->is_idle() && now - this->idle_since > limits.idle_timeout)
+    {
+        this->finish();
+        return;
+    }
+    if (!this->current && this->is_reading_message &&
+        now - this->message_began >
+            (this->reader.has_head() ? limits.idle_timeout : limits.head_timeout))
+    {
+        this->refuse_input(408, "request too slow");
+        return;
+    }
+    this->arm_timer();
+}
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/caller_session.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http/byte_stream.hpp"
+#include "http/message_reader.hpp"
+#include "traffic/exchange.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace poplardrift::traffic
+{
+
+class traffic_service;
+
+/// One connection of a caller: reads requests, one at a time, and writes their answers. Sees the
+/// caller leave while an answer is being made. Traffic thread.
+class caller_session final : public http::stream_listener,
+                             public answer_sink,
+                             public std::enable_shared_from_this<caller_session>
+{
+public:
+    caller_session(traffic_service& service, boost::asio::ip::tcp::socket socket);
+
+    auto start() -> void;
+    /// Closes the connection now if no request is under way, else after its answer.
+    auto close_when_idle() -> void;
+    /// Cuts the connection whatever is under way.
+    auto cut() -> void;
+    [[nodiscard]] auto is_idle() const -> bool;
+
+private:
+    auto on_bytes(std::string_view bytes) -> void override;
+    auto on_closed(http::close_kind kind) -> void override;
+    auto on_written() -> void override;
+
+    auto begin_answer(const http::response_head& head, std::optional<std::uint64_t> length)
+        -> void override;
+    auto write_body(std::string_view bytes) -> void override;
+    auto end_answer() -> void override;
+    auto break_off() -> void override;
+    [[nodiscard]] auto bytes_waiting() const -> std::size_t override;
+
+    auto read_requests() -> void;
+    auto start_exchange() -> void;
+    auto refuse_input(int status, const char* reason) -> void;
+    auto arm_timer() -> void;
+    auto on_timer() -> void;
+    auto finish() -> void;
+
+    traffic_service& service;
+    std::shared_ptr<http::byte_stream> stream;
+    http::request_reader reader;
+    std::shared_ptr<exchange> current;
+    boost::asio::steady_timer timer;
+    time_point message_began{};
+    time_point idle_since{};
+    time_point head_began{};
+    bool is_reading_message = false;
+    bool chunked = false;
+    bool bodiless = false;
+    bool continue_sent = false;
+    bool keep_alive = true; ///< the caller's wish for the present request
+    bool closing = false;   ///< no request after the present one
+    bool finished = false;
+};
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/connection_pool.cpp
@@ -0,0 +1,107 @@
+#include "traffic/connection_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Idle time of connections to upstreams that do not announce one; most servers allow 5 s or more.
+constexpr duration usual_idle = 4s;
+/// An announced idle time is used up to this long before its end: a request sent at the end would
+/// cross the upstream's close.
+constexpr duration announced_margin = 700ms;
+
+auto idle_limit(const http::upstream_connection& connection) -> duration
+{
+    const auto announced = connection.keep_alive_seconds();
+    if (!announced)
+    {
+        return usual_idle;
+    }
+    return std::chrono::seconds(*announced) - announced_margin;
+}
+
+} // namespace
+
+auto connection_pool::take(const routing::upstream_state* upstream, time_point now,
+                           duration most_idle) -> connection_ptr
+{
+    const auto found = this->idle.find(upstream);
+    if (found == this->idle.end())
+    {
+        return nullptr;
+    }
+    auto& list = found->second;
+    while (!list.empty())
+    {
+        auto last = std::move(list.back());
+        list.pop_back();
+        if (!last.connection->is_reusable())
+        {
+            continue;
+        }
+        if (now < last.until && now - last.since <= most_idle)
+        {
+            return last.connection;
+        }
+        last.connection->abandon();
+    }
+    return nullptr;
+}
+
+auto connection_pool::put_back(const routing::upstream_state* upstream, connection_ptr connection,
+                               time_point now) -> void
+{
+    if (!connection->is_reusable())
+    {
+        return;
+    }
+    const auto until = now + idle_limit(*connection);
+    if (until <= now)
+    {
+        connection->abandon();
+        return;
+    }
+    this->idle[upstream].push_back({std::move(connection), now, until});
+}
+
+auto connection_pool::close_expired(time_point now) -> void
+{
+    for (auto& [upstream, list] : this->idle)
+    {
+        const auto kept = std::remove_if(
+            list.begin(), list.end(),
+            [now](const idle_connection& item)
+            {
+                if (item.connection->is_reusable() && now < item.until)
+                {
+                    return false;
+                }
+                item.connection->abandon();
+                return true;
+            });
+        list.erase(kept, list.end());
+    }
+}
+
+auto connection_pool::close_all(const routing::upstream_state* upstream) -> void
+{
+    const auto found = this->idle.find(upstream);
+    if (found == this->idle.end())
+    {
+        return;
+    }
+    for (const auto& item : found->second)
+    {
+        item.connection->abandon();
+    }
+    this->idle.erase(found);
+}
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/exchange.cpp
@@ -0,0 +1,732 @@
+#include "traffic/exchange.hpp"
+
+#include "net/clock.hpp"
+#include "traffic/traffic_service.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using routing::next_step;
+using routing::route_kind;
+using routing::send_fate;
+using routing::upstream_fault;
+
+/// Connections that may fail before a request is given up; nothing has been sent on them.
+constexpr int most_connect_failures = 4;
+/// Pause before looking for an upstream again while none can take the request.
+constexpr duration place_again_after = 10ms;
+/// Part of the objective that a request may wait for an upstream before it is refused.
+constexpr int wait_part_of_objective = 8;
+/// When a refused caller should come back: upstreams report and answer within this time.
+constexpr const char* retry_after_seconds = "0.15";
+/// Multiple of the objective after which a request that may be repeated is sent elsewhere: an
+/// answer this late has missed its objective, and its upstream is probably stuck.
+constexpr double first_output_patience = 1.5;
+/// Multiple of the allowed pause after which a resumable stream goes on elsewhere.
+constexpr double event_patience = 2.0;
+/// No send is judged stuck earlier than this: the slowest plain answers take about 220 ms.
+constexpr duration least_patience = 280ms;
+/// Least time that a further send needs to be of use.
+constexpr duration least_time_for_send = 40ms;
+/// Bytes waiting for a slow caller beyond which its upstream is not read on.
+constexpr std::size_t most_bytes_waiting = 262'144;
+/// Plain answers up to this size are held until they are whole, so that a broken one can be
+/// repeated; larger ones are forwarded as they come.
+constexpr std::size_t most_held_bytes = 1'048'576;
+/// Idle time after which a connection is too likely to be closed for a request that may run once.
+constexpr duration most_idle_once = 1500ms;
+constexpr duration most_idle_any = 60s; ///< the pool's own limits are shorter
+
+auto to_ms(duration length) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+auto scaled(duration length, double factor) -> duration
+{
+    return std::chrono::duration_cast<duration>(length * factor);
+}
+
+auto to_text(send_fate fate) -> const char*
+{
+    static constexpr std::array<const char*, 5> names = {"not_sent", "declined", "unknown",
+                                                         "failed", "broken_midway"};
+    return names[static_cast<std::size_t>(fate)];
+}
+
+auto path_of(std::string_view target) -> std::string_view
+{
+    return target.substr(0, target.find_first_of("?#"));
+}
+
+auto host_name_of(const http::request_head& head) -> std::string_view
+{
+    const auto value = head.fields.find("Host").value_or("");
+    return value.substr(0, value.find(':'));
+}
+
+/// Picks one of a route's services by their weights; the same request gets the same one.
+auto choose_share(const routing::route_rules& route, std::string_view request_id) -> std::size_t
+{
+    double sum = 0.0;
+    for (const auto& share : route.shares)
+    {
+        sum += share.weight;
+    }
+    auto point = sum * static_cast<double>(hash_bytes_64(request_id) >> 11) * 0x1.0p-53;
+    for (const auto& share : route.shares)
+    {
+        point -= share.weight;
+        if (point < 0.0)
+        {
+            return share.service;
+        }
+    }
+    return route.shares.back().service;
+}
+
+} // namespace
+
+exchange::exchange(traffic_service& service, answer_sink* sink, http::request_head head,
+                   std::string body, time_point arrived)
+    : service(service), sink(sink), request(std::move(head)), body(std::move(body)),
+      arrived(arrived), timer(service.get_io())
+{
+}
+
+auto exchange::is_stream() const -> bool { return this->route->kind == route_kind::streaming; }
+
+auto exchange::start() -> void
+{
+    this->facts = this->service.get_adapter().decode_request(this->request);
+    this->configuration = this->service.get_view().configuration;
+    if (!this->admit())
+    {
+        return;
+    }
+    const auto patience =
+        std::min(this->route->timeout, this->facts.patience.value_or(this->route->timeout));
+    this->deadline = this->arrived + patience;
+    const auto share = choose_share(*this->route, this->facts.id);
+    this->target_service = this->configuration->services[share].name;
+    this->service.ledger_of(this->target_service).on_request(boot_clock_now());
+    this->arm_timer();
+    this->place();
+}
+
+auto exchange::admit() -> bool
+{
+    if (!this->configuration || !this->service.get_view().upstreams_known)
+    {
+        this->conclude(503, "no configuration yet");
+        return false;
+    }
+    this->route =
+        this->configuration->find_route(host_name_of(this->request), path_of(this->request.target));
+    if (this->route == nullptr)
+    {
+        this->conclude(404, "no route");
+        return false;
+    }
+    if (this->configuration->requires_keys() && !this->route->anonymous)
+    {
+        this->workspace = this->configuration->find_workspace(this->facts.workspace_key);
+        if (this->workspace == nullptr)
+        {
+            this->conclude(401, "unknown workspace key");
+            return false;
+        }
+    }
+    if (this->facts.id.empty())
+    {
+        this->conclude(400, "no request id");
+        return false;
+    }
+    return true;
+}
+
+auto exchange::place() -> void
+{
+    const auto now = boot_clock_now();
+    const auto& view = this->service.get_view();
+    const auto position = view.configuration->find_service(this->target_service);
+    if (!position)
+    {
+        this->apply_step(routing::final_step(send_fate::not_sent, this->worst));
+        return;
+    }
+    const auto& rules = view.configuration->services[*position];
+    routing::placement_query query;
+    query.service = *position;
+    query.rules = &rules;
+    if (this->facts.prompt && rules.engine)
+    {
+        const auto& parts = this->facts.prompt->parts;
+        query.prompt = &*this->facts.prompt;
+        query.affinity = parts.size() > 1   ? parts[parts.size() - 2].chain_hash
+                         : !parts.empty() ? parts.back().chain_hash
+                                          : hash_bytes_64(this->facts.id);
+    }
+    query.tried = this->tried;
+    query.own_zone = &this->service.get_zone();
+    query.now = now;
+    query.bounds = &view.bounds;
+    query.host_count = view.host_count;
+    routing::placement_refusal why;
+    const auto choice = routing::choose_upstream(this->service.get_upstreams(), query, why);
+    if (!choice)
+    {
+        this->wait_for_place(why);
+        return;
+    }
+    this->send_to(this->service.get_upstreams()[choice->position], *choice);
+}
+
+auto exchange::wait_for_place(const routing::placement_refusal& why) -> void
+{
+    const auto now = boot_clock_now();
+    const auto limit = this->arrived + this->route->objective / wait_part_of_objective;
+    const auto can_wait = this->sends == 0 && now < limit;
+    if (!can_wait)
+    {
+        this->service.get_log().write(event_code::request_refused,
+                                      {{"request", this->facts.id},
+                                       {"route", this->route->name},
+                                       {"reason", "no upstream"},
+                                       {"most_common", routing::to_text(why.most_common)},
+                                       {"considered", why.considered},
+                                       {"sends", this->sends}});
+        this->apply_step(routing::final_step(send_fate::not_sent, this->worst));
+        return;
+    }
+    auto wait = std::make_shared<boost::asio::steady_timer>(this->service.get_io(),
+                                                            place_again_after);
+    wait->async_wait(
+        [self = this->shared_from_this(), wait](const boost::system::error_code&)
+        {
+            if (!self->done && !self->connection)
+            {
+                self->place();
+            }
+        });
+}
+
+auto exchange::send_to(const routing::live_upstream& chosen,
+                       const routing::placement_choice& choice) -> void
+{
+    const auto now = boot_clock_now();
+    this->upstream = chosen.state;
+    this->upstream_name = chosen.known.entry.name;
+    this->placement_cost_ms = choice.cost_ms;
+    this->placement_candidates = choice.candidates;
+    this->sent_at = now;
+    this->last_progress = now;
+    this->is_sent = false;
+    this->answer = {};
+    this->held_body.clear();
+    this->events = sse_splitter();
+
+    auto& state = *this->upstream;
+    if (state.in_flight++ == 0)
+    {
+        state.waiting_since = now;
+    }
+    state.cold_sends.add(now);
+    if (this->facts.prompt)
+    {
+        const auto input = this->facts.prompt->input_tokens;
+        this->unread_tokens = input - std::min(input, choice.cached_tokens);
+        state.unread_tokens += this->unread_tokens;
+        this->tokens_counted = true;
+    }
+
+    send_facts out;
+    out.upstream = &this->upstream_name;
+    out.time_left = this->deadline - now;
+    out.workspace = this->workspace;
+    out.request_id = this->facts.id;
+    const auto resume = this->last_event ? std::to_string(*this->last_event) : std::string();
+    out.resume_after = resume;
+    auto wire = this->service.get_adapter().encode_request(this->request, this->body, out);
+
+    const auto once = !routing::may_repeat(this->route->kind, this->route->resumable);
+    this->connection = this->service.get_pool().take(this->upstream.get(), now,
+                                                     once ? most_idle_once : most_idle_any);
+    if (!this->connection)
+    {
+        this->connection = this->service.connect(chosen.known.entry.address);
+    }
+    this->connection->send(std::move(wire), this);
+}
+
+auto exchange::on_request_sent() -> void
+{
+    this->is_sent = true;
+    ++this->sends;
+    this->tried.push_back(this->upstream.get());
+    this->service.count_send(this->target_service, this->sends > 1);
+}
+
+auto exchange::on_response_head(const http::response_head& head) -> void
+{
+    const auto now = boot_clock_now();
+    this->upstream->last_heard = now;
+    this->last_progress = now;
+    this->answer_head = head;
+    this->answer = this->service.get_adapter().decode_answer(head);
+    if (this->answer.misaddressed)
+    {
+        this->upstream->misaddressed = true;
+        this->service.get_log().write(event_code::upstream_misaddressed,
+                                      {{"upstream", this->upstream_name.value()},
+                                       {"request", this->facts.id}});
+    }
+    if (this->answer.success && !this->answer.trusted)
+    {
+        const auto self = this->shared_from_this();
+        this->abandon_upstream();
+        this->note_fault(upstream_fault::failed);
+        this->settle_send(send_fate::unknown, "answer without its mark");
+    }
+}
+
+auto exchange::on_response_body(std::string bytes) -> void
+{
+    const auto self = this->shared_from_this();
+    const auto now = boot_clock_now();
+    this->upstream->last_heard = now;
+    if (this->answer.success && this->is_stream())
+    {
+        this->events.feed(bytes);
+        this->forward_events();
+        return;
+    }
+    this->held_body.append(bytes);
+    if (this->answer.success && this->held_body.size() > most_held_bytes)
+    {
+        if (!this->head_committed)
+        {
+            this->caller_head = this->answer_head;
+            this->head_committed = true;
+            const auto length = this->answer_head.framing == http::body_framing::length
+                                    ? std::optional(this->answer_head.content_length)
+                                    : std::nullopt;
+            this->sink->begin_answer(this->caller_head, length);
+        }
+        this->sink->write_body(this->held_body);
+        this->held_body.clear();
+    }
+}
+
+auto exchange::forward_events() -> void
+{
+    while (!this->done)
+    {
+        const auto event = this->events.next();
+        if (!event)
+        {
+            break;
+        }
+        this->forward_event(*event);
+    }
+    if (!this->done && this->connection && this->sink->bytes_waiting() > most_bytes_waiting)
+    {
+        this->paused = true;
+        this->connection->set_reading(false);
+    }
+}
+
+auto exchange::forward_event(const sse_event& event) -> void
+{
+    const auto now = boot_clock_now();
+    if (event.sequence && this->last_event && *event.sequence <= *this->last_event)
+    {
+        return; // repeated at the start of a resumed answer
+    }
+    if (this->tokens_counted)
+    {
+        // The prompt has been read.
+        this->upstream->unread_tokens -= this->unread_tokens;
+        this->tokens_counted = false;
+        this->upstream->cache.on_read(*this->facts.prompt);
+    }
+    this->last_progress = now;
+    if (!this->head_committed)
+    {
+        this->first_output = now;
+        this->commit_head();
+    }
+    if (event.sequence)
+    {
+        this->last_event = event.sequence;
+    }
+    ++this->events_out;
+    this->sink->write_body(event.raw);
+}
+
+auto exchange::commit_head() -> void
+{
+    this->caller_head = this->answer_head;
+    this->head_committed = true;
+    this->sink->begin_answer(this->caller_head, std::nullopt);
+}
+
+auto exchange::on_response_end() -> void
+{
+    const auto self = this->shared_from_this();
+    if (this->answer.declined)
+    {
+        this->settle_send(send_fate::declined, "declined");
+        return;
+    }
+    if (this->answer.success)
+    {
+        if (this->is_stream() && this->events.has_partial_event())
+        {
+            this->note_fault(upstream_fault::failed);
+            this->settle_send(send_fate::unknown, "answer ends within an event");
+            return;
+        }
+        this->note_success();
+        this->answer_whole();
+        return;
+    }
+    this->failure_head = this->answer_head;
+    this->failure_body = std::exchange(this->held_body, {});
+    if (this->answer_head.status < 500 && this->answer.trusted)
+    {
+        // The upstream's word on the request itself; another one would say the same.
+        this->note_success();
+        this->worst = std::max(this->worst, send_fate::failed);
+        this->release_send();
+        this->apply_step(this->head_committed ? next_step::cut : next_step::pass_on);
+        return;
+    }
+    this->note_fault(upstream_fault::failed);
+    this->settle_send(this->answer.trusted ? send_fate::failed : send_fate::unknown,
+                      "answer of failure");
+}
+
+auto exchange::on_response_failed(http::transport_failure why) -> void
+{
+    const auto self = this->shared_from_this();
+    if (why == http::transport_failure::not_connected)
+    {
+        ++this->connect_failures;
+        this->note_fault(upstream_fault::unreachable);
+        this->service.get_pool().close_all(this->upstream.get());
+        this->settle_send(send_fate::not_sent, "not connected");
+        return;
+    }
+    this->note_fault(upstream_fault::failed);
+    this->settle_send(send_fate::unknown,
+                      why == http::transport_failure::broken ? "connection broke" : "malformed");
+}
+
+auto exchange::note_success() -> void
+{
+    this->upstream->health.on_success(boot_clock_now());
+}
+
+auto exchange::note_fault(upstream_fault fault) -> void
+{
+    this->service.on_upstream_fault(*this->upstream, this->upstream_name, this->target_service,
+                                    fault);
+}
+
+auto exchange::release_send() -> void
+{
+    if (!this->upstream)
+    {
+        return;
+    }
+    --this->upstream->in_flight;
+    if (std::exchange(this->tokens_counted, false))
+    {
+        this->upstream->unread_tokens -= this->unread_tokens;
+    }
+    if (this->connection)
+    {
+        if (this->paused)
+        {
+            this->paused = false;
+            this->connection->set_reading(true);
+        }
+        this->service.get_pool().put_back(this->upstream.get(), std::move(this->connection),
+                                          boot_clock_now());
+        this->connection = nullptr;
+    }
+    this->upstream = nullptr;
+}
+
+auto exchange::abandon_upstream() -> void
+{
+    if (this->connection)
+    {
+        this->connection->abandon();
+    }
+}
+
+auto exchange::settle_send(send_fate fate, const char* reason) -> void
+{
+    const auto now = boot_clock_now();
+    const auto settled_upstream = this->upstream_name;
+    this->release_send();
+    if (this->head_committed)
+    {
+        fate = send_fate::broken_midway;
+    }
+    this->worst = std::max(this->worst, fate);
+
+    routing::resend_facts known;
+    known.kind = this->route->kind;
+    known.resumable = this->route->resumable;
+    known.max_attempts = this->route->max_attempts;
+    known.sends = this->sends;
+    known.last = fate;
+    known.worst = this->worst;
+    known.time_left = this->deadline - now > least_time_for_send &&
+                      this->connect_failures < most_connect_failures &&
+                      (!this->head_committed || this->is_stream());
+    auto step = routing::decide_next_step(known);
+    if (step == next_step::send_again && this->sends > 0 &&
+        !this->service.take_retry(this->target_service))
+    {
+        step = routing::final_step(fate, this->worst);
+        reason = "retry budget";
+    }
+    if (step != next_step::send_again)
+    {
+        this->apply_step(step);
+        return;
+    }
+    this->service.get_log().write(
+        this->head_committed ? event_code::stream_resumed : event_code::request_sent_again,
+        {{"request", this->facts.id},
+         {"route", this->route->name},
+         {"upstream", settled_upstream.value()},
+         {"fate", to_text(fate)},
+         {"reason", reason},
+         {"sends", this->sends},
+         {"age_ms", to_ms(now - this->arrived)}});
+    this->place();
+}
+
+auto exchange::apply_step(next_step step) -> void
+{
+    switch (step)
+    {
+    case next_step::send_again:
+        this->place();
+        return;
+    case next_step::refuse:
+        this->conclude(503, "not run");
+        return;
+    case next_step::pass_on:
+        this->pass_on_failure();
+        return;
+    case next_step::fail:
+        this->conclude(502, "no whole answer");
+        return;
+    case next_step::cut:
+        this->conclude(0, "broken off");
+        return;
+    }
+}
+
+auto exchange::answer_whole() -> void
+{
+    const auto now = boot_clock_now();
+    this->done = true;
+    this->timer.cancel();
+    const auto upstream_used = this->upstream_name;
+    this->release_send();
+    if (!this->head_committed)
+    {
+        this->first_output = now;
+        this->sink->begin_answer(this->answer_head, this->held_body.size());
+    }
+    if (!this->held_body.empty())
+    {
+        this->sink->write_body(this->held_body);
+    }
+    this->service.get_log().write(event_code::request_done,
+                                  {{"request", this->facts.id},
+                                   {"route", this->route->name},
+                                   {"version", this->configuration->version.value()},
+                                   {"upstream", upstream_used.value()},
+                                   {"sends", this->sends},
+                                   {"cost_ms", this->placement_cost_ms},
+                                   {"candidates", this->placement_candidates},
+                                   {"first_ms", to_ms(this->first_output - this->arrived)},
+                                   {"total_ms", to_ms(now - this->arrived)},
+                                   {"events", this->events_out}});
+    this->service.count_outcome(this->route->name, "done", this->first_output - this->arrived);
+    this->sink->end_answer();
+}
+
+auto exchange::pass_on_failure() -> void
+{
+    this->done = true;
+    this->timer.cancel();
+    this->service.get_log().write(event_code::request_failed,
+                                  {{"request", this->facts.id},
+                                   {"route", this->route->name},
+                                   {"reason", "upstream's failure"},
+                                   {"status", this->failure_head.status},
+                                   {"upstream", this->upstream_name.value()},
+                                   {"sends", this->sends}});
+    this->service.count_outcome(this->route->name, "upstream_failure",
+                                boot_clock_now() - this->arrived);
+    this->sink->begin_answer(this->failure_head, this->failure_body.size());
+    this->sink->write_body(this->failure_body);
+    this->sink->end_answer();
+}
+
+auto exchange::answer_own(int status, const char* reason) -> void
+{
+    http::response_head head;
+    head.status = status;
+    head.reason = http::reason_phrase(status);
+    head.fields.add("Content-Type", "text/plain");
+    if (status == 503)
+    {
+        head.fields.add("Retry-After", retry_after_seconds);
+    }
+    const std::string text = std::string(reason) + "\n";
+    this->sink->begin_answer(head, text.size());
+    this->sink->write_body(text);
+    this->sink->end_answer();
+}
+
+auto exchange::conclude(int status, const char* reason) -> void
+{
+    const auto now = boot_clock_now();
+    this->done = true;
+    this->timer.cancel();
+    const auto code = this->head_committed ? event_code::stream_broken
+                      : status == 503      ? event_code::request_refused
+                      : status >= 500      ? event_code::request_failed
+                                           : event_code::request_invalid;
+    this->service.get_log().write(
+        code, {{"request", this->facts.id},
+               {"route", this->route != nullptr ? this->route->name : ""},
+               {"version", this->configuration ? this->configuration->version.value() : 0},
+               {"status", status},
+               {"reason", reason},
+               {"worst_fate", to_text(this->worst)},
+               {"upstream", this->upstream_name.value()},
+               {"sends", this->sends},
+               {"connect_failures", this->connect_failures},
+               {"events", this->events_out},
+               {"age_ms", to_ms(now - this->arrived)}});
+    this->service.count_outcome(this->route != nullptr ? this->route->name : "none", reason,
+                                now - this->arrived);
+    if (this->head_committed)
+    {
+        this->sink->break_off();
+        return;
+    }
+    this->answer_own(status, reason);
+}
+
+auto exchange::on_caller_gone() -> void
+{
+    if (this->done)
+    {
+        return;
+    }
+    this->done = true;
+    this->timer.cancel();
+    this->abandon_upstream();
+    this->release_send();
+    this->service.get_log().write(event_code::request_cancelled,
+                                  {{"request", this->facts.id},
+                                   {"upstream", this->upstream_name.value()},
+                                   {"sends", this->sends},
+                                   {"events", this->events_out},
+                                   {"age_ms", to_ms(boot_clock_now() - this->arrived)}});
+    this->service.count_outcome(this->route != nullptr ? this->route->name : "none", "cancelled",
+                                boot_clock_now() - this->arrived);
+}
+
+auto exchange::on_caller_drained() -> void
+{
+    if (this->paused && this->connection)
+    {
+        this->paused = false;
+        this->connection->set_reading(true);
+    }
+}
+
+auto exchange::patience_end() const -> time_point
+{
+    if (!this->is_sent || !this->connection || this->sends >= this->route->max_attempts ||
+        !routing::may_repeat(this->route->kind, this->route->resumable))
+    {
+        return time_point::max();
+    }
+    const auto produced = this->last_progress > this->sent_at && this->is_stream();
+    if (produced)
+    {
+        return this->last_progress +
+               std::max(scaled(this->route->event_gap, event_patience), least_patience);
+    }
+    return this->sent_at +
+           std::max(scaled(this->route->objective, first_output_patience), least_patience);
+}
+
+auto exchange::arm_timer() -> void
+{
+    const auto now = boot_clock_now();
+    // Looking at least every 100 ms also finds deadlines that passed while the machine was suspended.
+    constexpr duration longest_sleep = 100ms;
+    const auto due = std::min(this->deadline, this->patience_end());
+    this->timer.expires_after(std::clamp<duration>(due - now, 1ms, longest_sleep));
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const boost::system::error_code& error)
+        {
+            if (!error && !self->done)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+auto exchange::on_timer() -> void
+{
+    const auto now = boot_clock_now();
+    if (now >= this->deadline)
+    {
+        const auto was_sent = this->is_sent && this->upstream;
+        if (was_sent)
+        {
+            this->worst = std::max(this->worst, send_fate::unknown);
+            this->note_fault(upstream_fault::silent);
+        }
+        this->abandon_upstream();
+        this->release_send();
+        this->conclude(this->worst <= send_fate::declined ? 503 : 504, "deadline");
+        return;
+    }
+    if (now >= this->patience_end())
+    {
+        this->note_fault(upstream_fault::silent);
+        this->abandon_upstream();
+        this->settle_send(send_fate::unknown, "no progress");
+    }
+    if (!this->done)
+    {
+        this->arm_timer();
+    }
+}
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/exchange.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "http/upstream_connection.hpp"
+#include "poplardrift/streams/sse_splitter.hpp"
+#include "routing/placement.hpp"
+#include "routing/resend_policy.hpp"
+#include "traffic/connection_pool.hpp"
+#include "traffic/wire_adapter.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplardrift::traffic
+{
+
+class traffic_service;
+
+/// Where an exchange writes its answer: one caller's connection.
+class answer_sink
+{
+public:
+    answer_sink() = default;
+    answer_sink(const answer_sink&) = delete;
+    auto operator=(const answer_sink&) -> answer_sink& = delete;
+    virtual ~answer_sink() = default;
+
+    /// Writes the head. Without a length the body goes out in chunks.
+    virtual auto begin_answer(const http::response_head& head, std::optional<std::uint64_t> length)
+        -> void = 0;
+    virtual auto write_body(std::string_view bytes) -> void = 0;
+    /// The answer is whole.
+    virtual auto end_answer() -> void = 0;
+    /// The answer will not become whole; the caller has to see that.
+    virtual auto break_off() -> void = 0;
+    [[nodiscard]] virtual auto bytes_waiting() const -> std::size_t = 0;
+};
+
+/// One request of a caller, from its last byte to the end of its answer. Knows the fate of every
+/// send; resend_policy decides by it what may be done next. Traffic thread.
+class exchange final : public http::response_receiver, public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(traffic_service& service, answer_sink* sink, http::request_head head, std::string body,
+             time_point arrived);
+
+    auto start() -> void;
+    /// The caller has closed its connection.
+    auto on_caller_gone() -> void;
+    /// What was written to the caller has been taken.
+    auto on_caller_drained() -> void;
+
+private:
+    auto on_request_sent() -> void override;
+    auto on_response_head(const http::response_head& head) -> void override;
+    auto on_response_body(std::string bytes) -> void override;
+    auto on_response_end() -> void override;
+    auto on_response_failed(http::transport_failure why) -> void override;
+
+    [[nodiscard]] auto admit() -> bool;
+    auto place() -> void;
+    auto wait_for_place(const routing::placement_refusal& why) -> void;
+    auto send_to(const routing::live_upstream& upstream, const routing::placement_choice& choice)
+        -> void;
+    auto settle_send(routing::send_fate fate, const char* reason) -> void;
+    auto apply_step(routing::next_step step) -> void;
+    auto release_send() -> void;
+    auto note_success() -> void;
+    auto note_fault(routing::upstream_fault fault) -> void;
+
+    auto forward_events() -> void;
+    auto forward_event(const sse_event& event) -> void;
+    auto commit_head() -> void;
+    auto answer_whole() -> void;
+    auto pass_on_failure() -> void;
+    auto answer_own(int status, const char* reason) -> void;
+    auto conclude(int status, const char* reason) -> void;
+
+    auto arm_timer() -> void;
+    auto on_timer() -> void;
+    [[nodiscard]] auto patience_end() const -> time_point;
+    auto abandon_upstream() -> void;
+    [[nodiscard]] auto is_stream() const -> bool;
+
+    traffic_service& service;
+    answer_sink* sink;
+    http::request_head request;
+    std::string body;
+    time_point arrived;
+    request_facts facts;
+
+    std::shared_ptr<const routing::routing_configuration> configuration;
+    const routing::route_rules* route = nullptr;
+    const routing::workspace_rules* workspace = nullptr;
+    std::string target_service;
+    time_point deadline{}; ///< of the caller or the route, whichever is first
+    boost::asio::steady_timer timer;
+
+    // Sends so far.
+    std::vector<const routing::upstream_state*> tried;
+    int sends = 0;
+    int connect_failures = 0;
+    routing::send_fate worst = routing::send_fate::not_sent;
+
+    // The send under way.
+    connection_ptr connection;
+    std::shared_ptr<routing::upstream_state> upstream;
+    routing::upstream_name upstream_name;
+    time_point sent_at{};
+    time_point last_progress{};
+    bool is_sent = false;
+    bool tokens_counted = false;
+    std::uint32_t unread_tokens = 0;
+    double placement_cost_ms = 0.0;
+    int placement_candidates = 0;
+    answer_facts answer;
+    http::response_head answer_head;
+    std::string held_body;
+    sse_splitter events;
+
+    // The answer to the caller.
+    http::response_head failure_head;
+    std::string failure_body;
+    http::response_head caller_head; ///< of the first upstream whose events went out
+    bool head_committed = false;
+    bool done = false;
+    bool paused = false;
+    std::optional<std::uint64_t> last_event;
+    time_point first_output{};
+    std::uint64_t events_out = 0;
+};
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/load_board.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace poplardrift::traffic
+{
+
+/// What one host says of one upstream.
+struct upstream_load
+{
+    std::uint64_t upstream = 0; ///< hash of its name
+    std::uint32_t in_flight = 0;
+    bool ejected = false;
+};
+
+/// Where the control thread and the traffic thread leave each other the load of upstreams. Each
+/// call holds a lock for the time of a copy.
+class load_board final
+{
+public:
+    /// Traffic thread: this host's requests.
+    auto set_own(std::vector<upstream_load> loads) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->own = std::move(loads);
+    }
+    /// Control thread.
+    [[nodiscard]] auto get_own() const -> std::vector<upstream_load>
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->own;
+    }
+    /// Control thread: the sum over all other hosts.
+    auto set_others(std::vector<upstream_load> loads) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->others = std::move(loads);
+        ++this->others_version;
+    }
+    /// Traffic thread. False when nothing has changed since `version`.
+    [[nodiscard]] auto get_others(std::uint64_t& version, std::vector<upstream_load>& into) const
+        -> bool
+    {
+        const std::lock_guard lock(this->mutex);
+        if (version == this->others_version)
+        {
+            return false;
+        }
+        version = this->others_version;
+        into = this->others;
+        return true;
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::vector<upstream_load> own;
+    std::vector<upstream_load> others;
+    std::uint64_t others_version = 0;
+};
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/status_session.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "http/byte_stream.hpp"
+#include "http/message_reader.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace poplardrift::traffic
+{
+
+/// Answer of a status request.
+struct status_answer
+{
+    int status = 404;
+    std::string text;
+};
+
+/// One connection of a prober or a metrics collector: small GET requests, answered at once.
+class status_session final : public http::stream_listener,
+                             public std::enable_shared_from_this<status_session>
+{
+public:
+    using answer_function = std::function<status_answer(const http::request_head&)>;
+
+    status_session(boost::asio::ip::tcp::socket socket, answer_function answer);
+
+    auto start() -> void;
+
+private:
+    auto on_bytes(std::string_view bytes) -> void override;
+    auto on_closed(http::close_kind kind) -> void override;
+    auto on_written() -> void override {}
+    auto respond(int status, const std::string& text, bool keep_alive) -> void;
+
+    std::shared_ptr<http::byte_stream> stream;
+    http::request_reader reader;
+    answer_function answer;
+    std::shared_ptr<status_session> keep; ///< the session owns itself while it is connected
+};
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/traffic_metrics.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "poplardrift/base/time.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+/// Counters and histograms of the data path. Any thread may read the text; the rest belongs to the
+/// traffic thread, which looks series up in its own maps.
+class traffic_metrics final
+{
+public:
+    traffic_metrics();
+
+    auto count_outcome(const std::string& route, const std::string& outcome, duration first_output)
+        -> void;
+    auto count_send(const std::string& service, bool is_repeat) -> void;
+    auto count_denied_retry(const std::string& service) -> void;
+    auto count_ejection(const std::string& service) -> void;
+    auto set_sessions(std::size_t count) -> void;
+    [[nodiscard]] auto to_text() const -> std::string;
+
+private:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>* outcomes;
+    prometheus::Family<prometheus::Histogram>* first_output;
+    prometheus::Family<prometheus::Counter>* sends;
+    prometheus::Family<prometheus::Counter>* denied_retries;
+    prometheus::Family<prometheus::Counter>* ejections;
+    prometheus::Gauge* sessions;
+    std::map<std::pair<std::string, std::string>, prometheus::Counter*> outcome_series;
+    std::map<std::string, prometheus::Histogram*> first_output_series;
+    std::map<std::pair<std::string, bool>, prometheus::Counter*> send_series;
+};
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/traffic_service.cpp
@@ -0,0 +1,366 @@
+#include "traffic/traffic_service.hpp"
+
+#include "net/clock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A connection inside the platform stands within a few ms; one that takes this long goes to a
+/// host that has lost its power or is cut off.
+constexpr duration connect_timeout = 250ms;
+/// Without acknowledgement for this long an upstream's connection counts as broken.
+constexpr duration upstream_silence = 2s;
+constexpr duration tick_interval = 50ms; ///< age of the counts that other hosts are told
+/// After the stop begins, the balancer needs two probes, a second apart, to send callers elsewhere.
+constexpr duration accept_after_leaving = 2500ms;
+/// Time that is kept for the process to end in order.
+constexpr duration end_margin = 200ms;
+/// Part of an engine's memory that is counted on for prompts; running requests take the rest.
+constexpr double cached_part = 0.6;
+/// An upstream that could not be reached may have been restarted and be cold.
+constexpr int cold_suspicion = 1;
+
+} // namespace
+
+traffic_service::traffic_service(traffic_settings settings, const wire_adapter& adapter,
+                                 decision_log& log, load_board& board)
+    : settings(std::move(settings)), adapter(adapter), log(log), board(board), ticker(this->io)
+{
+}
+
+auto traffic_service::open() -> bool
+{
+    this->caller_listener = std::make_shared<http::listener>(
+        this->io,
+        [this](boost::asio::ip::tcp::socket socket)
+        {
+            auto session = std::make_shared<caller_session>(*this, std::move(socket));
+            this->sessions.insert(session);
+            session->start();
+        });
+    const auto open_status = [this](const boost::asio::ip::tcp::endpoint& address)
+    {
+        this->status_listeners.push_back(std::make_shared<http::listener>(
+            this->io, [this](boost::asio::ip::tcp::socket socket)
+            { this->accept_status(std::move(socket)); }));
+        return this->status_listeners.back()->open(address);
+    };
+    const auto metrics_open = !this->settings.metrics || open_status(*this->settings.metrics);
+    return this->caller_listener->open(this->settings.callers) &&
+           open_status(this->settings.status) && metrics_open;
+}
+
+auto traffic_service::run() -> void
+{
+    this->tick();
+    this->io.run();
+}
+
+auto traffic_service::set_view(std::shared_ptr<const routing::fleet_view> next) -> void
+{
+    boost::asio::post(this->io, [this, next = std::move(next)] { this->apply_view(next); });
+}
+
+auto traffic_service::apply_view(std::shared_ptr<const routing::fleet_view> next) -> void
+{
+    const auto was_ready = this->is_ready();
+    this->view = std::move(next);
+    absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> kept;
+    std::vector<routing::live_upstream> rebuilt;
+    if (this->view->configuration)
+    {
+        for (const auto& known : this->view->upstreams)
+        {
+            const auto service = this->view->configuration->find_service(known.entry.service);
+            if (service)
+            {
+                rebuilt.push_back(this->make_upstream(known, *service));
+            }
+        }
+    }
+    for (const auto& upstream : rebuilt)
+    {
+        const auto& entry = upstream.known.entry;
+        kept[entry.name.value() + "|" + std::to_string(entry.start_number) + "|" +
+             std::to_string(entry.address.address().to_v4().to_uint()) + ":" +
+             std::to_string(entry.address.port())] = upstream.state;
+    }
+    for (const auto& [key, state] : this->states)
+    {
+        if (!kept.contains(key))
+        {
+            this->pool.close_all(state.get());
+        }
+    }
+    this->states = std::move(kept);
+    this->upstreams = std::move(rebuilt);
+    this->others_version = 0; // counts of others are put into the new states at the next tick
+    if (!was_ready && this->is_ready())
+    {
+        this->log.write(event_code::daemon_ready,
+                        {{"version", this->view->configuration->version.value()},
+                         {"upstreams", this->upstreams.size()}});
+    }
+}
+
+auto traffic_service::make_upstream(const routing::known_upstream& known, std::size_t service)
+    -> routing::live_upstream
+{
+    const auto& entry = known.entry;
+    const auto key = entry.name.value() + "|" + std::to_string(entry.start_number) + "|" +
+                     std::to_string(entry.address.address().to_v4().to_uint()) + ":" +
+                     std::to_string(entry.address.port());
+    routing::live_upstream upstream;
+    upstream.known = known;
+    upstream.service = service;
+    upstream.hash = hash_bytes_64(entry.name.value());
+    upstream.zone_out = this->view->zones_out.contains(entry.zone);
+    const auto found = this->states.find(key);
+    if (found != this->states.end())
+    {
+        upstream.state = found->second;
+        return upstream;
+    }
+    const auto& engine = this->view->configuration->services[service].engine;
+    const auto memory = engine ? static_cast<double>(engine->cache_tokens) : 0.0;
+    upstream.state =
+        std::make_shared<routing::upstream_state>(static_cast<std::uint64_t>(memory * cached_part));
+    return upstream;
+}
+
+auto traffic_service::get_caller_limits() const -> routing::caller_limits
+{
+    return this->view->configuration ? this->view->configuration->limits
+                                     : routing::caller_limits{};
+}
+
+auto traffic_service::get_reader_limits() const -> http::reader_limits
+{
+    const auto limits = this->get_caller_limits();
+    return {limits.head_bytes, limits.body_bytes};
+}
+
+auto traffic_service::is_ready() const -> bool
+{
+    return !this->leaving && this->view->configuration && this->view->upstreams_known;
+}
+
+auto traffic_service::connect(const boost::asio::ip::tcp::endpoint& address) -> connection_ptr
+{
+    return std::make_shared<http::upstream_connection>(
+        this->io, address, http::connection_settings{connect_timeout, upstream_silence});
+}
+
+auto traffic_service::ledger_of(const std::string& service) -> routing::retry_ledger&
+{
+    const auto found = this->ledgers.find(service);
+    if (found != this->ledgers.end())
+    {
+        return found->second;
+    }
+    return this->ledgers
+        .try_emplace(service, routing::retry_ledger(this->view->bounds.retry_window))
+        .first->second;
+}
+
+auto traffic_service::take_retry(const std::string& service) -> bool
+{
+    const auto taken = this->ledger_of(service).take(boot_clock_now(), this->view->bounds,
+                                                     this->view->host_count);
+    if (!taken)
+    {
+        this->metrics.count_denied_retry(service);
+    }
+    return taken;
+}
+
+auto traffic_service::failure_share_of(const std::string& service) const -> double
+{
+    double sum = 0.0;
+    int count = 0;
+    for (const auto& upstream : this->upstreams)
+    {
+        if (upstream.known.entry.service == service)
+        {
+            sum += upstream.state->health.failure_share();
+            ++count;
+        }
+    }
+    return count == 0 ? 0.0 : sum / count;
+}
+
+auto traffic_service::on_upstream_fault(routing::upstream_state& state,
+                                        const routing::upstream_name& name,
+                                        const std::string& service, routing::upstream_fault fault)
+    -> void
+{
+    const auto now = boot_clock_now();
+    const auto was_ejected = state.health.is_ejected(now);
+    state.health.on_fault(fault, now, this->failure_share_of(service));
+    if (fault == routing::upstream_fault::unreachable && this->view->configuration)
+    {
+        const auto position = this->view->configuration->find_service(service);
+        if (position)
+        {
+            state.suspected_cold_until =
+                now + cold_suspicion * this->view->configuration->services[*position].cold_start;
+        }
+    }
+    if (!was_ejected && state.health.is_ejected(now))
+    {
+        this->metrics.count_ejection(service);
+        this->log.write(event_code::upstream_ejected,
+                        {{"upstream", name.value()},
+                         {"service", service},
+                         {"fault", static_cast<int>(fault)},
+                         {"failure_share", state.health.failure_share()},
+                         {"in_flight", state.in_flight}});
+    }
+}
+
+auto traffic_service::count_send(const std::string& service, bool is_repeat) -> void
+{
+    this->metrics.count_send(service, is_repeat);
+}
+
+auto traffic_service::count_outcome(const std::string& route, const std::string& outcome,
+                                    duration first) -> void
+{
+    this->metrics.count_outcome(route, outcome, first);
+}
+
+auto traffic_service::on_session_ended(const std::shared_ptr<caller_session>& session) -> void
+{
+    this->sessions.erase(session);
+    if (this->leaving)
+    {
+        this->end_when_idle();
+    }
+}
+
+auto traffic_service::answer_status(const http::request_head& head) const -> status_answer
+{
+    if (head.method == "GET" && this->adapter.is_readiness_target(head.target))
+    {
+        return this->is_ready() ? status_answer{200, "ready\n"} : status_answer{503, "not ready\n"};
+    }
+    if (head.method == "GET" && head.target == "/metrics")
+    {
+        return {200, this->metrics.to_text()};
+    }
+    return {404, "no such page\n"};
+}
+
+auto traffic_service::accept_status(boost::asio::ip::tcp::socket socket) -> void
+{
+    std::make_shared<status_session>(std::move(socket), [this](const http::request_head& head)
+                                     { return this->answer_status(head); })
+        ->start();
+}
+
+auto traffic_service::tick() -> void
+{
+    this->share_load();
+    this->pool.close_expired(boot_clock_now());
+    this->metrics.set_sessions(this->sessions.size());
+    this->ticker.expires_after(tick_interval);
+    this->ticker.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                this->tick();
+            }
+        });
+}
+
+auto traffic_service::share_load() -> void
+{
+    const auto now = boot_clock_now();
+    std::vector<upstream_load> own;
+    for (const auto& upstream : this->upstreams)
+    {
+        const auto& state = *upstream.state;
+        const auto ejected = state.health.is_ejected(now) && state.health.is_own_finding();
+        if (state.in_flight > 0 || ejected)
+        {
+            own.push_back({upstream.hash, static_cast<std::uint32_t>(state.in_flight), ejected});
+        }
+    }
+    this->board.set_own(std::move(own));
+    if (!this->board.get_others(this->others_version, this->others))
+    {
+        return;
+    }
+    absl::flat_hash_map<std::uint64_t, upstream_load> by_hash;
+    for (const auto& load : this->others)
+    {
+        by_hash[load.upstream] = load;
+    }
+    for (const auto& upstream : this->upstreams)
+    {
+        const auto found = by_hash.find(upstream.hash);
+        const auto known = found != by_hash.end();
+        upstream.state->in_flight_elsewhere = known ? static_cast<int>(found->second.in_flight) : 0;
+        if (known && found->second.ejected)
+        {
+            upstream.state->health.on_ejected_elsewhere(now);
+        }
+    }
+}
+
+auto traffic_service::leave(duration within) -> void
+{
+    boost::asio::post(this->io, [this, within] { this->begin_leaving(within); });
+}
+
+auto traffic_service::after(duration delay, std::function<void()> action) -> void
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->io, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code&)
+                      { action(); });
+}
+
+auto traffic_service::begin_leaving(duration within) -> void
+{
+    if (std::exchange(this->leaving, true))
+    {
+        return;
+    }
+    this->log.write(event_code::daemon_leaving, {{"sessions", this->sessions.size()}});
+    const auto most = std::max<duration>(within - end_margin, 0s);
+    this->after(std::min(accept_after_leaving, most / 2), [this] { this->stop_accepting(); });
+    this->after(most, [this] { this->io.stop(); });
+}
+
+auto traffic_service::stop_accepting() -> void
+{
+    this->accepting = false;
+    this->caller_listener->close();
+    const auto open_sessions = this->sessions; // sessions leave the set as they close
+    for (const auto& session : open_sessions)
+    {
+        session->close_when_idle();
+    }
+    this->end_when_idle();
+}
+
+auto traffic_service::end_when_idle() -> void
+{
+    if (this->accepting || !this->sessions.empty())
+    {
+        return;
+    }
+    // The last answers are still on their way to the kernel.
+    this->after(end_margin, [this] { this->io.stop(); });
+}
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/traffic_service.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "http/listener.hpp"
+#include "http/message_reader.hpp"
+#include "observability/decision_log.hpp"
+#include "routing/retry_ledger.hpp"
+#include "routing/upstream_state.hpp"
+#include "traffic/caller_session.hpp"
+#include "traffic/connection_pool.hpp"
+#include "traffic/load_board.hpp"
+#include "traffic/status_session.hpp"
+#include "traffic/traffic_metrics.hpp"
+#include "traffic/wire_adapter.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplardrift::traffic
+{
+
+/// Where the data path listens and who it is.
+struct traffic_settings
+{
+    zone_name zone;
+    boost::asio::ip::tcp::endpoint callers;
+    boost::asio::ip::tcp::endpoint status; ///< readiness
+    std::optional<boost::asio::ip::tcp::endpoint> metrics;
+};
+
+/// The data path of one host: sessions of callers, connections to upstreams, and the state by which
+/// upstreams are chosen. All members belong to the traffic thread, but for set_view and leave,
+/// which any thread may call.
+class traffic_service final
+{
+public:
+    traffic_service(traffic_settings settings, const wire_adapter& adapter, decision_log& log,
+                    load_board& board);
+
+    /// False when an address cannot be listened on.
+    [[nodiscard]] auto open() -> bool;
+    /// Runs until leave has ended.
+    auto run() -> void;
+    auto set_view(std::shared_ptr<const routing::fleet_view> view) -> void;
+    /// Begins a planned stop: not ready any more, then no new connections, then the end once all
+    /// requests are answered or `within` has passed.
+    auto leave(duration within) -> void;
+
+    [[nodiscard]] auto get_io() -> boost::asio::io_context& { return this->io; }
+    [[nodiscard]] auto get_adapter() const -> const wire_adapter& { return this->adapter; }
+    [[nodiscard]] auto get_log() -> decision_log& { return this->log; }
+    [[nodiscard]] auto get_pool() -> connection_pool& { return this->pool; }
+    [[nodiscard]] auto get_view() const -> const routing::fleet_view& { return *this->view; }
+    [[nodiscard]] auto get_upstreams() const -> const std::vector<routing::live_upstream>&
+    {
+        return this->upstreams;
+    }
+    [[nodiscard]] auto get_zone() const -> const zone_name& { return this->settings.zone; }
+    [[nodiscard]] auto get_caller_limits() const -> routing::caller_limits;
+    [[nodiscard]] auto get_reader_limits() const -> http::reader_limits;
+    [[nodiscard]] auto is_leaving() const -> bool { return this->leaving; }
+    [[nodiscard]] auto is_ready() const -> bool;
+
+    [[nodiscard]] auto connect(const boost::asio::ip::tcp::endpoint& address) -> connection_ptr;
+    [[nodiscard]] auto ledger_of(const std::string& service) -> routing::retry_ledger&;
+    /// Takes a repeated send out of the budget of a service.
+    [[nodiscard]] auto take_retry(const std::string& service) -> bool;
+    auto on_upstream_fault(routing::upstream_state& state, const routing::upstream_name& name,
+                           const std::string& service, routing::upstream_fault fault) -> void;
+    auto count_send(const std::string& service, bool is_repeat) -> void;
+    auto count_outcome(const std::string& route, const std::string& outcome, duration first)
+        -> void;
+    auto on_session_ended(const std::shared_ptr<caller_session>& session) -> void;
+
+private:
+    auto apply_view(std::shared_ptr<const routing::fleet_view> next) -> void;
+    auto make_upstream(const routing::known_upstream& known, std::size_t service)
+        -> routing::live_upstream;
+    auto answer_status(const http::request_head& head) const -> status_answer;
+    auto accept_status(boost::asio::ip::tcp::socket socket) -> void;
+    auto tick() -> void;
+    auto share_load() -> void;
+    auto begin_leaving(duration within) -> void;
+    auto stop_accepting() -> void;
+    auto end_when_idle() -> void;
+    auto after(duration delay, std::function<void()> action) -> void;
+    [[nodiscard]] auto failure_share_of(const std::string& service) const -> double;
+
+    traffic_settings settings;
+    const wire_adapter& adapter;
+    decision_log& log;
+    load_board& board;
+    boost::asio::io_context io{1};
+    std::shared_ptr<http::listener> caller_listener;
+    std::vector<std::shared_ptr<http::listener>> status_listeners;
+    std::shared_ptr<const routing::fleet_view> view = std::make_shared<routing::fleet_view>();
+    std::vector<routing::live_upstream> upstreams;
+    absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> states;
+    absl::flat_hash_map<std::string, routing::retry_ledger> ledgers;
+    absl::flat_hash_set<std::shared_ptr<caller_session>> sessions;
+    connection_pool pool;
+    traffic_metrics metrics;
+    boost::asio::steady_timer ticker;
+    std::uint64_t others_version = 0;
+    std::vector<upstream_load> others;
+    time_point leave_until{};
+    bool leaving = false;
+    bool accepting = true;
+};
+
+} // namespace poplardrift::traffic
