Upstreams that seem faulty cost more instead of being ruled out

Cause: refusals with upstreams free. Now whole answers of failure eject only by their share against the service's own; ejected, silent and probing upstreams are taken at a cost before a request is refused.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -33,6 +33,10 @@
 constexpr double ms_for_other_zone = 4.0;
 /// Chance that the first choice by hash holds a prompt that this host has not sent there itself.
 constexpr double first_choice_cached = 0.7;
+/// Cost of an upstream that seems faulty: it is used before a request is refused, after all others.
+constexpr double ms_when_ejected = 2000.0;
+constexpr double ms_when_silent = 1000.0;
+constexpr double ms_when_probation_full = 500.0;
 /// Cost of the recent failure share: a failed request waits for its second send.
 constexpr double ms_for_all_failing = 300.0;
 
@@ -102,6 +106,24 @@
     return (std::max(unread, 0.0) + backlog) / tokens_read_in_ms;
 }
 
+/// Cost of taking an upstream that the verdict advises against; nothing when it rules it out.
+auto cost_of(exclusion verdict) -> std::optional<double>
+{
+    switch (verdict)
+    {
+    case exclusion::none:
+        return 0.0;
+    case exclusion::ejected:
+        return ms_when_ejected;
+    case exclusion::silent:
+        return ms_when_silent;
+    case exclusion::probation_full:
+        return ms_when_probation_full;
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 auto to_text(exclusion why) -> std::string_view
@@ -148,6 +170,17 @@
     {
         return exclusion::tried;
     }
+    if (query.rules->cold_requests_per_second > 0.0 && is_cold(candidate, query.now) &&
+        static_cast<double>(state.cold_sends.total(query.now)) + 1.0 >
+            cold_share(*query.rules, *query.bounds, query.host_count))
+    {
+        return exclusion::cold_limit;
+    }
+    const auto bound = used_load_part * query.bounds->load_factor * mean_in_flight + load_allowance;
+    if (in_flight_of(candidate) + 1 > bound)
+    {
+        return exclusion::load_bound;
+    }
     if (state.health.is_ejected(query.now))
     {
         return exclusion::ejected;
@@ -160,17 +193,6 @@
     {
         return exclusion::silent;
     }
-    if (query.rules->cold_requests_per_second > 0.0 && is_cold(candidate, query.now) &&
-        static_cast<double>(state.cold_sends.total(query.now)) + 1.0 >
-            cold_share(*query.rules, *query.bounds, query.host_count))
-    {
-        return exclusion::cold_limit;
-    }
-    const auto bound = used_load_part * query.bounds->load_factor * mean_in_flight + load_allowance;
-    if (in_flight_of(candidate) + 1 > bound)
-    {
-        return exclusion::load_bound;
-    }
     return exclusion::none;
 }
 
@@ -187,14 +209,15 @@
     {
         const auto& candidate = upstreams[position];
         const auto verdict = judge(candidate, query, mean);
-        if (verdict != exclusion::none)
+        const auto penalty = cost_of(verdict);
+        if (!penalty)
         {
             ++refusals[static_cast<std::size_t>(verdict)];
             continue;
         }
         ++candidates;
         placement_choice choice{position, 0.0, 0, 0};
-        choice.cost_ms = ms_for_each_in_flight * in_flight_of(candidate) +
+        choice.cost_ms = *penalty + ms_for_each_in_flight * in_flight_of(candidate) +
                          ms_for_all_failing * candidate.state->health.failure_share();
         if (candidate.known.entry.zone != *query.own_zone)
         {
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -60,7 +60,8 @@
     int considered = 0;
 };
 
-/// May this upstream take one more request? Bounds over all hosts are kept by this host's part.
+/// May this upstream take one more request? Bounds over all hosts are kept by this host's part. What
+/// rules an upstream out comes before what only speaks against it (ejected, probation_full, silent).
 [[nodiscard]] auto judge(const live_upstream& candidate, const placement_query& query,
                          double mean_in_flight) -> exclusion;
 
--- a/src/routing/upstream_health.cpp
+++ b/src/routing/upstream_health.cpp
@@ -11,10 +11,10 @@
 using namespace std::chrono_literals;
 
 constexpr double share_memory = 0.9;        ///< of the failure share kept at each new outcome
-constexpr int least_samples = 6;            ///< outcomes before a share of failures means anything
-constexpr double share_above_usual = 0.25;  ///< beyond the service's own share: faulty
-constexpr int faults_that_eject = 3;        ///< in a row, whatever the share
-constexpr int silences_that_eject = 2;      ///< in a row
+constexpr int least_samples = 8;            ///< outcomes before a share of failures means anything
+constexpr double least_faulty_share = 0.35; ///< a smaller share of failures never ejects
+constexpr double multiple_of_usual = 2.0;   ///< of the service's own share: faulty beyond it
+constexpr int faults_that_eject = 2;        ///< broken or silent, in a row
 constexpr duration unreachable_length = 400ms; ///< a restarted process is back in about a second
 constexpr duration failing_length = 1500ms;
 constexpr duration elsewhere_length = 600ms; ///< a finding of another host is repeated by then
@@ -37,7 +37,6 @@
 
 auto upstream_health::on_fault(upstream_fault fault, time_point now, double usual_share) -> void
 {
-    ++this->faults_in_a_row;
     if (fault == upstream_fault::unreachable)
     {
         this->eject(now, unreachable_length);
@@ -45,11 +44,11 @@
     }
     this->share = this->share * share_memory + (1.0 - share_memory);
     ++this->samples;
-    const auto failing =
-        this->samples >= least_samples && this->share > usual_share + share_above_usual;
-    const auto enough_in_a_row =
-        fault == upstream_fault::silent ? silences_that_eject : faults_that_eject;
-    if (failing || this->faults_in_a_row >= enough_in_a_row || this->is_on_probation())
+    // A whole answer shows that the upstream works; what it says may be the request's fault.
+    this->faults_in_a_row = fault == upstream_fault::failed ? 0 : this->faults_in_a_row + 1;
+    const auto limit = std::max(least_faulty_share, multiple_of_usual * usual_share);
+    const auto failing = this->samples >= least_samples && this->share > limit;
+    if (failing || this->faults_in_a_row >= faults_that_eject)
     {
         this->eject(now, failing_length);
     }
--- a/src/routing/upstream_health.hpp
+++ b/src/routing/upstream_health.hpp
@@ -12,7 +12,8 @@
 {
     unreachable, ///< no connection
     silent,      ///< nothing came in the time in which something should have
-    failed,      ///< an answer of failure, or a broken or malformed one
+    broken,      ///< an answer broke off or was none
+    failed,      ///< a whole answer of failure; services have a usual share of these
 };
 
 /// Judges one upstream by what requests see: ejects it after faults, lets few requests probe it
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -293,7 +293,7 @@
     {
         const auto self = this->shared_from_this();
         this->abandon_upstream();
-        this->note_fault(upstream_fault::failed);
+        this->note_fault(upstream_fault::broken);
         this->settle_send(send_fate::unknown, "answer without its mark");
     }
 }
@@ -391,7 +391,7 @@
     {
         if (this->is_stream() && this->events.has_partial_event())
         {
-            this->note_fault(upstream_fault::failed);
+            this->note_fault(upstream_fault::broken);
             this->settle_send(send_fate::unknown, "answer ends within an event");
             return;
         }
@@ -426,7 +426,7 @@
         this->settle_send(send_fate::not_sent, "not connected");
         return;
     }
-    this->note_fault(upstream_fault::failed);
+    this->note_fault(upstream_fault::broken);
     this->settle_send(send_fate::unknown,
                       why == http::transport_failure::broken ? "connection broke" : "malformed");
 }
