--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -32,7 +32,12 @@
 /// Cost of leaving the zone: a round trip between zones, and bytes that are paid for.
 constexpr double ms_for_other_zone = 4.0;
 /// Chance that the first choice by hash holds a prompt that this host has not sent there itself.
-constexpr double first_choice_cached = 0.7;
+constexpr double first_choice_cached = 0.9;
+/// Reading shared parts again takes memory and reading time from all requests of the engine, and its
+/// copies push out others': it counts this many times the time that it takes.
+constexpr double price_of_reading_again = 4.0;
+/// Advantage of the first choice where several engines hold a prompt, so that hosts converge.
+constexpr double ms_for_first_choice = 10.0;
 /// Cost of an upstream that seems faulty: it is used before a request is refused, after all others.
 constexpr double ms_when_ejected = 2000.0;
 constexpr double ms_when_silent = 1000.0;
@@ -96,14 +101,17 @@
 auto prompt_cost(const live_upstream& candidate, const placement_query& query, bool is_first,
                  std::uint32_t cached) -> double
 {
-    auto unread = static_cast<double>(query.prompt->input_tokens) - static_cast<double>(cached);
-    if (is_first && !query.prompt->parts.empty())
+    const auto& parts = query.prompt->parts;
+    const auto own_part = parts.empty() ? 0.0 : static_cast<double>(parts.back().tokens);
+    const auto unread = static_cast<double>(query.prompt->input_tokens) - static_cast<double>(cached);
+    auto shared_unread = std::max(0.0, unread - own_part);
+    if (is_first)
     {
-        const auto own_part = static_cast<double>(query.prompt->parts.back().tokens);
-        unread -= std::max(0.0, unread - own_part) * first_choice_cached;
+        shared_unread *= 1.0 - first_choice_cached;
     }
     const auto backlog = static_cast<double>(candidate.state->unread_tokens);
-    return (std::max(unread, 0.0) + backlog) / tokens_read_in_ms;
+    const auto reading = own_part + shared_unread * price_of_reading_again + backlog;
+    return reading / tokens_read_in_ms - (is_first ? ms_for_first_choice : 0.0);
 }
 
 /// Cost of taking an upstream that the verdict advises against; nothing when it rules it out.
