--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -31,6 +31,10 @@
 constexpr std::size_t hosts_when_unknown = 8;
 /// The platform's own delivery: configuration by a waiting read, the registry by polls.
 constexpr std::array<duration, 2> delivery_time = {150ms, 800ms};
+/// Sights that are kept for telling, and told in one beacon. A beacon that is lost takes its sights
+/// along: they only save work.
+constexpr std::size_t most_sights_kept = 256;
+constexpr std::size_t most_sights_told = 16;
 constexpr duration fetch_timeout = 500ms;
 constexpr std::string_view fetch_path = "/records/";
 
@@ -199,6 +203,7 @@
     other.heard_at = now;
     other.ends = beacon->ends;
     other.loads = std::move(beacon->loads);
+    this->board.add_sights_elsewhere(beacon->sights);
     this->loads_changed = true;
 }
 
@@ -213,8 +218,22 @@
     return least_beacon_interval * factor;
 }
 
+auto peer_link::collect_sights() -> void
+{
+    for (const auto& sight : this->board.take_own_sights())
+    {
+        this->sights.push_back(sight);
+        ++this->sights_end;
+    }
+    while (this->sights.size() > most_sights_kept)
+    {
+        this->sights.pop_front();
+    }
+}
+
 auto peer_link::tick(time_point now) -> void
 {
+    this->collect_sights();
     for (auto item = this->peers.begin(); item != this->peers.end();)
     {
         auto& [address, other] = *item;
@@ -227,7 +246,7 @@
         {
             other.next_beacon = now + (this->is_alive(other, now) ? this->beacon_interval()
                                                                   : silent_beacon_interval);
-            this->send_beacon(address);
+            this->send_beacon(address, other);
         }
         if (!other.loads.empty() && !this->is_alive(other, now))
         {
@@ -241,7 +260,7 @@
     this->look_for_news(now);
 }
 
-auto peer_link::send_beacon(const address_v4& to) -> void
+auto peer_link::send_beacon(const address_v4& to, peer& other) -> void
 {
     host_beacon beacon;
     beacon.host = this->settings.host;
@@ -249,6 +268,13 @@
     beacon.ends = {this->state.mirror_of(record_stream::operators).end(),
                    this->state.mirror_of(record_stream::upstreams).end()};
     beacon.loads = this->board.get_own();
+    const auto oldest = this->sights_end - this->sights.size();
+    other.next_sight = std::clamp(other.next_sight, oldest, this->sights_end);
+    while (other.next_sight < this->sights_end && beacon.sights.size() < most_sights_told)
+    {
+        beacon.sights.push_back(this->sights[other.next_sight - oldest]);
+        ++other.next_sight;
+    }
     const auto bytes = encode_beacon(beacon);
     error_code ignored; // a beacon that cannot be sent is like one that is lost
     this->socket.send_to(boost::asio::buffer(bytes), {to, this->settings.port}, 0, ignored);
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,12 +61,14 @@
         std::array<record_position, 2> ends;
         std::array<time_point, 2> ahead_since{}; ///< time_point{}: not ahead
         std::vector<traffic::upstream_load> loads;
+        std::uint64_t next_sight = 0; ///< number of the first sight that it has not been told
     };
     class batch_fetch;
 
     auto receive() -> void;
     auto on_datagram(std::size_t size) -> void;
-    auto send_beacon(const boost::asio::ip::address_v4& to) -> void;
+    auto send_beacon(const boost::asio::ip::address_v4& to, peer& other) -> void;
+    auto collect_sights() -> void;
     auto add_up_loads(time_point now) -> void;
     auto look_for_news(time_point now) -> void;
     auto fetch_from(const boost::asio::ip::address_v4& address) -> void;
@@ -86,6 +89,8 @@
     std::shared_ptr<http::listener> fetch_listener;
     std::map<boost::asio::ip::address_v4, peer> peers;
     std::shared_ptr<batch_fetch> fetch;
+    std::deque<traffic::prompt_sight> sights; ///< the newest of this host
+    std::uint64_t sights_end = 0;             ///< number of the sight after the newest
     bool loads_changed = false;
 };
 
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -16,9 +16,10 @@
 /// First field of each message; a host passes over messages of another version.
 constexpr std::uint32_t protocol_version = 1;
 /// Loads in one datagram, so that it stays within one packet of an ordinary network.
-constexpr std::size_t most_loads = 90;
+constexpr std::size_t most_loads = 60;
 
 using load_row = std::tuple<std::uint64_t, std::uint32_t, bool>;
+using sight_row = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t>;
 using record_row = std::tuple<std::string, std::uint64_t, bool, std::string>;
 
 template <class Body>
@@ -69,7 +70,7 @@
 }
 
 using beacon_body = std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint64_t,
-                               std::uint64_t, std::vector<load_row>>;
+                               std::uint64_t, std::vector<load_row>, std::vector<sight_row>>;
 using batch_body = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<record_row>,
                               std::vector<record_row>>;
 
@@ -85,8 +86,13 @@
             loads.emplace_back(load.upstream, load.in_flight, load.ejected);
         }
     }
+    std::vector<sight_row> sights;
+    for (const auto& sight : beacon.sights)
+    {
+        sights.emplace_back(sight.upstream, sight.chain_hash, sight.tokens);
+    }
     return pack(beacon_body(protocol_version, beacon.host, beacon.incarnation,
-                            beacon.ends[0].value(), beacon.ends[1].value(), loads));
+                            beacon.ends[0].value(), beacon.ends[1].value(), loads, sights));
 }
 
 auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
@@ -104,6 +110,10 @@
     {
         beacon.loads.push_back({upstream, in_flight, ejected});
     }
+    for (const auto& [upstream, chain_hash, tokens] : std::get<6>(*body))
+    {
+        beacon.sights.push_back({upstream, chain_hash, tokens});
+    }
     return beacon;
 }
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -31,7 +31,8 @@
 constexpr double ms_for_each_in_flight = 1.5;
 /// Cost of leaving the zone: a round trip between zones, and bytes that are paid for.
 constexpr double ms_for_other_zone = 4.0;
-/// Chance that the first choice by hash holds a prompt that this host has not sent there itself.
+/// Chance that the first choice by hash holds a prompt that no upstream is known to hold: hosts that
+/// have just started know nothing yet.
 constexpr double first_choice_cached = 0.9;
 /// Reading shared parts again takes memory and reading time from all requests of the engine, and its
 /// copies push out others': it counts this many times the time that it takes.
@@ -98,6 +99,31 @@
     return first;
 }
 
+/// True when an upstream that may be used is known to hold the shared parts of the prompt.
+auto is_held_somewhere(std::span<const live_upstream> upstreams, const placement_query& query)
+    -> bool
+{
+    const auto& parts = query.prompt->parts;
+    if (parts.size() < 2)
+    {
+        return false;
+    }
+    auto shared = 0U;
+    for (const auto& part : parts)
+    {
+        shared += part.tokens;
+    }
+    shared -= parts.back().tokens;
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [&](const live_upstream& candidate)
+                       {
+                           return candidate.service == query.service &&
+                                  !candidate.known.entry.leaving && !candidate.zone_out &&
+                                  !candidate.state->health.is_ejected(query.now) &&
+                                  candidate.state->cache.cached_tokens(*query.prompt) >= shared;
+                       });
+}
+
 auto prompt_cost(const live_upstream& candidate, const placement_query& query, bool is_first,
                  std::uint32_t cached) -> double
 {
@@ -208,8 +234,9 @@
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
     const auto mean = mean_in_flight_of(upstreams, query.service);
-    const auto first =
-        query.prompt != nullptr ? rendezvous_first(upstreams, query) : std::nullopt;
+    const auto first = query.prompt != nullptr && !is_held_somewhere(upstreams, query)
+                           ? rendezvous_first(upstreams, query)
+                           : std::nullopt;
     std::array<int, 13> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
@@ -224,7 +251,9 @@
             continue;
         }
         ++candidates;
-        placement_choice choice{position, 0.0, 0, 0};
+        placement_choice choice;
+        choice.position = position;
+        choice.is_first_choice = first == position;
         choice.cost_ms = *penalty + ms_for_each_in_flight * in_flight_of(candidate) +
                          ms_for_all_failing * candidate.state->health.failure_share();
         if (candidate.known.entry.zone != *query.own_zone)
@@ -234,7 +263,7 @@
         if (query.prompt != nullptr)
         {
             choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
-            choice.cost_ms += prompt_cost(candidate, query, first == position, choice.cached_tokens);
+            choice.cost_ms += prompt_cost(candidate, query, choice.is_first_choice, choice.cached_tokens);
         }
         if (!best || choice.cost_ms < best->cost_ms)
         {
--- a/src/routing/prompt_cache_model.cpp
+++ b/src/routing/prompt_cache_model.cpp
@@ -5,14 +5,16 @@
 
 auto prompt_cache_model::cached_tokens(const prompt_shape& prompt) const -> std::uint32_t
 {
+    std::uint32_t tokens = 0;
     std::uint32_t cached = 0;
     for (const auto& part : prompt.parts)
     {
-        if (!this->by_hash.contains(part.chain_hash))
+        tokens += part.tokens;
+        // Other hosts tell of one part only; a part stands for all that come before it.
+        if (this->by_hash.contains(part.chain_hash))
         {
-            break;
+            cached = tokens;
         }
-        cached += part.tokens;
     }
     return cached;
 }
@@ -21,16 +23,32 @@
 {
     for (const auto& part : prompt.parts)
     {
-        const auto found = this->by_hash.find(part.chain_hash);
-        if (found != this->by_hash.end())
-        {
-            this->by_use.splice(this->by_use.begin(), this->by_use, found->second);
-            continue;
-        }
-        this->by_use.push_front({part.chain_hash, part.tokens});
-        this->by_hash[part.chain_hash] = this->by_use.begin();
-        this->used += part.tokens;
+        this->touch(part);
     }
+    this->evict();
+}
+
+auto prompt_cache_model::on_read_elsewhere(const prompt_part& part) -> void
+{
+    this->touch(part);
+    this->evict();
+}
+
+auto prompt_cache_model::touch(const prompt_part& part) -> void
+{
+    const auto found = this->by_hash.find(part.chain_hash);
+    if (found != this->by_hash.end())
+    {
+        this->by_use.splice(this->by_use.begin(), this->by_use, found->second);
+        return;
+    }
+    this->by_use.push_front({part.chain_hash, part.tokens});
+    this->by_hash[part.chain_hash] = this->by_use.begin();
+    this->used += part.tokens;
+}
+
+auto prompt_cache_model::evict() -> void
+{
     while (this->used > this->capacity && !this->by_use.empty())
     {
         const auto& oldest = this->by_use.back();
--- a/src/routing/prompt_cache_model.hpp
+++ b/src/routing/prompt_cache_model.hpp
@@ -11,9 +11,9 @@
 namespace poplardrift::routing
 {
 
-/// What this host believes one engine keeps of the prompts that it sent there: least recently used
-/// parts go first when the engine's memory is full. An estimate; other hosts' requests are not in
-/// it. One thread.
+/// What this host believes one engine keeps of prompts, by its own requests and by what other hosts
+/// say of theirs: least recently used parts go first when the engine's memory is full. An estimate.
+/// One thread.
 class prompt_cache_model final
 {
 public:
@@ -24,9 +24,14 @@
     [[nodiscard]] auto cached_tokens(const prompt_shape& prompt) const -> std::uint32_t;
     /// The engine has read this prompt.
     auto on_read(const prompt_shape& prompt) -> void;
+    /// The engine has read this part, and all before it, for another host.
+    auto on_read_elsewhere(const prompt_part& part) -> void;
     auto clear() -> void;
 
 private:
+    auto touch(const prompt_part& part) -> void;
+    auto evict() -> void;
+
     struct entry
     {
         std::uint64_t chain_hash;
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -174,6 +174,7 @@
         query.affinity = parts.size() > 1   ? parts[parts.size() - 2].chain_hash
                          : !parts.empty() ? parts.back().chain_hash
                                           : hash_bytes_64(this->facts.id);
+        this->affinity = query.affinity;
     }
     query.tried = this->tried;
     query.own_zone = &this->service.get_zone();
@@ -225,8 +226,7 @@
     const auto now = boot_clock_now();
     this->upstream = chosen.state;
     this->upstream_name = chosen.known.entry.name;
-    this->placement_cost_ms = choice.cost_ms;
-    this->placement_candidates = choice.candidates;
+    this->placement = choice;
     this->sent_at = now;
     this->last_progress = now;
     this->is_sent = false;
@@ -357,6 +357,7 @@
         this->upstream->unread_tokens -= this->unread_tokens;
         this->tokens_counted = false;
         this->upstream->cache.on_read(*this->facts.prompt);
+        this->service.on_prompt_read(this->upstream_name, *this->facts.prompt);
     }
     this->last_progress = now;
     if (!this->head_committed)
@@ -564,8 +565,11 @@
                                    {"version", this->configuration->version.value()},
                                    {"upstream", upstream_used.value()},
                                    {"sends", this->sends},
-                                   {"cost_ms", this->placement_cost_ms},
-                                   {"candidates", this->placement_candidates},
+                                   {"cost_ms", this->placement.cost_ms},
+                                   {"candidates", this->placement.candidates},
+                                   {"first_choice", this->placement.is_first_choice},
+                                   {"cached", this->placement.cached_tokens},
+                                   {"affinity", this->affinity},
                                    {"first_ms", to_ms(this->first_output - this->arrived)},
                                    {"total_ms", to_ms(now - this->arrived)},
                                    {"events", this->events_out}});
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -114,8 +114,8 @@
     bool is_sent = false;
     bool tokens_counted = false;
     std::uint32_t unread_tokens = 0;
-    double placement_cost_ms = 0.0;
-    int placement_candidates = 0;
+    std::uint64_t affinity = 0; ///< see placement_query
+    routing::placement_choice placement;
     answer_facts answer;
     http::response_head answer_head;
     std::string held_body;
--- a/src/traffic/load_board.hpp
+++ b/src/traffic/load_board.hpp
@@ -16,7 +16,15 @@
     bool ejected = false;
 };
 
-/// Where the control thread and the traffic thread leave each other the load of upstreams. Each
+/// An upstream has read a shared part of a prompt, with all that comes before it.
+struct prompt_sight
+{
+    std::uint64_t upstream = 0; ///< hash of its name
+    std::uint64_t chain_hash = 0;
+    std::uint32_t tokens = 0; ///< of this part
+};
+
+/// Where the control thread and the traffic thread leave each other what hosts tell of upstreams. Each
 /// call holds a lock for the time of a copy.
 class load_board final
 {
@@ -54,11 +62,38 @@
         return true;
     }
 
+    /// Traffic thread: what this host's requests have shown.
+    auto add_own_sight(const prompt_sight& sight) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->own_sights.push_back(sight);
+    }
+    /// Control thread: takes what came since the last call.
+    [[nodiscard]] auto take_own_sights() -> std::vector<prompt_sight>
+    {
+        const std::lock_guard lock(this->mutex);
+        return std::exchange(this->own_sights, {});
+    }
+    /// Control thread: what another host has seen.
+    auto add_sights_elsewhere(const std::vector<prompt_sight>& sights) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->sights_elsewhere.insert(this->sights_elsewhere.end(), sights.begin(), sights.end());
+    }
+    /// Traffic thread: takes what came since the last call.
+    [[nodiscard]] auto take_sights_elsewhere() -> std::vector<prompt_sight>
+    {
+        const std::lock_guard lock(this->mutex);
+        return std::exchange(this->sights_elsewhere, {});
+    }
+
 private:
     mutable std::mutex mutex;
     std::vector<upstream_load> own;
     std::vector<upstream_load> others;
     std::uint64_t others_version = 0;
+    std::vector<prompt_sight> own_sights;
+    std::vector<prompt_sight> sights_elsewhere;
 };
 
 } // namespace poplardrift::traffic
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -226,6 +226,18 @@
     }
 }
 
+auto traffic_service::on_prompt_read(const routing::upstream_name& name,
+                                     const routing::prompt_shape& prompt) -> void
+{
+    if (prompt.parts.size() < 2)
+    {
+        return;
+    }
+    // The last part is the request's own; nobody else can use it.
+    const auto& shared = prompt.parts[prompt.parts.size() - 2];
+    this->board.add_own_sight({hash_bytes_64(name.value()), shared.chain_hash, shared.tokens});
+}
+
 auto traffic_service::count_send(const std::string& service, bool is_repeat) -> void
 {
     this->metrics.count_send(service, is_repeat);
@@ -296,6 +308,16 @@
         }
     }
     this->board.set_own(std::move(own));
+    for (const auto& sight : this->board.take_sights_elsewhere())
+    {
+        for (const auto& upstream : this->upstreams)
+        {
+            if (upstream.hash == sight.upstream)
+            {
+                upstream.state->cache.on_read_elsewhere({sight.chain_hash, sight.tokens});
+            }
+        }
+    }
     if (!this->board.get_others(this->others_version, this->others))
     {
         return;
