Engines copy shared parts of prompts from those that have read them

An upstream that lacks 300 tokens or more of the shared parts is told to fetch from the one that is known to hold most of them; leaving ones count as sources.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -37,6 +37,12 @@
 /// Reading shared parts again takes memory and reading time from all requests of the engine, and its
 /// copies push out others': it counts this many times the time that it takes.
 constexpr double price_of_reading_again = 4.0;
+/// Engines copy what others have read; this is the fixed time of a copy (site files: 2.7 ms).
+constexpr double fetch_setup_ms = 2.7;
+/// A copy takes links and memory that others use as well.
+constexpr double price_of_fetching = 2.0;
+/// Fewer tokens are read in less time than a copy is set up.
+constexpr std::uint32_t least_fetched_tokens = 300;
 /// Advantage of the first choice where several engines hold a prompt, so that hosts converge.
 constexpr double ms_for_first_choice = 10.0;
 /// Cost of an upstream that seems faulty: it is used before a request is refused, after all others.
@@ -99,45 +105,93 @@
     return first;
 }
 
-/// True when an upstream that may be used is known to hold the shared parts of the prompt.
-auto is_held_somewhere(std::span<const live_upstream> upstreams, const placement_query& query)
-    -> bool
+/// Tokens of the prompt that other requests share.
+auto shared_tokens_of(const prompt_shape& prompt) -> std::uint32_t
 {
-    const auto& parts = query.prompt->parts;
-    if (parts.size() < 2)
+    std::uint32_t tokens = 0;
+    for (const auto& part : prompt.parts)
     {
-        return false;
+        tokens += part.tokens;
     }
-    auto shared = 0U;
-    for (const auto& part : parts)
+    return prompt.parts.empty() ? 0 : tokens - prompt.parts.back().tokens;
+}
+
+/// The upstream that is known to hold most of the shared parts; one that is leaving counts, since it
+/// can still be copied from.
+struct prompt_holder
+{
+    std::size_t position = 0;
+    std::uint32_t tokens = 0;
+    bool may_serve = false; ///< not leaving and not taken out
+};
+
+auto find_holder(std::span<const live_upstream> upstreams, const placement_query& query)
+    -> std::optional<prompt_holder>
+{
+    std::optional<prompt_holder> best;
+    const auto shared = shared_tokens_of(*query.prompt);
+    for (std::size_t position = 0; position < upstreams.size(); ++position)
+    {
+        const auto& candidate = upstreams[position];
+        if (candidate.service != query.service || candidate.state->misaddressed ||
+            query.now >= candidate.known.usable_until ||
+            candidate.state->health.is_ejected(query.now))
+        {
+            continue;
+        }
+        const auto tokens = std::min(shared, candidate.state->cache.cached_tokens(*query.prompt));
+        const auto may_serve = !candidate.known.entry.leaving && !candidate.zone_out;
+        const auto better =
+            !best || tokens > best->tokens || (tokens == best->tokens && may_serve && !best->may_serve);
+        if (tokens > 0 && better)
+        {
+            best = prompt_holder{position, tokens, may_serve};
+        }
+    }
+    return best;
+}
+
+/// Time for copying tokens from one engine to another; nothing when engines do not do that.
+auto fetch_ms(const service_rules& rules, std::uint32_t tokens) -> std::optional<double>
+{
+    if (!rules.engine || rules.engine->bytes_per_token <= 0.0 || rules.engine->link_megabits <= 0.0)
     {
-        shared += part.tokens;
+        return std::nullopt;
     }
-    shared -= parts.back().tokens;
-    return std::any_of(upstreams.begin(), upstreams.end(),
-                       [&](const live_upstream& candidate)
-                       {
-                           return candidate.service == query.service &&
-                                  !candidate.known.entry.leaving && !candidate.zone_out &&
-                                  !candidate.state->health.is_ejected(query.now) &&
-                                  candidate.state->cache.cached_tokens(*query.prompt) >= shared;
-                       });
+    constexpr double bits_a_byte = 8.0;
+    constexpr double bits_in_megabit_ms = 1000.0;
+    const auto bits = rules.engine->bytes_per_token * bits_a_byte * tokens;
+    return fetch_setup_ms + bits / (rules.engine->link_megabits * bits_in_megabit_ms);
 }
 
-auto prompt_cost(const live_upstream& candidate, const placement_query& query, bool is_first,
-                 std::uint32_t cached) -> double
+/// Expected time for the parts of the prompt at one upstream, and whether it should copy them.
+auto weigh_prompt(const live_upstream& candidate, const placement_query& query,
+                  const std::optional<prompt_holder>& holder, placement_choice& choice) -> double
 {
-    const auto& parts = query.prompt->parts;
-    const auto own_part = parts.empty() ? 0.0 : static_cast<double>(parts.back().tokens);
-    const auto unread = static_cast<double>(query.prompt->input_tokens) - static_cast<double>(cached);
-    auto shared_unread = std::max(0.0, unread - own_part);
-    if (is_first)
+    const auto& prompt = *query.prompt;
+    const auto shared = shared_tokens_of(prompt);
+    const auto cached = std::min(shared, choice.cached_tokens);
+    auto missing = static_cast<double>(shared - cached);
+    double ms = 0.0;
+    if (holder && holder->tokens >= cached + least_fetched_tokens)
+    {
+        const auto fetched = holder->tokens - cached;
+        if (const auto time = fetch_ms(*query.rules, fetched))
+        {
+            choice.fetch_from = holder->position;
+            missing -= fetched;
+            ms += *time * price_of_fetching;
+        }
+    }
+    if (choice.is_first_choice)
     {
-        shared_unread *= 1.0 - first_choice_cached;
+        missing *= 1.0 - first_choice_cached;
+        ms -= ms_for_first_choice;
     }
+    const auto own_part = static_cast<double>(prompt.input_tokens) - static_cast<double>(shared);
     const auto backlog = static_cast<double>(candidate.state->unread_tokens);
-    const auto reading = own_part + shared_unread * price_of_reading_again + backlog;
-    return reading / tokens_read_in_ms - (is_first ? ms_for_first_choice : 0.0);
+    return ms + (std::max(0.0, own_part) + missing * price_of_reading_again + backlog) /
+                    tokens_read_in_ms;
 }
 
 /// Cost of taking an upstream that the verdict advises against; nothing when it rules it out.
@@ -234,9 +288,12 @@
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
     const auto mean = mean_in_flight_of(upstreams, query.service);
-    const auto first = query.prompt != nullptr && !is_held_somewhere(upstreams, query)
-                           ? rendezvous_first(upstreams, query)
-                           : std::nullopt;
+    const auto holder =
+        query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
+    const auto is_held = holder && holder->may_serve &&
+                         holder->tokens >= shared_tokens_of(*query.prompt);
+    const auto first = query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query)
+                                                           : std::nullopt;
     std::array<int, 13> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
@@ -263,7 +320,7 @@
         if (query.prompt != nullptr)
         {
             choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
-            choice.cost_ms += prompt_cost(candidate, query, choice.is_first_choice, choice.cached_tokens);
+            choice.cost_ms += weigh_prompt(candidate, query, holder, choice);
         }
         if (!best || choice.cost_ms < best->cost_ms)
         {
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -50,6 +50,7 @@
     std::size_t position = 0;
     double cost_ms = 0.0;
     std::uint32_t cached_tokens = 0;
+    std::optional<std::size_t> fetch_from; ///< position of an upstream that has read more of the prompt
     bool is_first_choice = false; ///< by rendezvous hashing on the prompt's affinity
     int candidates = 0;
 };
--- a/src/routing/routing_configuration.hpp
+++ b/src/routing/routing_configuration.hpp
@@ -56,6 +56,8 @@
 {
     int slots = 1;
     std::uint64_t cache_tokens = 0; ///< memory of one engine, in tokens
+    double bytes_per_token = 0.0;   ///< of memory; zero when engines do not fetch from each other
+    double link_megabits = 0.0;     ///< a second, between engines
 };
 
 /// What the upstreams of one service have in common.
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -255,6 +255,10 @@
     out.request_id = this->facts.id;
     const auto resume = this->last_event ? std::to_string(*this->last_event) : std::string();
     out.resume_after = resume;
+    if (choice.fetch_from)
+    {
+        out.fetch_from = &this->service.get_upstreams()[*choice.fetch_from].known.entry.address;
+    }
     auto wire = this->service.get_adapter().encode_request(this->request, this->body, out);
 
     const auto once = !routing::may_repeat(this->route->kind, this->route->resumable);
@@ -569,6 +573,7 @@
                                    {"candidates", this->placement.candidates},
                                    {"first_choice", this->placement.is_first_choice},
                                    {"cached", this->placement.cached_tokens},
+                                   {"fetched", this->placement.fetch_from.has_value()},
                                    {"affinity", this->affinity},
                                    {"first_ms", to_ms(this->first_output - this->arrived)},
                                    {"total_ms", to_ms(now - this->arrived)},
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -29,6 +29,8 @@
     const routing::workspace_rules* workspace = nullptr;
     std::string_view request_id;
     std::string_view resume_after;
+    /// The upstream is to copy what this one has read of the prompt; null: it reads by itself.
+    const http::endpoint* fetch_from = nullptr;
 };
 
 /// Load that an upstream reports with an answer.
