--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -31,7 +31,8 @@
         {peer_message_rejected, warning, "peer-message-rejected",
          "A message between hosts was malformed or not authentic. Check the hosts' secret."},
         {peer_records_taken, info, "peer-records-taken",
-         "Another host had newer configuration or registry records than the platform gave this one."},
+         "Another host had newer configuration or registry records than the platform gave this "
+         "one."},
         {configuration_applied, info, "configuration-applied",
          "A change is in force on this host."},
         {configuration_refused, warning, "configuration-refused",
@@ -65,9 +66,11 @@
         {upstream_leaving, info, "upstream-leaving",
          "An upstream says that it will stop; it gets no new work."},
         {upstream_joined, info, "upstream-joined", "An upstream is new in the registry."},
-        {upstream_gone, info, "upstream-gone", "An upstream's entry has ended; it gets no new work."},
+        {upstream_gone, info, "upstream-gone",
+         "An upstream's entry has ended; it gets no new work."},
         {upstream_misaddressed, warning, "upstream-misaddressed",
-         "Another upstream answers at this one's address; it gets nothing until its entry changes."},
+         "Another upstream answers at this one's address; it gets nothing until its entry "
+         "changes."},
         {request_done, debug, "request-done", "A request was answered whole."},
         {request_refused, info, "request-refused", "A request was refused and did not run."},
         {request_failed, warning, "request-failed", "A request failed after it may have run."},
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -165,12 +165,11 @@
     const auto restarted = !is_new && found->second.entry.start_number != entry.start_number;
     if (is_new || restarted)
     {
-        this->log.write(event_code::upstream_joined,
-                        {{"upstream", entry.name.value()},
-                         {"service", entry.service},
-                         {"zone", entry.zone.value()},
-                         {"start_number", entry.start_number},
-                         {"cold_ms", entry.cold_left / 1ms}});
+        this->log.write(event_code::upstream_joined, {{"upstream", entry.name.value()},
+                                                      {"service", entry.service},
+                                                      {"zone", entry.zone.value()},
+                                                      {"start_number", entry.start_number},
+                                                      {"cold_ms", entry.cold_left / 1ms}});
     }
     if (entry.leaving && (is_new || !found->second.entry.leaving))
     {
@@ -207,7 +206,8 @@
     auto& known = found->second;
     if (this->may_have_lapsed(now) && !known.entry.leaving)
     {
-        known.usable_until = now + std::max<duration>(this->bounds.leave_within - removal_margin, 0s);
+        known.usable_until =
+            now + std::max<duration>(this->bounds.leave_within - removal_margin, 0s);
         return;
     }
     this->log.write(event_code::upstream_gone, {{"upstream", removed.name.value()}});
--- /dev/null
+++ b/src/fleet/fleet_state_test.cpp
@@ -0,0 +1,256 @@
+#include "fleet/fleet_state.hpp"
+#include "fleet/peer_messages.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace poplardrift;
+using namespace poplardrift::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start(1h);
+
+/// Decodes a record language of its own: "config" with a version, "out ZONE", and upstreams as
+/// "SERVICE START [leaving] [cold]".
+class plain_decoder final : public record_decoder
+{
+public:
+    [[nodiscard]] auto decode(record_stream stream, const published_record& record) const
+        -> outcome<fleet_change> override
+    {
+        using result = outcome<fleet_change>;
+        if (stream == record_stream::operators && record.key == "config")
+        {
+            auto configuration = std::make_shared<routing::routing_configuration>();
+            configuration->version =
+                routing::configuration_version(std::stoull(record.value.value_or("0")));
+            routing::service_rules service;
+            service.name = "s";
+            service.cold_start = 3s;
+            configuration->services.push_back(service);
+            configuration->index({});
+            return result(configuration_published{
+                std::shared_ptr<const routing::routing_configuration>(configuration)});
+        }
+        if (stream == record_stream::operators)
+        {
+            return result(zone_switched{zone_name(record.key), record.value.has_value()});
+        }
+        if (!record.value)
+        {
+            return result(upstream_removed{routing::upstream_name(record.key)});
+        }
+        if (*record.value == "forged")
+        {
+            return result::failure("forged");
+        }
+        routing::upstream_entry entry;
+        entry.name = routing::upstream_name(record.key);
+        entry.service = "s";
+        entry.zone = zone_name("a");
+        entry.start_number = static_cast<std::uint64_t>(record.value->front());
+        entry.leaving = record.value->find("leaving") != std::string::npos;
+        entry.cold_left = record.value->find("cold") != std::string::npos ? duration(2s) : 0ns;
+        return result(upstream_announced{entry});
+    }
+};
+
+struct setting
+{
+    auto upstreams(std::initializer_list<published_record> records, time_point now) -> void
+    {
+        const std::vector<published_record> list(records);
+        this->state.on_records(record_stream::upstreams, list,
+                               record_position(list.back().position.value() + 1), now);
+    }
+    auto operators(std::initializer_list<published_record> records, time_point now) -> void
+    {
+        const std::vector<published_record> list(records);
+        this->state.on_records(record_stream::operators, list,
+                               record_position(list.back().position.value() + 1), now);
+    }
+    auto view(time_point now) -> std::shared_ptr<const routing::fleet_view>
+    {
+        if (auto next = this->state.take_view(now))
+        {
+            this->last = next;
+        }
+        return this->last;
+    }
+
+    decision_log log{"test", -1};
+    plain_decoder decoder;
+    fleet_state state{this->decoder, this->log};
+    std::shared_ptr<const routing::fleet_view> last;
+};
+
+auto record(std::string key, std::uint64_t position, std::optional<std::string> value)
+    -> published_record
+{
+    return {std::move(key), record_position(position), std::move(value)};
+}
+
+} // namespace
+
+TEST_CASE("configuration never goes back, whichever order records come in")
+{
+    std::mt19937 random(5);
+    for (int round = 0; round < 200; ++round)
+    {
+        setting it;
+        std::vector<std::uint64_t> versions = {1, 4, 5, 9, 12, 13};
+        std::shuffle(versions.begin(), versions.end(), random);
+        std::uint64_t highest = 0;
+        for (const auto version : versions)
+        {
+            it.operators({record("config", version, std::to_string(version))}, start);
+            highest = std::max(highest, version);
+            REQUIRE(it.view(start)->configuration->version.value() == highest);
+        }
+    }
+}
+
+TEST_CASE("an upstream that says it is leaving stays so, though an older record comes later")
+{
+    setting it;
+    it.upstreams({record("u", 5, "1 leaving")}, start);
+    it.upstreams({record("u", 3, "1")}, start);
+    REQUIRE(it.view(start)->upstreams.size() == 1);
+    CHECK(it.view(start)->upstreams[0].entry.leaving);
+}
+
+TEST_CASE("an upstream that was started again is not leaving any more, and is cold as it says")
+{
+    setting it;
+    it.upstreams({record("u", 5, "1 leaving")}, start);
+    it.upstreams({record("u", 6, "2 cold")}, start);
+    const auto& upstream = it.view(start)->upstreams[0];
+    CHECK(!upstream.entry.leaving);
+    CHECK(upstream.cold_until == start + 2s);
+}
+
+TEST_CASE("a forged record changes nothing")
+{
+    setting it;
+    it.upstreams({record("u", 1, "1")}, start);
+    it.upstreams({record("u", 2, "forged")}, start);
+    CHECK(it.view(start)->upstreams.size() == 1);
+}
+
+TEST_CASE("a removed upstream is gone at once while the platform serves")
+{
+    setting it;
+    it.upstreams({record("u", 1, "1")}, start);
+    it.upstreams({record("u", 2, std::nullopt)}, start);
+    CHECK(it.view(start)->upstreams.empty());
+}
+
+TEST_CASE("entries that lapsed during an outage are used until they had time to come back")
+{
+    setting it;
+    it.upstreams({record("u", 1, "1"), record("v", 2, "1")}, start);
+    it.state.on_platform_reachable(false, start + 1s);
+    it.state.on_platform_reachable(true, start + 5s);
+    it.upstreams({record("u", 3, std::nullopt), record("v", 4, std::nullopt)}, start + 5s);
+    CHECK(it.view(start + 5s)->upstreams.size() == 2);
+    it.upstreams({record("v", 5, "1")}, start + 6s);
+    // The time in which a removal has to take effect is 2 s here.
+    const auto later = it.view(start + 7s);
+    REQUIRE(later->upstreams.size() == 1);
+    CHECK(later->upstreams[0].entry.name.value() == "v");
+}
+
+TEST_CASE("a key that is missing from a listing has been removed")
+{
+    setting it;
+    it.upstreams({record("u", 1, "1"), record("v", 2, "1")}, start);
+    it.state.on_listing(record_stream::upstreams, {record("v", 2, "1")}, record_position(9), start);
+    REQUIRE(it.view(start)->upstreams.size() == 1);
+    // A late record of before the listing does not bring it back.
+    it.upstreams({record("u", 1, "1")}, start);
+    CHECK(it.view(start)->upstreams.size() == 1);
+}
+
+TEST_CASE("a zone that comes back counts as cold")
+{
+    setting it;
+    it.operators({record("config", 1, "1")}, start);
+    it.upstreams({record("u", 1, "1")}, start);
+    it.operators({record("a", 2, "{}")}, start);
+    CHECK(it.view(start)->zones_out.contains(zone_name("a")));
+    it.operators({record("a", 3, std::nullopt)}, start + 5s);
+    const auto view = it.view(start + 5s);
+    CHECK(view->zones_out.empty());
+    CHECK(view->upstreams[0].cold_until == start + 8s);
+}
+
+TEST_CASE("hosts that exchange records in any order end up alike")
+{
+    std::mt19937 random(11);
+    for (int round = 0; round < 100; ++round)
+    {
+        keyed_mirror source;
+        keyed_mirror copy;
+        for (std::uint64_t position = 0; position < 60; ++position)
+        {
+            const auto key = "k" + std::to_string(random() % 7);
+            const auto value = random() % 4 == 0 ? std::nullopt : std::optional(std::string("v"));
+            source.apply(record(key, position, value));
+            source.advance(record_position(position + 1));
+            if (random() % 9 == 0)
+            {
+                auto batch = source.since(copy.end());
+                std::shuffle(batch.begin(), batch.end(), random);
+                for (const auto& item : batch)
+                {
+                    copy.apply(item);
+                }
+                copy.advance(source.end());
+            }
+        }
+        for (const auto& item : source.since(copy.end()))
+        {
+            copy.apply(item);
+        }
+        const auto left = source.since(record_position(0));
+        const auto right = copy.since(record_position(0));
+        REQUIRE(left.size() == right.size());
+        for (std::size_t index = 0; index < left.size(); ++index)
+        {
+            REQUIRE(left[index].position == right[index].position);
+            REQUIRE(left[index].value == right[index].value);
+        }
+    }
+}
+
+TEST_CASE("messages between hosts survive the way, and damaged ones are refused")
+{
+    host_beacon beacon;
+    beacon.host = "h";
+    beacon.incarnation = 7;
+    beacon.ends = {record_position(3), record_position(4)};
+    beacon.loads = {{1, 2, true}};
+    beacon.sights = {{5, 6, 700}};
+    const auto bytes = encode_beacon(beacon);
+    const auto read = decode_beacon(bytes);
+    REQUIRE(read);
+    CHECK(read->ends[1] == record_position(4));
+    CHECK(read->sights[0].tokens == 700);
+    std::mt19937 random(3);
+    for (int round = 0; round < 5000; ++round)
+    {
+        auto damaged = bytes.substr(0, random() % (bytes.size() + 1));
+        if (!damaged.empty())
+        {
+            damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+        }
+        static_cast<void>(decode_beacon(damaged));
+        static_cast<void>(decode_batch(damaged));
+    }
+    CHECK(!decode_beacon("noise"));
+}
--- a/src/fleet/keyed_mirror.hpp
+++ b/src/fleet/keyed_mirror.hpp
@@ -11,7 +11,8 @@
 
 /// A host's copy of the newest record of each key of one stream. Records may come in any order,
 /// twice, and from the platform or other hosts: the highest position of a key wins, so the copy
-/// never goes back. Removed keys are remembered with their position for the same reason. One thread.
+/// never goes back. Removed keys are remembered with their position for the same reason. One
+/// thread.
 class keyed_mirror final
 {
 public:
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -68,12 +68,11 @@
     {
         const auto& state = this->owner.state;
         http::upstream_request request;
-        request.head =
-            "GET " + std::string(fetch_path) + "operators=" +
-            std::to_string(state.mirror_of(record_stream::operators).end().value()) +
-            "/upstreams=" +
-            std::to_string(state.mirror_of(record_stream::upstreams).end().value()) +
-            "/ HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
+        request.head = "GET " + std::string(fetch_path) + "operators=" +
+                       std::to_string(state.mirror_of(record_stream::operators).end().value()) +
+                       "/upstreams=" +
+                       std::to_string(state.mirror_of(record_stream::upstreams).end().value()) +
+                       "/ HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
         this->timer.expires_after(fetch_timeout);
         this->timer.async_wait(
             [this](const error_code& error)
@@ -136,9 +135,9 @@
         this->io,
         [this](boost::asio::ip::tcp::socket accepted)
         {
-            std::make_shared<traffic::status_session>(
-                std::move(accepted), [this](const http::request_head& head)
-                { return this->answer_fetch(head); })
+            std::make_shared<traffic::status_session>(std::move(accepted),
+                                                      [this](const http::request_head& head)
+                                                      { return this->answer_fetch(head); })
                 ->start();
         });
     this->receive();
@@ -180,9 +179,9 @@
     auto beacon = decode_beacon({this->datagram.data(), size});
     if (!beacon)
     {
-        this->log.write(event_code::peer_message_rejected,
-                        {{"from", this->sender.address().to_string()},
-                         {"reason", beacon.last_reason()}});
+        this->log.write(
+            event_code::peer_message_rejected,
+            {{"from", this->sender.address().to_string()}, {"reason", beacon.last_reason()}});
         return;
     }
     if (beacon->host == this->settings.host)
@@ -193,9 +192,9 @@
     auto& other = this->peers[address];
     if (other.incarnation != beacon->incarnation || !this->is_alive(other, now))
     {
-        this->log.write(event_code::member_changed, {{"peer", beacon->host},
-                                                     {"state", "alive"},
-                                                     {"incarnation", beacon->incarnation}});
+        this->log.write(
+            event_code::member_changed,
+            {{"peer", beacon->host}, {"state", "alive"}, {"incarnation", beacon->incarnation}});
         other.next_beacon = {}; // it may know nobody yet
     }
     other.host = beacon->host;
@@ -250,7 +249,8 @@
         }
         if (!other.loads.empty() && !this->is_alive(other, now))
         {
-            this->log.write(event_code::member_changed, {{"peer", other.host}, {"state", "silent"}});
+            this->log.write(event_code::member_changed,
+                            {{"peer", other.host}, {"state", "silent"}});
             other.loads.clear();
             this->loads_changed = true;
         }
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -27,7 +27,7 @@
     std::string host;
     std::uint64_t incarnation = 0;
     boost::asio::ip::address_v4 address;
-    std::uint16_t port = 0;                          ///< the same on all hosts, UDP and TCP
+    std::uint16_t port = 0;                         ///< the same on all hosts, UDP and TCP
     std::vector<boost::asio::ip::address_v4> seeds; ///< hosts to try when none is known
 };
 
@@ -43,8 +43,8 @@
 
     [[nodiscard]] auto open() -> bool;
     /// Addresses of hosts that the platform's directory lists.
-    auto add_known_hosts(const std::vector<boost::asio::ip::address_v4>& addresses,
-                         time_point now) -> void;
+    auto add_known_hosts(const std::vector<boost::asio::ip::address_v4>& addresses, time_point now)
+        -> void;
     /// Sends what is due, and looks for peers that are ahead. Call about every 50 ms.
     auto tick(time_point now) -> void;
     /// Hosts that may be alive, this one included.
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -30,7 +30,8 @@
     return {buffer.data(), buffer.size()};
 }
 
-/// Reads a packed tuple; nothing when the bytes are anything else. The library reports by exception.
+/// Reads a packed tuple; nothing when the bytes are anything else. The library reports by
+/// exception.
 template <class Body>
 auto unpack(std::string_view bytes) -> outcome<Body>
 {
@@ -63,8 +64,8 @@
     records.reserve(rows.size());
     for (const auto& [key, position, present, value] : rows)
     {
-        records.push_back({key, record_position(position),
-                           present ? std::optional(value) : std::nullopt});
+        records.push_back(
+            {key, record_position(position), present ? std::optional(value) : std::nullopt});
     }
     return records;
 }
@@ -100,7 +101,8 @@
     const auto body = unpack<beacon_body>(bytes);
     if (!body || std::get<0>(*body) != protocol_version)
     {
-        return outcome<host_beacon>::failure(body ? "another protocol version" : body.last_reason());
+        return outcome<host_beacon>::failure(body ? "another protocol version"
+                                                  : body.last_reason());
     }
     host_beacon beacon;
     beacon.host = std::get<1>(*body);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -55,9 +55,9 @@
 
 auto header_list::count(std::string_view name) const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->fields.begin(), this->fields.end(),
-                      [&](const header_field& field) { return equal_names(field.name, name); }));
+    return static_cast<std::size_t>(std::count_if(this->fields.begin(), this->fields.end(),
+                                                  [&](const header_field& field)
+                                                  { return equal_names(field.name, name); }));
 }
 
 auto has_token(std::string_view value, std::string_view token) -> bool
@@ -93,8 +93,8 @@
 auto is_connection_field(std::string_view name, std::string_view connection) -> bool
 {
     static constexpr std::array<std::string_view, 10> names = {
-        "Connection", "Keep-Alive",        "Proxy-Connection",   "Proxy-Authenticate",
-        "TE",         "Trailer",           "Transfer-Encoding",  "Upgrade",
+        "Connection", "Keep-Alive",    "Proxy-Connection",  "Proxy-Authenticate",
+        "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
         "Expect",     "Content-Length"};
     return std::any_of(names.begin(), names.end(),
                        [&](std::string_view known) { return equal_names(known, name); }) ||
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -19,7 +19,10 @@
 /// Beast needs a finite limit for bodies with a length; bodies of responses are not bounded here.
 constexpr std::uint64_t unbounded_body = std::uint64_t{1} << 40;
 
-auto to_view(beast::string_view text) -> std::string_view { return {text.data(), text.size()}; }
+auto to_view(beast::string_view text) -> std::string_view
+{
+    return {text.data(), text.size()};
+}
 
 /// Collects what Beast's parser finds. Fields after the head are trailers and are dropped.
 template <bool IsRequest, class Head>
@@ -162,8 +165,8 @@
     {
         this->checked = true;
         auto& head = this->parser->head;
-        const auto framing = framing_of(head, this->parser->chunked(),
-                                        this->parser->content_length().has_value());
+        const auto framing =
+            framing_of(head, this->parser->chunked(), this->parser->content_length().has_value());
         if (!framing)
         {
             this->failure = read_error::unknown_coding;
@@ -205,8 +208,14 @@
     this->self->advance_parser();
 }
 
-auto request_reader::error() const -> read_error { return this->self->failure; }
-auto request_reader::has_head() const -> bool { return this->self->parser->head_done; }
+auto request_reader::error() const -> read_error
+{
+    return this->self->failure;
+}
+auto request_reader::has_head() const -> bool
+{
+    return this->self->parser->head_done;
+}
 auto request_reader::is_complete() const -> bool
 {
     return this->self->failure == read_error::none && this->self->parser->is_done();
@@ -215,8 +224,14 @@
 {
     return this->self->parser->got_some() || !this->self->pending.empty();
 }
-auto request_reader::bytes_ahead() const -> std::size_t { return this->self->pending.size(); }
-auto request_reader::head() const -> const request_head& { return this->self->parser->head; }
+auto request_reader::bytes_ahead() const -> std::size_t
+{
+    return this->self->pending.size();
+}
+auto request_reader::head() const -> const request_head&
+{
+    return this->self->parser->head;
+}
 auto request_reader::take_body() -> std::string
 {
     return std::exchange(this->self->parser->body, {});
@@ -287,7 +302,9 @@
     bool to_head_request = false;
 };
 
-response_reader::response_reader() : self(std::make_unique<implementation>()) {}
+response_reader::response_reader() : self(std::make_unique<implementation>())
+{
+}
 response_reader::~response_reader() = default;
 response_reader::response_reader(response_reader&&) noexcept = default;
 auto response_reader::operator=(response_reader&&) noexcept -> response_reader& = default;
@@ -323,7 +340,10 @@
     }
 }
 
-auto response_reader::error() const -> read_error { return this->self->failure; }
+auto response_reader::error() const -> read_error
+{
+    return this->self->failure;
+}
 auto response_reader::has_begun() const -> bool
 {
     return this->self->parser->got_some() || !this->self->pending.empty();
@@ -336,8 +356,14 @@
 {
     return this->self->failure == read_error::none && this->self->parser->is_done();
 }
-auto response_reader::bytes_ahead() const -> std::size_t { return this->self->pending.size(); }
-auto response_reader::head() const -> const response_head& { return this->self->parser->head; }
+auto response_reader::bytes_ahead() const -> std::size_t
+{
+    return this->self->pending.size();
+}
+auto response_reader::head() const -> const response_head&
+{
+    return this->self->parser->head;
+}
 auto response_reader::take_body() -> std::string
 {
     return std::exchange(this->self->parser->body, {});
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -14,10 +14,10 @@
 enum class read_error : std::uint8_t
 {
     none,
-    malformed,       ///< not HTTP/1, or framing that is ambiguous
-    head_too_large,  ///< head beyond its limit
-    body_too_large,  ///< body beyond its limit
-    unknown_coding,  ///< a transfer coding other than chunked
+    malformed,      ///< not HTTP/1, or framing that is ambiguous
+    head_too_large, ///< head beyond its limit
+    body_too_large, ///< body beyond its limit
+    unknown_coding, ///< a transfer coding other than chunked
 };
 
 /// Sizes beyond which a message is refused.
@@ -68,7 +68,8 @@
     response_reader(response_reader&&) noexcept;
     auto operator=(response_reader&&) noexcept -> response_reader&;
 
-    /// Prepares for the next response; bytes ahead are kept and read. A response to HEAD has no body.
+    /// Prepares for the next response; bytes ahead are kept and read. A response to HEAD has no
+    /// body.
     auto next(bool to_head_request) -> void;
     auto feed(std::string_view bytes) -> void;
     /// The peer has closed its side in order. Ends a body that runs until the connection closes.
--- /dev/null
+++ b/src/http/message_reader_test.cpp
@@ -0,0 +1,224 @@
+#include "http/message_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace poplardrift::http;
+
+namespace
+{
+
+constexpr reader_limits limits{1024, 4096};
+
+auto read_request(const std::string& bytes) -> request_reader
+{
+    request_reader reader(limits);
+    reader.feed(bytes);
+    return reader;
+}
+
+auto error_of(const std::string& bytes) -> read_error
+{
+    return read_request(bytes).error();
+}
+
+/// What a reader makes of bytes that come in pieces; equal for all ways of cutting them.
+struct reading
+{
+    read_error error = read_error::none;
+    bool complete = false;
+    std::string target;
+    std::string body;
+    auto operator==(const reading&) const -> bool = default;
+};
+
+auto read_in_pieces(const std::string& bytes, std::mt19937& random) -> reading
+{
+    request_reader reader(limits);
+    for (std::size_t at = 0; at < bytes.size() && reader.error() == read_error::none;)
+    {
+        const auto piece = std::min<std::size_t>(bytes.size() - at, 1 + random() % 7);
+        reader.feed(std::string_view(bytes).substr(at, piece));
+        at += piece;
+    }
+    reading result;
+    result.error = reader.error();
+    result.complete = reader.is_complete();
+    if (result.complete)
+    {
+        result.target = reader.head().target;
+        result.body = reader.take_body();
+    }
+    return result;
+}
+
+auto read_whole(const std::string& bytes) -> reading
+{
+    auto reader = read_request(bytes);
+    reading result;
+    result.error = reader.error();
+    result.complete = reader.is_complete();
+    if (result.complete)
+    {
+        result.target = reader.head().target;
+        result.body = reader.take_body();
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("ambiguous framing of requests is refused")
+{
+    CHECK(
+        error_of("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n") ==
+        read_error::malformed);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == read_error::malformed);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                   "Content-Length: 3\r\n\r\n0\r\n\r\n") == read_error::malformed);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n") ==
+          read_error::unknown_coding);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n") ==
+          read_error::unknown_coding);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n") ==
+          read_error::malformed);
+    CHECK(error_of("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n") == read_error::malformed);
+    CHECK(error_of("GET / HTTP/1.1\r\n\r\n") == read_error::malformed);
+    CHECK(error_of("GET / HTTP/1.1\r\nHost : a\r\n\r\n") == read_error::malformed);
+    CHECK(error_of("GET /\r\n\r\n") == read_error::malformed);
+}
+
+TEST_CASE("requests beyond the limits are refused")
+{
+    CHECK(error_of("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") ==
+          read_error::head_too_large);
+    CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n") ==
+          read_error::body_too_large);
+}
+
+TEST_CASE("requests that follow each other are read one at a time")
+{
+    request_reader reader(limits);
+    reader.feed("POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET /two HTTP/1.1\r\n"
+                "Host: a\r\n\r\n");
+    REQUIRE(reader.is_complete());
+    CHECK(reader.head().target == "/one");
+    CHECK(reader.take_body() == "abc");
+    CHECK(reader.bytes_ahead() > 0);
+    reader.next(limits);
+    REQUIRE(reader.is_complete());
+    CHECK(reader.head().target == "/two");
+}
+
+TEST_CASE("a chunked request is whole with its last chunk, and trailers are dropped")
+{
+    auto reader = read_request("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n");
+    REQUIRE(reader.is_complete());
+    CHECK(reader.take_body() == "abcde");
+    CHECK(!reader.head().fields.find("X-Trailer"));
+}
+
+TEST_CASE("a response without a length is whole only when the peer closes in order")
+{
+    response_reader reader;
+    reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    REQUIRE(reader.has_head());
+    CHECK(reader.head().framing == body_framing::until_close);
+    CHECK(!reader.is_complete());
+    reader.feed_end();
+    CHECK(reader.is_complete());
+}
+
+TEST_CASE("a response that ends early is not whole")
+{
+    for (const auto* const bytes :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "HTTP/1.1 200"})
+    {
+        response_reader reader;
+        reader.feed(bytes);
+        reader.feed_end();
+        CHECK(!reader.is_complete());
+        CHECK(reader.error() != read_error::none);
+    }
+}
+
+TEST_CASE("interim responses are passed over")
+{
+    response_reader reader;
+    reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+    REQUIRE(reader.is_complete());
+    CHECK(reader.head().status == 200);
+}
+
+TEST_CASE("bytes after a response are counted as ahead")
+{
+    response_reader reader;
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n");
+    REQUIRE(reader.is_complete());
+    CHECK(reader.bytes_ahead() > 0);
+}
+
+TEST_CASE("fuzz: damaged requests read the same however they are cut")
+{
+    const std::vector<std::string> seeds = {
+        "POST /a/b?c HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+        "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwxyz\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close, x\r\nX-Y: z\r\n\r\n"};
+    std::mt19937 random(20261204);
+    for (int round = 0; round < 20'000; ++round)
+    {
+        auto bytes = seeds[random() % seeds.size()];
+        for (auto damage = random() % 4; damage > 0; --damage)
+        {
+            const auto at = random() % bytes.size();
+            switch (random() % 3)
+            {
+            case 0:
+                bytes[at] = static_cast<char>(random() % 256);
+                break;
+            case 1:
+                bytes.erase(at, 1 + random() % 3);
+                break;
+            default:
+                bytes.insert(at, std::string(1 + random() % 3, static_cast<char>(random() % 256)));
+                break;
+            }
+            if (bytes.empty())
+            {
+                bytes = "G";
+            }
+        }
+        const auto whole = read_whole(bytes);
+        const auto pieces = read_in_pieces(bytes, random);
+        INFO(bytes);
+        REQUIRE(whole.complete == pieces.complete);
+        if (whole.complete)
+        {
+            REQUIRE(whole == pieces);
+        }
+    }
+}
+
+TEST_CASE("fuzz: damaged responses are never taken for whole ones with another body length")
+{
+    const std::string seed = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\nX: y\r\n\r\n12345678";
+    std::mt19937 random(20261205);
+    for (int round = 0; round < 20'000; ++round)
+    {
+        auto bytes = seed;
+        bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        response_reader reader;
+        reader.feed(bytes.substr(0, random() % (bytes.size() + 1)));
+        reader.feed_end();
+        if (reader.is_complete() && reader.head().framing == body_framing::length)
+        {
+            REQUIRE(reader.take_body().size() == reader.head().content_length);
+        }
+    }
+}
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -63,25 +63,25 @@
                 self->fail(transport_failure::not_connected);
             }
         });
-    this->connecting->async_connect(
-        this->to,
-        [self, socket = this->connecting](const error_code& error)
-        {
-            if (!self->connecting)
-            {
-                return; // timed out or abandoned
-            }
-            self->timer.cancel();
-            if (error)
-            {
-                self->fail(transport_failure::not_connected);
-                return;
-            }
-            self->connecting.reset();
-            self->stream = std::make_shared<byte_stream>(std::move(*socket), self.get());
-            self->stream->start(self->settings.silence_limit);
-            self->transmit();
-        });
+    this->connecting->async_connect(this->to,
+                                    [self, socket = this->connecting](const error_code& error)
+                                    {
+                                        if (!self->connecting)
+                                        {
+                                            return; // timed out or abandoned
+                                        }
+                                        self->timer.cancel();
+                                        if (error)
+                                        {
+                                            self->fail(transport_failure::not_connected);
+                                            return;
+                                        }
+                                        self->connecting.reset();
+                                        self->stream = std::make_shared<byte_stream>(
+                                            std::move(*socket), self.get());
+                                        self->stream->start(self->settings.silence_limit);
+                                        self->transmit();
+                                    });
 }
 
 auto upstream_connection::transmit() -> void
@@ -249,6 +249,9 @@
     }
 }
 
-auto upstream_connection::is_reusable() const -> bool { return this->reusable && !this->ended; }
+auto upstream_connection::is_reusable() const -> bool
+{
+    return this->reusable && !this->ended;
+}
 
 } // namespace poplardrift::http
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -15,8 +15,8 @@
         std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-/// Now on the clock that also counts while the machine is suspended, so that deadlines and leases run
-/// on during that time. Any thread.
+/// Now on the clock that also counts while the machine is suspended, so that deadlines and leases
+/// run on during that time. Any thread.
 [[nodiscard]] inline auto boot_clock_now() -> time_point
 {
     timespec now{};
--- a/src/observability/decision_log.cpp
+++ b/src/observability/decision_log.cpp
@@ -23,11 +23,11 @@
 /// Lines are written together, so that a busy host does not make a system call for each.
 constexpr auto write_interval = 100ms;
 
-auto write_all(std::string_view bytes) -> void
+auto write_all(int output, std::string_view bytes) -> void
 {
     while (!bytes.empty())
     {
-        const auto written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+        const auto written = ::write(output, bytes.data(), bytes.size());
         if (written <= 0)
         {
             return; // nobody reads any more; there is no other place to say so
@@ -38,7 +38,7 @@
 
 } // namespace
 
-decision_log::decision_log(std::string host) : host(std::move(host))
+decision_log::decision_log(std::string host, int output) : host(std::move(host)), output(output)
 {
     this->writer = std::thread([this] { this->run(); });
 }
@@ -113,7 +113,7 @@
                      "\n";
         }
         lock.unlock();
-        write_all(lines);
+        write_all(this->output, lines);
         lock.lock();
     }
 }
--- a/src/observability/decision_log.hpp
+++ b/src/observability/decision_log.hpp
@@ -21,7 +21,8 @@
 class decision_log final
 {
 public:
-    explicit decision_log(std::string host);
+    /// `output` is a file descriptor; a negative one drops all lines.
+    explicit decision_log(std::string host, int output = 1);
     ~decision_log();
     decision_log(const decision_log&) = delete;
     auto operator=(const decision_log&) -> decision_log& = delete;
@@ -34,6 +35,7 @@
     [[nodiscard]] auto admit(event_level level, std::int64_t now_ms) -> bool;
 
     std::string host;
+    int output;
     std::mutex mutex;
     std::condition_variable wake;
     std::string queue;
--- /dev/null
+++ b/src/routing/limits_test.cpp
@@ -0,0 +1,147 @@
+#include "routing/placement.hpp"
+#include "routing/retry_ledger.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+using namespace poplardrift;
+using namespace poplardrift::routing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+auto at(duration since_start) -> time_point
+{
+    return time_point(1h + since_start);
+}
+
+auto usual_bounds() -> fleet_bounds
+{
+    fleet_bounds bounds;
+    bounds.retry_ratio = 0.2;
+    bounds.retry_window = 10s;
+    bounds.retry_slack = 56.0;
+    bounds.cold_multiplier = 1.5;
+    bounds.cold_slack = 5.0;
+    return bounds;
+}
+
+/// Largest number of times within any span of `window`.
+auto most_in_window(const std::deque<time_point>& times, duration window) -> std::size_t
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last)
+    {
+        while (times[last] - times[first] >= window)
+        {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a sliding counter never counts less than the window holds")
+{
+    std::mt19937 random(7);
+    sliding_counter counter(1s);
+    std::deque<time_point> times;
+    auto now = at(0ns);
+    for (int step = 0; step < 20'000; ++step)
+    {
+        now += std::chrono::microseconds(random() % 9000);
+        counter.add(now);
+        times.push_back(now);
+        while (now - times.front() >= 1s)
+        {
+            times.pop_front();
+        }
+        REQUIRE(counter.total(now) >= times.size());
+    }
+    CHECK(counter.total(now + 3s) == 0);
+}
+
+TEST_CASE("the parts of all hosts stay within the fleet's retry budget")
+{
+    const auto bounds = usual_bounds();
+    const auto host_count = GENERATE(1, 4, 5, 9, 29);
+    std::mt19937 random(static_cast<unsigned>(host_count));
+    std::vector<retry_ledger> hosts(static_cast<std::size_t>(host_count),
+                                    retry_ledger(bounds.retry_window));
+    std::deque<time_point> requests;
+    std::deque<time_point> repeats;
+    auto now = at(0ns);
+    for (int step = 0; step < 30'000; ++step)
+    {
+        now += std::chrono::microseconds(random() % 3000);
+        auto& host = hosts[random() % hosts.size()];
+        host.on_request(now);
+        requests.push_back(now);
+        // All fail, again and again: whoever may repeat does.
+        while (host.take(now, bounds, hosts.size()))
+        {
+            repeats.push_back(now);
+        }
+        while (now - requests.front() >= bounds.retry_window)
+        {
+            requests.pop_front();
+        }
+        while (!repeats.empty() && now - repeats.front() >= bounds.retry_window)
+        {
+            repeats.pop_front();
+        }
+        REQUIRE(static_cast<double>(repeats.size()) <=
+                bounds.retry_ratio * static_cast<double>(requests.size()) + bounds.retry_slack);
+    }
+    CHECK(!repeats.empty());
+}
+
+TEST_CASE("the parts of all hosts stay within an upstream's cold limit")
+{
+    const auto bounds = usual_bounds();
+    service_rules rules;
+    rules.cold_requests_per_second = 18.0;
+    const auto host_count = GENERATE(1, 4, 5, 9);
+    const zone_name zone("a");
+    std::mt19937 random(3);
+    std::deque<time_point> sends;
+    std::vector<live_upstream> views(static_cast<std::size_t>(host_count));
+    for (auto& view : views)
+    {
+        view.known.cold_until = at(1h);
+        view.known.usable_until = time_point::max();
+        view.known.entry.zone = zone;
+        view.state = std::make_shared<upstream_state>(0);
+    }
+    auto now = at(0ns);
+    for (int step = 0; step < 20'000; ++step)
+    {
+        now += std::chrono::microseconds(random() % 900);
+        auto& view = views[random() % views.size()];
+        placement_query query;
+        query.rules = &rules;
+        query.now = now;
+        query.bounds = &bounds;
+        query.own_zone = &zone;
+        query.host_count = views.size();
+        placement_refusal why;
+        if (choose_upstream({&view, 1}, query, why))
+        {
+            view.state->cold_sends.add(now);
+            sends.push_back(now);
+        }
+        else
+        {
+            REQUIRE(why.most_common == exclusion::cold_limit);
+        }
+    }
+    CHECK(!sends.empty());
+    CHECK(static_cast<double>(most_in_window(sends, 1s)) <=
+          rules.cold_requests_per_second * bounds.cold_multiplier + bounds.cold_slack);
+}
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -31,11 +31,11 @@
 constexpr double ms_for_each_in_flight = 1.5;
 /// Cost of leaving the zone: a round trip between zones, and bytes that are paid for.
 constexpr double ms_for_other_zone = 4.0;
-/// Chance that the first choice by hash holds a prompt that no upstream is known to hold: hosts that
-/// have just started know nothing yet.
+/// Chance that the first choice by hash holds a prompt that no upstream is known to hold: hosts
+/// that have just started know nothing yet.
 constexpr double first_choice_cached = 0.9;
-/// Reading shared parts again takes memory and reading time from all requests of the engine, and its
-/// copies push out others': it counts this many times the time that it takes.
+/// Reading shared parts again takes memory and reading time from all requests of the engine, and
+/// its copies push out others': it counts this many times the time that it takes.
 constexpr double price_of_reading_again = 4.0;
 /// Engines copy what others have read; this is the fixed time of a copy (site files: 2.7 ms).
 constexpr double fetch_setup_ms = 2.7;
@@ -116,8 +116,8 @@
     return prompt.parts.empty() ? 0 : tokens - prompt.parts.back().tokens;
 }
 
-/// The upstream that is known to hold most of the shared parts; one that is leaving counts, since it
-/// can still be copied from.
+/// The upstream that is known to hold most of the shared parts; one that is leaving counts, since
+/// it can still be copied from.
 struct prompt_holder
 {
     std::size_t position = 0;
@@ -141,8 +141,8 @@
         }
         const auto tokens = std::min(shared, candidate.state->cache.cached_tokens(*query.prompt));
         const auto may_serve = !candidate.known.entry.leaving && !candidate.zone_out;
-        const auto better =
-            !best || tokens > best->tokens || (tokens == best->tokens && may_serve && !best->may_serve);
+        const auto better = !best || tokens > best->tokens ||
+                            (tokens == best->tokens && may_serve && !best->may_serve);
         if (tokens > 0 && better)
         {
             best = prompt_holder{position, tokens, may_serve};
@@ -217,16 +217,15 @@
 auto to_text(exclusion why) -> std::string_view
 {
     static constexpr std::array<std::string_view, 13> names = {
-        "none",     "other_service",  "leaving", "zone_out",   "lapsed",     "misaddressed", "tried",
-        "ejected",  "probation_full", "silent",  "cold_limit", "load_bound", "full"};
+        "none",    "other_service",  "leaving", "zone_out",   "lapsed",     "misaddressed", "tried",
+        "ejected", "probation_full", "silent",  "cold_limit", "load_bound", "full"};
     return names[static_cast<std::size_t>(why)];
 }
 
 auto cold_share(const service_rules& rules, const fleet_bounds& bounds, std::size_t host_count)
     -> double
 {
-    const auto whole =
-        rules.cold_requests_per_second * bounds.cold_multiplier + bounds.cold_slack;
+    const auto whole = rules.cold_requests_per_second * bounds.cold_multiplier + bounds.cold_slack;
     return used_cold_part * whole / static_cast<double>(host_count);
 }
 
@@ -288,12 +287,11 @@
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
     const auto mean = mean_in_flight_of(upstreams, query.service);
-    const auto holder =
-        query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
-    const auto is_held = holder && holder->may_serve &&
-                         holder->tokens >= shared_tokens_of(*query.prompt);
-    const auto first = query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query)
-                                                           : std::nullopt;
+    const auto holder = query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
+    const auto is_held =
+        holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
+    const auto first =
+        query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query) : std::nullopt;
     std::array<int, 13> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
@@ -334,8 +332,8 @@
     }
     refusals[static_cast<std::size_t>(exclusion::other_service)] = 0;
     const auto most = std::max_element(refusals.begin(), refusals.end());
-    why_not.most_common = *most == 0 ? exclusion::other_service
-                                     : static_cast<exclusion>(most - refusals.begin());
+    why_not.most_common =
+        *most == 0 ? exclusion::other_service : static_cast<exclusion>(most - refusals.begin());
     for (const auto count : refusals)
     {
         why_not.considered += count;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -35,8 +35,8 @@
 {
     std::size_t service = 0;
     const service_rules* rules = nullptr;
-    const prompt_shape* prompt = nullptr; ///< null for plain services
-    std::uint64_t affinity = 0;           ///< hash that requests with the same prompt share
+    const prompt_shape* prompt = nullptr;         ///< null for plain services
+    std::uint64_t affinity = 0;                   ///< hash that requests with the same prompt share
     std::span<const upstream_state* const> tried; ///< where this request was sent before
     const zone_name* own_zone = nullptr;
     time_point now{};
@@ -50,7 +50,8 @@
     std::size_t position = 0;
     double cost_ms = 0.0;
     std::uint32_t cached_tokens = 0;
-    std::optional<std::size_t> fetch_from; ///< position of an upstream that has read more of the prompt
+    std::optional<std::size_t>
+        fetch_from;               ///< position of an upstream that has read more of the prompt
     bool is_first_choice = false; ///< by rendezvous hashing on the prompt's affinity
     int candidates = 0;
 };
@@ -62,8 +63,9 @@
     int considered = 0;
 };
 
-/// May this upstream take one more request? Bounds over all hosts are kept by this host's part. What
-/// rules an upstream out comes before what only speaks against it (ejected, probation_full, silent).
+/// May this upstream take one more request? Bounds over all hosts are kept by this host's part.
+/// What rules an upstream out comes before what only speaks against it (ejected, probation_full,
+/// silent).
 [[nodiscard]] auto judge(const live_upstream& candidate, const placement_query& query,
                          double mean_in_flight) -> exclusion;
 
--- /dev/null
+++ b/src/routing/placement_test.cpp
@@ -0,0 +1,195 @@
+#include "routing/placement.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace poplardrift;
+using namespace poplardrift::routing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point now(1h);
+
+/// Upstreams of one service of engines, and a query that any of them could serve.
+struct setting
+{
+    setting()
+    {
+        this->rules.engine = engine_rules{64, 600'000, 327'680.0, 550'000.0};
+        for (int number = 0; number < 4; ++number)
+        {
+            live_upstream upstream;
+            upstream.known.entry.name = upstream_name("e" + std::to_string(number));
+            upstream.known.entry.zone = zone_name("a");
+            upstream.known.usable_until = time_point::max();
+            upstream.hash = hash_bytes_64(upstream.known.entry.name.value());
+            upstream.state = std::make_shared<upstream_state>(400'000);
+            this->upstreams.push_back(upstream);
+        }
+        this->query.rules = &this->rules;
+        this->query.own_zone = &this->zone;
+        this->query.now = now;
+        this->query.bounds = &this->bounds;
+    }
+
+    auto choose() -> std::optional<placement_choice>
+    {
+        return choose_upstream(this->upstreams, this->query, this->why);
+    }
+
+    zone_name zone{"a"};
+    service_rules rules;
+    fleet_bounds bounds;
+    std::vector<live_upstream> upstreams;
+    placement_query query;
+    placement_refusal why;
+};
+
+auto make_prompt(std::uint64_t shared, std::uint64_t own) -> prompt_shape
+{
+    prompt_shape prompt;
+    prompt.parts = {{shared, 10'000}, {own, 1'000}};
+    prompt.input_tokens = 11'000;
+    return prompt;
+}
+
+} // namespace
+
+TEST_CASE("upstreams that are leaving, taken out, lapsed or misaddressed get nothing")
+{
+    setting it;
+    it.upstreams[0].known.entry.leaving = true;
+    it.upstreams[1].zone_out = true;
+    it.upstreams[2].known.usable_until = now;
+    it.upstreams[3].state->misaddressed = true;
+    CHECK(!it.choose());
+    CHECK(it.why.considered == 4);
+}
+
+TEST_CASE("faulty upstreams are used before a request is refused, and after all others")
+{
+    setting it;
+    for (auto& upstream : it.upstreams)
+    {
+        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0);
+    }
+    CHECK(it.choose());
+    it.upstreams[2].state = std::make_shared<upstream_state>(0);
+    it.upstreams[2].state->in_flight_elsewhere = 1;
+    CHECK(it.choose()->position == 2);
+}
+
+TEST_CASE("an upstream beyond the multiple of the mean load gets nothing")
+{
+    setting it;
+    it.bounds.load_factor = 2.0;
+    it.upstreams[0].state->in_flight = 20;
+    for (std::size_t other = 1; other < 4; ++other)
+    {
+        it.upstreams[other].state->in_flight_elsewhere = 4;
+    }
+    // Mean 8: at most 2 x 8 + 3 = 19 may be under way at one.
+    CHECK(judge(it.upstreams[0], it.query, 8.0) == exclusion::load_bound);
+    CHECK(judge(it.upstreams[1], it.query, 8.0) == exclusion::none);
+}
+
+TEST_CASE("a prompt goes where its shared parts have been read, also for another host")
+{
+    setting it;
+    const auto prompt = make_prompt(11, 12);
+    it.query.prompt = &prompt;
+    it.query.affinity = 11;
+    for (auto& upstream : it.upstreams)
+    {
+        upstream.state->cache.clear();
+    }
+    it.upstreams[3].state->cache.on_read_elsewhere(prompt.parts[0]);
+    const auto choice = it.choose();
+    REQUIRE(choice);
+    CHECK(choice->position == 3);
+    CHECK(!choice->fetch_from);
+}
+
+TEST_CASE("when the holder of a prompt is leaving, its successor copies from it")
+{
+    setting it;
+    const auto prompt = make_prompt(11, 12);
+    it.query.prompt = &prompt;
+    it.query.affinity = 11;
+    it.upstreams[1].state->cache.on_read(prompt);
+    it.upstreams[1].known.entry.leaving = true;
+    const auto choice = it.choose();
+    REQUIRE(choice);
+    CHECK(choice->position != 1);
+    CHECK(choice->fetch_from == std::optional<std::size_t>(1));
+}
+
+TEST_CASE("hosts that know nothing choose the same engine for the same prompt")
+{
+    for (std::uint64_t key = 1; key < 200; ++key)
+    {
+        setting one;
+        setting other;
+        std::swap(other.upstreams[0], other.upstreams[3]);
+        const auto prompt = make_prompt(key, key + 1000);
+        one.query.prompt = &prompt;
+        one.query.affinity = key;
+        other.query.prompt = &prompt;
+        other.query.affinity = key;
+        const auto first = one.choose();
+        const auto second = other.choose();
+        REQUIRE(first);
+        REQUIRE(second);
+        CHECK(one.upstreams[first->position].known.entry.name ==
+              other.upstreams[second->position].known.entry.name);
+    }
+}
+
+TEST_CASE("the cache model forgets what was used least recently")
+{
+    prompt_cache_model cache(25'000);
+    const auto first = make_prompt(1, 2);
+    const auto second = make_prompt(3, 4);
+    const auto third = make_prompt(5, 6);
+    cache.on_read(first);
+    cache.on_read(second);
+    cache.on_read(first);
+    cache.on_read(third);
+    CHECK(cache.cached_tokens(third) == 11'000);
+    CHECK(cache.cached_tokens(first) > 0);
+    CHECK(cache.cached_tokens(second) == 0);
+}
+
+TEST_CASE("a service's usual share of failures ejects nobody, a faulty upstream's does")
+{
+    upstream_health usual;
+    upstream_health faulty;
+    for (int outcome = 0; outcome < 200; ++outcome)
+    {
+        const auto moment = now + outcome * 100ms;
+        outcome % 7 == 0 ? usual.on_fault(upstream_fault::failed, moment, 0.14)
+                         : usual.on_success(moment);
+        REQUIRE(!usual.is_ejected(moment));
+        outcome % 2 == 0 ? faulty.on_fault(upstream_fault::failed, moment, 0.14)
+                         : faulty.on_success(moment);
+    }
+    CHECK(faulty.is_on_probation());
+}
+
+TEST_CASE("an ejected upstream is taken back after successes, and stays out longer each time")
+{
+    upstream_health health;
+    health.on_fault(upstream_fault::unreachable, now, 0.0);
+    CHECK(health.is_ejected(now + 300ms));
+    CHECK(!health.is_ejected(now + 500ms));
+    health.on_fault(upstream_fault::unreachable, now + 500ms, 0.0);
+    CHECK(health.is_ejected(now + 1200ms));
+    for (int success = 0; success < 3; ++success)
+    {
+        health.on_success(now + 2s);
+    }
+    CHECK(!health.is_on_probation());
+}
--- a/src/routing/prompt_cache_model.cpp
+++ b/src/routing/prompt_cache_model.cpp
@@ -21,9 +21,10 @@
 
 auto prompt_cache_model::on_read(const prompt_shape& prompt) -> void
 {
-    for (const auto& part : prompt.parts)
+    // The last part first: parts that others build on are forgotten after those that follow them.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part)
     {
-        this->touch(part);
+        this->touch(*part);
     }
     this->evict();
 }
--- a/src/routing/routing_configuration.cpp
+++ b/src/routing/routing_configuration.cpp
@@ -10,7 +10,10 @@
 {
 
 /// Abseil's containers here look up by Abseil's own view type.
-auto to_key(std::string_view text) -> absl::string_view { return {text.data(), text.size()}; }
+auto to_key(std::string_view text) -> absl::string_view
+{
+    return {text.data(), text.size()};
+}
 
 } // namespace
 
--- a/src/routing/upstream_health.hpp
+++ b/src/routing/upstream_health.hpp
@@ -27,7 +27,10 @@
     /// Another host has ejected this upstream.
     auto on_ejected_elsewhere(time_point now) -> void;
 
-    [[nodiscard]] auto is_ejected(time_point now) const -> bool { return now < this->ejected_until; }
+    [[nodiscard]] auto is_ejected(time_point now) const -> bool
+    {
+        return now < this->ejected_until;
+    }
     /// True after an ejection until requests have succeeded again: only few may be under way.
     [[nodiscard]] auto is_on_probation() const -> bool { return this->successes_needed > 0; }
     /// Recent share of requests that failed.
--- a/src/traffic/caller_session.cpp
+++ b/src/traffic/caller_session.cpp
@@ -36,7 +36,10 @@
     this->arm_timer();
 }
 
-auto caller_session::is_idle() const -> bool { return !this->current && !this->reader.has_begun(); }
+auto caller_session::is_idle() const -> bool
+{
+    return !this->current && !this->reader.has_begun();
+}
 
 auto caller_session::close_when_idle() -> void
 {
@@ -234,7 +237,10 @@
     this->finish();
 }
 
-auto caller_session::bytes_waiting() const -> std::size_t { return this->stream->bytes_waiting(); }
+auto caller_session::bytes_waiting() const -> std::size_t
+{
+    return this->stream->bytes_waiting();
+}
 
 auto caller_session::on_closed(http::close_kind) -> void
 {
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -75,17 +75,16 @@
 {
     for (auto& [upstream, list] : this->idle)
     {
-        const auto kept = std::remove_if(
-            list.begin(), list.end(),
-            [now](const idle_connection& item)
-            {
-                if (item.connection->is_reusable() && now < item.until)
-                {
-                    return false;
-                }
-                item.connection->abandon();
-                return true;
-            });
+        const auto kept = std::remove_if(list.begin(), list.end(),
+                                         [now](const idle_connection& item)
+                                         {
+                                             if (item.connection->is_reusable() && now < item.until)
+                                             {
+                                                 return false;
+                                             }
+                                             item.connection->abandon();
+                                             return true;
+                                         });
         list.erase(kept, list.end());
     }
 }
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -102,7 +102,10 @@
 {
 }
 
-auto exchange::is_stream() const -> bool { return this->route->kind == route_kind::streaming; }
+auto exchange::is_stream() const -> bool
+{
+    return this->route->kind == route_kind::streaming;
+}
 
 auto exchange::start() -> void
 {
@@ -171,7 +174,7 @@
     {
         const auto& parts = this->facts.prompt->parts;
         query.prompt = &*this->facts.prompt;
-        query.affinity = parts.size() > 1   ? parts[parts.size() - 2].chain_hash
+        query.affinity = parts.size() > 1 ? parts[parts.size() - 2].chain_hash
                          : !parts.empty() ? parts.back().chain_hash
                                           : hash_bytes_64(this->facts.id);
         this->affinity = query.affinity;
@@ -208,8 +211,8 @@
         this->apply_step(routing::final_step(send_fate::not_sent, this->worst));
         return;
     }
-    auto wait = std::make_shared<boost::asio::steady_timer>(this->service.get_io(),
-                                                            place_again_after);
+    auto wait =
+        std::make_shared<boost::asio::steady_timer>(this->service.get_io(), place_again_after);
     wait->async_wait(
         [self = this->shared_from_this(), wait](const boost::system::error_code&)
         {
@@ -289,9 +292,9 @@
     if (this->answer.misaddressed)
     {
         this->upstream->misaddressed = true;
-        this->service.get_log().write(event_code::upstream_misaddressed,
-                                      {{"upstream", this->upstream_name.value()},
-                                       {"request", this->facts.id}});
+        this->service.get_log().write(
+            event_code::upstream_misaddressed,
+            {{"upstream", this->upstream_name.value()}, {"request", this->facts.id}});
     }
     if (this->answer.success && !this->answer.trusted)
     {
@@ -513,15 +516,15 @@
         this->apply_step(step);
         return;
     }
-    this->service.get_log().write(
-        this->head_committed ? event_code::stream_resumed : event_code::request_sent_again,
-        {{"request", this->facts.id},
-         {"route", this->route->name},
-         {"upstream", settled_upstream.value()},
-         {"fate", to_text(fate)},
-         {"reason", reason},
-         {"sends", this->sends},
-         {"age_ms", to_ms(now - this->arrived)}});
+    this->service.get_log().write(this->head_committed ? event_code::stream_resumed
+                                                       : event_code::request_sent_again,
+                                  {{"request", this->facts.id},
+                                   {"route", this->route->name},
+                                   {"upstream", settled_upstream.value()},
+                                   {"fate", to_text(fate)},
+                                   {"reason", reason},
+                                   {"sends", this->sends},
+                                   {"age_ms", to_ms(now - this->arrived)}});
     this->place();
 }
 
@@ -696,7 +699,8 @@
 auto exchange::arm_timer() -> void
 {
     const auto now = boot_clock_now();
-    // Looking at least every 100 ms also finds deadlines that passed while the machine was suspended.
+    // Looking at least every 100 ms also finds deadlines that passed while the machine was
+    // suspended.
     constexpr duration longest_sleep = 100ms;
     const auto due = std::min(this->deadline, this->patience_end());
     this->timer.expires_after(std::clamp<duration>(due - now, 1ms, longest_sleep));
--- a/src/traffic/load_board.hpp
+++ b/src/traffic/load_board.hpp
@@ -24,8 +24,8 @@
     std::uint32_t tokens = 0; ///< of this part
 };
 
-/// Where the control thread and the traffic thread leave each other what hosts tell of upstreams. Each
-/// call holds a lock for the time of a copy.
+/// Where the control thread and the traffic thread leave each other what hosts tell of upstreams.
+/// Each call holds a lock for the time of a copy.
 class load_board final
 {
 public:
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -48,9 +48,9 @@
         });
     const auto open_status = [this](const boost::asio::ip::tcp::endpoint& address)
     {
-        this->status_listeners.push_back(std::make_shared<http::listener>(
-            this->io, [this](boost::asio::ip::tcp::socket socket)
-            { this->accept_status(std::move(socket)); }));
+        this->status_listeners.push_back(
+            std::make_shared<http::listener>(this->io, [this](boost::asio::ip::tcp::socket socket)
+                                             { this->accept_status(std::move(socket)); }));
         return this->status_listeners.back()->open(address);
     };
     const auto metrics_open = !this->settings.metrics || open_status(*this->settings.metrics);
@@ -138,8 +138,7 @@
 
 auto traffic_service::get_caller_limits() const -> routing::caller_limits
 {
-    return this->view->configuration ? this->view->configuration->limits
-                                     : routing::caller_limits{};
+    return this->view->configuration ? this->view->configuration->limits : routing::caller_limits{};
 }
 
 auto traffic_service::get_reader_limits() const -> http::reader_limits
@@ -173,8 +172,8 @@
 
 auto traffic_service::take_retry(const std::string& service) -> bool
 {
-    const auto taken = this->ledger_of(service).take(boot_clock_now(), this->view->bounds,
-                                                     this->view->host_count);
+    const auto taken =
+        this->ledger_of(service).take(boot_clock_now(), this->view->bounds, this->view->host_count);
     if (!taken)
     {
         this->metrics.count_denied_retry(service);
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -14,7 +14,7 @@
 /// What a caller's request says to the router.
 struct request_facts
 {
-    std::string id; ///< of this one attempt of the caller; empty when absent
+    std::string id;                   ///< of this one attempt of the caller; empty when absent
     std::optional<duration> patience; ///< how long the caller will wait from now on
     std::string workspace_key;
     std::optional<routing::prompt_shape> prompt;
@@ -62,7 +62,8 @@
 
     [[nodiscard]] virtual auto decode_request(const http::request_head& head) const
         -> request_facts = 0;
-    /// Head and body for the upstream; the caller's fields that are the router's to set are left out.
+    /// Head and body for the upstream; the caller's fields that are the router's to set are left
+    /// out.
     [[nodiscard]] virtual auto encode_request(const http::request_head& head,
                                               const std::string& body,
                                               const send_facts& facts) const
--- /dev/null
+++ b/tests/scripted_peers.cpp
@@ -0,0 +1,162 @@
+#include "scripted_peers.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+
+namespace poplardrift::tests
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+asio::io_context client_io;
+constexpr auto longest_wait = 5000ms;
+
+} // namespace
+
+peer_connection::peer_connection(asio::ip::tcp::socket socket) : socket(std::move(socket))
+{
+}
+
+auto peer_connection::read_some(std::chrono::milliseconds limit) -> bool
+{
+    pollfd ready{this->socket.native_handle(), POLLIN, 0};
+    if (::poll(&ready, 1, static_cast<int>(limit.count())) <= 0)
+    {
+        return false;
+    }
+    std::array<char, 16'384> bytes{};
+    error_code error;
+    const auto count = this->socket.read_some(asio::buffer(bytes), error);
+    this->buffer.append(bytes.data(), count);
+    return !error;
+}
+
+auto peer_connection::read_request() -> std::string
+{
+    while (true)
+    {
+        const auto head = this->buffer.find("\r\n\r\n");
+        if (head != std::string::npos)
+        {
+            const auto label = this->buffer.find("Content-Length: ");
+            const auto length =
+                label < head ? std::stoul(this->buffer.substr(label + 16)) : std::size_t{0};
+            const auto whole = head + 4 + length;
+            if (this->buffer.size() >= whole)
+            {
+                auto message = this->buffer.substr(0, whole);
+                this->buffer.erase(0, whole);
+                return message;
+            }
+        }
+        if (!this->read_some(longest_wait))
+        {
+            return {};
+        }
+    }
+}
+
+auto peer_connection::read_to_end(std::chrono::milliseconds limit) -> std::string
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end && this->read_some(limit))
+    {
+    }
+    return std::exchange(this->buffer, {});
+}
+
+auto peer_connection::read_until(const std::string& text, std::chrono::milliseconds limit) -> bool
+{
+    while (this->buffer.find(text) == std::string::npos)
+    {
+        if (!this->read_some(limit))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto peer_connection::send(const std::string& bytes) -> void
+{
+    error_code ignored;
+    asio::write(this->socket, asio::buffer(bytes), ignored);
+}
+
+auto peer_connection::close() -> void
+{
+    error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+}
+
+auto peer_connection::reset() -> void
+{
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+}
+
+scripted_server::scripted_server(script serve)
+    : acceptor(this->io, {asio::ip::address_v4::loopback(), 0}), serve(std::move(serve))
+{
+    this->accepting = std::thread([this] { this->run(); });
+}
+
+scripted_server::~scripted_server()
+{
+    this->stopping = true;
+    error_code ignored;
+    asio::ip::tcp::socket wake(client_io);
+    wake.connect(this->address(), ignored);
+    this->accepting.join();
+    for (auto& thread : this->threads)
+    {
+        thread.join();
+    }
+}
+
+auto scripted_server::address() const -> asio::ip::tcp::endpoint
+{
+    return this->acceptor.local_endpoint();
+}
+
+auto scripted_server::run() -> void
+{
+    while (true)
+    {
+        error_code error;
+        asio::ip::tcp::socket socket(this->io);
+        this->acceptor.accept(socket, error);
+        if (this->stopping)
+        {
+            return;
+        }
+        ++this->accepted;
+        this->threads.emplace_back([this, connection = std::make_shared<peer_connection>(
+                                              std::move(socket))] { this->serve(*connection); });
+    }
+}
+
+auto connect_to(const asio::ip::tcp::endpoint& address) -> peer_connection
+{
+    asio::ip::tcp::socket socket(client_io);
+    error_code ignored;
+    socket.connect(address, ignored);
+    return peer_connection(std::move(socket));
+}
+
+auto free_address() -> asio::ip::tcp::endpoint
+{
+    asio::ip::tcp::acceptor acceptor(client_io, {asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint();
+}
+
+} // namespace poplardrift::tests
--- /dev/null
+++ b/tests/store_stand_in.cpp
@@ -0,0 +1,180 @@
+#include "store_stand_in.hpp"
+
+#include "platform/store_client.hpp"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace poplardrift::tests
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+auto to_base64(const std::string& bytes) -> std::string
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const auto size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                                      static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+auto big_endian(std::uint64_t number) -> std::string
+{
+    std::string bytes;
+    for (int shift = 56; shift >= 0; shift -= 8)
+    {
+        bytes.push_back(static_cast<char>(number >> static_cast<unsigned>(shift) & 0xffU));
+    }
+    return bytes;
+}
+
+auto number_param(const httplib::Request& request, const char* name) -> std::uint64_t
+{
+    return request.has_param(name) ? std::stoull(request.get_param_value(name)) : 0;
+}
+
+constexpr std::size_t page_items = 3; ///< small, so that listings have several pages
+
+} // namespace
+
+store_stand_in::store_stand_in()
+{
+    this->server.Post("/-/log-append", [this](const auto& request, auto& response)
+                      { this->handle_append(request, response); });
+    this->server.Get("/-/log-read", [this](const auto& request, auto& response)
+                     { this->handle_read(request, response); });
+    this->server.Get("/-/log-newest", [this](const auto& request, auto& response)
+                     { this->handle_newest(request, response); });
+    this->listening_port = this->server.bind_to_any_port("127.0.0.1");
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running())
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+store_stand_in::~store_stand_in()
+{
+    this->stopping = true;
+    this->news.notify_all();
+    this->server.stop();
+    this->thread.join();
+}
+
+auto store_stand_in::put_locked(topic& target, const std::string& key,
+                                const std::optional<std::string>& value) -> void
+{
+    const auto position = target.first + target.records.size();
+    target.records.push_back({key, value});
+    target.newest.erase(key);
+    if (value)
+    {
+        target.newest[key] = {position, *value};
+    }
+}
+
+auto store_stand_in::put(const std::string& name, const std::string& key,
+                         const std::optional<std::string>& value) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->put_locked(this->topics[name], key, value);
+    this->news.notify_all();
+}
+
+auto store_stand_in::expire(const std::string& name) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    auto& target = this->topics[name];
+    target.first += target.records.size();
+    target.records.clear();
+}
+
+auto store_stand_in::refuse(httplib::Response& response) -> bool
+{
+    ++this->call_count;
+    if (this->down)
+    {
+        response.status = 503;
+    }
+    return this->down;
+}
+
+auto store_stand_in::handle_append(const httplib::Request& request, httplib::Response& response)
+    -> void
+{
+    if (this->refuse(response))
+    {
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    auto& target = this->topics[request.get_param_value("topic")];
+    const auto& body = request.body;
+    const auto key_size = static_cast<std::size_t>(static_cast<unsigned char>(body.at(4)));
+    this->put_locked(target, body.substr(5, key_size), body.substr(5 + key_size));
+    this->news.notify_all();
+    const auto end = target.first + target.records.size();
+    response.set_content(json{{"offset", end - 1}, {"end_offset", end}}.dump(), "application/json");
+}
+
+auto store_stand_in::handle_read(const httplib::Request& request, httplib::Response& response)
+    -> void
+{
+    if (this->refuse(response))
+    {
+        return;
+    }
+    std::unique_lock lock(this->mutex);
+    auto& target = this->topics[request.get_param_value("topic")];
+    const auto from = number_param(request, "from");
+    const auto wait = std::chrono::milliseconds(number_param(request, "wait_ms"));
+    this->news.wait_for(lock, wait,
+                        [&] {
+                            return this->stopping || from < target.first ||
+                                   from < target.first + target.records.size();
+                        });
+    if (from < target.first)
+    {
+        response.status = 410;
+        response.set_content(json{{"first_offset", target.first}}.dump(), "application/json");
+        return;
+    }
+    auto body = big_endian(target.first + target.records.size()) + big_endian(target.first);
+    for (auto index = from - target.first; index < target.records.size(); ++index)
+    {
+        const auto& item = target.records[index];
+        body += platform::encode_keyed_record(item.key, item.value);
+    }
+    response.set_content(body, "application/octet-stream");
+}
+
+auto store_stand_in::handle_newest(const httplib::Request& request, httplib::Response& response)
+    -> void
+{
+    if (this->refuse(response))
+    {
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    auto& target = this->topics[request.get_param_value("topic")];
+    const auto after = request.has_param("after") ? request.get_param_value("after") : "";
+    json items = json::array();
+    auto next = after.empty() ? target.newest.begin() : target.newest.upper_bound(after);
+    for (; next != target.newest.end() && items.size() < page_items; ++next)
+    {
+        items.push_back({{"key", next->first},
+                         {"value", to_base64(next->second.second)},
+                         {"offset", next->second.first}});
+    }
+    response.set_content(json{{"items", items},
+                              {"has_more", next != target.newest.end()},
+                              {"end_offset", target.first + target.records.size()}}
+                             .dump(),
+                         "application/json");
+}
+
+} // namespace poplardrift::tests
--- /dev/null
+++ b/tests/store_stand_in.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace poplardrift::tests
+{
+
+/// A small stand-in for the platform's store: keyed topics with one partition, appends, waiting
+/// reads, listings of the newest records, expiry, and outages.
+class store_stand_in final
+{
+public:
+    store_stand_in();
+    ~store_stand_in();
+    store_stand_in(const store_stand_in&) = delete;
+    auto operator=(const store_stand_in&) -> store_stand_in& = delete;
+
+    [[nodiscard]] auto port() const -> std::uint16_t
+    {
+        return static_cast<std::uint16_t>(this->listening_port);
+    }
+    /// Writes a record as operators and runners do; without a value the key is removed.
+    auto put(const std::string& topic, const std::string& key,
+             const std::optional<std::string>& value) -> void;
+    /// Forgets all records; the newest of each key stays in the listing.
+    auto expire(const std::string& topic) -> void;
+    auto set_down(bool is_down) -> void { this->down = is_down; }
+    [[nodiscard]] auto calls() const -> int { return this->call_count; }
+
+private:
+    struct record
+    {
+        std::string key;
+        std::optional<std::string> value;
+    };
+    struct topic
+    {
+        std::vector<record> records;
+        std::uint64_t first = 0; ///< position of the oldest that is kept
+        std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    };
+
+    auto handle_append(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_read(const httplib::Request& request, httplib::Response& response) -> void;
+    auto handle_newest(const httplib::Request& request, httplib::Response& response) -> void;
+    [[nodiscard]] auto refuse(httplib::Response& response) -> bool;
+    auto put_locked(topic& target, const std::string& key, const std::optional<std::string>& value)
+        -> void;
+
+    std::mutex mutex;
+    std::condition_variable news;
+    std::map<std::string, topic> topics;
+    std::atomic<bool> down{false};
+    std::atomic<bool> stopping{false};
+    std::atomic<int> call_count{0};
+    httplib::Server server;
+    int listening_port = 0;
+    std::thread thread;
+};
+
+} // namespace poplardrift::tests
