--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -22,6 +22,8 @@
 /// that a host's beacons cost the same whatever the size of the fleet.
 constexpr std::size_t peers_at_least_interval = 8;
 constexpr duration silent_beacon_interval = 1s; ///< to peers that have not been heard
+/// Beacons that are missing in a row when a zone counts as silent; single ones get lost.
+constexpr int beacons_of_silence = 4;
 constexpr duration alive_time = 1500ms;         ///< since the last beacon
 /// A silent peer may be cut off and still send to upstreams; for this long it keeps its share of
 /// what is divided among the hosts.
@@ -176,33 +178,35 @@
 auto peer_link::on_datagram(std::size_t size) -> void
 {
     const auto now = boot_clock_now();
-    auto beacon = decode_beacon({this->datagram.data(), size});
-    if (!beacon)
+    auto decoded = decode_beacon({this->datagram.data(), size});
+    if (!decoded)
     {
         this->log.write(
             event_code::peer_message_rejected,
-            {{"from", this->sender.address().to_string()}, {"reason", beacon.last_reason()}});
+            {{"from", this->sender.address().to_string()}, {"reason", decoded.last_reason()}});
         return;
     }
-    if (beacon->host == this->settings.host)
+    auto& beacon = *decoded;
+    if (beacon.host == this->settings.host)
     {
         return;
     }
     const auto address = this->sender.address().to_v4();
     auto& other = this->peers[address];
-    if (other.incarnation != beacon->incarnation || !this->is_alive(other, now))
+    if (other.incarnation != beacon.incarnation || !this->is_alive(other, now))
     {
         this->log.write(
             event_code::member_changed,
-            {{"peer", beacon->host}, {"state", "alive"}, {"incarnation", beacon->incarnation}});
+            {{"peer", beacon.host}, {"state", "alive"}, {"incarnation", beacon.incarnation}});
         other.next_beacon = {}; // it may know nobody yet
     }
-    other.host = beacon->host;
-    other.incarnation = beacon->incarnation;
+    other.host = beacon.host;
+    other.zone = zone_name(beacon.zone);
+    other.incarnation = beacon.incarnation;
     other.heard_at = now;
-    other.ends = beacon->ends;
-    other.loads = std::move(beacon->loads);
-    this->board.add_sights_elsewhere(beacon->sights);
+    other.ends = beacon.ends;
+    other.loads = std::move(beacon.loads);
+    this->board.add_sights_elsewhere(beacon.sights);
     this->loads_changed = true;
 }
 
@@ -257,6 +261,7 @@
         ++item;
     }
     this->add_up_loads(now);
+    this->board.set_silent_zones(this->find_silent_zones(now));
     this->look_for_news(now);
 }
 
@@ -264,6 +269,7 @@
 {
     host_beacon beacon;
     beacon.host = this->settings.host;
+    beacon.zone = this->settings.zone.value();
     beacon.incarnation = this->settings.incarnation;
     beacon.ends = {this->state.mirror_of(record_stream::operators).end(),
                    this->state.mirror_of(record_stream::upstreams).end()};
@@ -306,6 +312,26 @@
     this->board.set_others(std::move(loads));
 }
 
+auto peer_link::find_silent_zones(time_point now) const -> std::set<zone_name>
+{
+    std::set<zone_name> silent;
+    std::set<zone_name> heard;
+    for (const auto& [address, other] : this->peers)
+    {
+        if (other.host.empty() || other.zone == this->settings.zone)
+        {
+            continue;
+        }
+        const auto is_silent = now - other.heard_at > this->beacon_interval() * beacons_of_silence;
+        (is_silent ? silent : heard).insert(other.zone);
+    }
+    for (const auto& zone : heard)
+    {
+        silent.erase(zone);
+    }
+    return silent;
+}
+
 auto peer_link::look_for_news(time_point now) -> void
 {
     for (auto& [address, other] : this->peers)
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
 struct peer_settings
 {
     std::string host;
+    zone_name zone;
     std::uint64_t incarnation = 0;
     boost::asio::ip::address_v4 address;
     std::uint16_t port = 0;                         ///< the same on all hosts, UDP and TCP
@@ -54,6 +56,7 @@
     struct peer
     {
         std::string host; ///< empty before the first beacon
+        zone_name zone;
         std::uint64_t incarnation = 0;
         time_point known_since{};
         time_point heard_at{};
@@ -74,6 +77,8 @@
     auto fetch_from(const boost::asio::ip::address_v4& address) -> void;
     auto on_batch(const std::string& body) -> void;
     auto answer_fetch(const http::request_head& head) const -> traffic::status_answer;
+    /// Zones whose hosts have been heard before and are all silent now: probably cut off.
+    [[nodiscard]] auto find_silent_zones(time_point now) const -> std::set<zone_name>;
     [[nodiscard]] auto is_alive(const peer& other, time_point now) const -> bool;
     [[nodiscard]] auto beacon_interval() const -> duration;
 
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -70,8 +70,9 @@
     return records;
 }
 
-using beacon_body = std::tuple<std::uint32_t, std::string, std::uint64_t, std::uint64_t,
-                               std::uint64_t, std::vector<load_row>, std::vector<sight_row>>;
+using beacon_body =
+    std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, std::uint64_t, std::uint64_t,
+               std::vector<load_row>, std::vector<sight_row>>;
 using batch_body = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<record_row>,
                               std::vector<record_row>>;
 
@@ -92,7 +93,7 @@
     {
         sights.emplace_back(sight.upstream, sight.chain_hash, sight.tokens);
     }
-    return pack(beacon_body(protocol_version, beacon.host, beacon.incarnation,
+    return pack(beacon_body(protocol_version, beacon.host, beacon.zone, beacon.incarnation,
                             beacon.ends[0].value(), beacon.ends[1].value(), loads, sights));
 }
 
@@ -106,13 +107,14 @@
     }
     host_beacon beacon;
     beacon.host = std::get<1>(*body);
-    beacon.incarnation = std::get<2>(*body);
-    beacon.ends = {record_position(std::get<3>(*body)), record_position(std::get<4>(*body))};
-    for (const auto& [upstream, in_flight, ejected] : std::get<5>(*body))
+    beacon.zone = std::get<2>(*body);
+    beacon.incarnation = std::get<3>(*body);
+    beacon.ends = {record_position(std::get<4>(*body)), record_position(std::get<5>(*body))};
+    for (const auto& [upstream, in_flight, ejected] : std::get<6>(*body))
     {
         beacon.loads.push_back({upstream, in_flight, ejected});
     }
-    for (const auto& [upstream, chain_hash, tokens] : std::get<6>(*body))
+    for (const auto& [upstream, chain_hash, tokens] : std::get<7>(*body))
     {
         beacon.sights.push_back({upstream, chain_hash, tokens});
     }
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -16,6 +16,7 @@
 struct host_beacon
 {
     std::string host;
+    std::string zone;
     std::uint64_t incarnation = 0;       ///< differs between starts of the host
     std::array<record_position, 2> ends; ///< up to where the host knows each stream
     std::vector<traffic::upstream_load> loads;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -49,6 +49,9 @@
 constexpr double ms_when_ejected = 2000.0;
 constexpr double ms_when_silent = 1000.0;
 constexpr double ms_when_probation_full = 500.0;
+constexpr double ms_when_zone_silent = 400.0;
+/// An upstream that was heard more recently is reached, whatever the hosts of its zone do.
+constexpr duration recently_heard = 250ms;
 /// Cost of the recent failure share: a failed request waits for its second send.
 constexpr double ms_for_all_failing = 300.0;
 
@@ -315,6 +318,10 @@
         {
             choice.cost_ms += ms_for_other_zone;
         }
+        if (candidate.zone_silent && query.now - candidate.state->last_heard > recently_heard)
+        {
+            choice.cost_ms += ms_when_zone_silent;
+        }
         if (query.prompt != nullptr)
         {
             choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -41,6 +41,7 @@
     std::uint64_t hash = 0; ///< of its name, for rendezvous hashing
     std::shared_ptr<upstream_state> state;
     bool zone_out = false;
+    bool zone_silent = false; ///< no host there is heard; the zone may be cut off from this one
 };
 
 } // namespace poplardrift::routing
--- a/src/traffic/load_board.hpp
+++ b/src/traffic/load_board.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "poplardrift/base/ids.hpp"
+
 #include <cstdint>
 #include <mutex>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -62,6 +65,18 @@
         return true;
     }
 
+    /// Control thread: zones from which no host is heard.
+    auto set_silent_zones(std::set<zone_name> zones) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->silent_zones = std::move(zones);
+    }
+    /// Traffic thread.
+    [[nodiscard]] auto get_silent_zones() const -> std::set<zone_name>
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->silent_zones;
+    }
     /// Traffic thread: what this host's requests have shown.
     auto add_own_sight(const prompt_sight& sight) -> void
     {
@@ -92,6 +107,7 @@
     std::vector<upstream_load> own;
     std::vector<upstream_load> others;
     std::uint64_t others_version = 0;
+    std::set<zone_name> silent_zones;
     std::vector<prompt_sight> own_sights;
     std::vector<prompt_sight> sights_elsewhere;
 };
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -15,7 +15,7 @@
 
 /// A connection inside the platform stands within a few ms; one that takes this long goes to a
 /// host that has lost its power or is cut off.
-constexpr duration connect_timeout = 250ms;
+constexpr duration connect_timeout = 150ms;
 /// Without acknowledgement for this long an upstream's connection counts as broken.
 constexpr duration upstream_silence = 2s;
 constexpr duration tick_interval = 50ms; ///< age of the counts that other hosts are told
@@ -317,6 +317,11 @@
             }
         }
     }
+    const auto silent_zones = this->board.get_silent_zones();
+    for (auto& upstream : this->upstreams)
+    {
+        upstream.zone_silent = silent_zones.contains(upstream.known.entry.zone);
+    }
     if (!this->board.get_others(this->others_version, this->others))
     {
         return;
