--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -17,7 +17,7 @@
 /// Part of the load bound that is used: other hosts' counts are a few hundred ms old.
 constexpr double used_load_part = 0.8;
 /// The load bound allows this many requests beyond the multiple of the mean.
-constexpr double load_allowance = 2.0;
+constexpr double load_allowance = 3.0;
 /// An engine with requests under way sends events every few tens of ms.
 constexpr duration engine_silence = 400ms;
 /// A plain service answers in tens of ms, its slowest answers in about 200.
@@ -50,6 +50,8 @@
 constexpr double ms_when_silent = 1000.0;
 constexpr double ms_when_probation_full = 500.0;
 constexpr double ms_when_zone_silent = 400.0;
+/// Cost beyond the load bound, while upstreams of the service are out and the others take over.
+constexpr double ms_when_over_bound = 300.0;
 /// An upstream that was heard more recently is reached, whatever the hosts of its zone do.
 constexpr duration recently_heard = 250ms;
 /// Cost of the recent failure share: a failed request waits for its second send.
@@ -198,7 +200,8 @@
 }
 
 /// Cost of taking an upstream that the verdict advises against; nothing when it rules it out.
-auto cost_of(exclusion verdict) -> std::optional<double>
+/// `disturbed`: upstreams of the service are out, so that the mean load says nothing of the rest.
+auto cost_of(exclusion verdict, bool disturbed) -> std::optional<double>
 {
     switch (verdict)
     {
@@ -210,11 +213,25 @@
         return ms_when_silent;
     case exclusion::probation_full:
         return ms_when_probation_full;
+    case exclusion::load_bound:
+        return disturbed ? std::optional(ms_when_over_bound) : std::nullopt;
     default:
         return std::nullopt;
     }
 }
 
+auto is_disturbed(std::span<const live_upstream> upstreams, const placement_query& query) -> bool
+{
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [&](const live_upstream& candidate)
+                       {
+                           return candidate.service == query.service &&
+                                  !candidate.known.entry.leaving &&
+                                  (candidate.zone_silent ||
+                                   candidate.state->health.is_ejected(query.now));
+                       });
+}
+
 } // namespace
 
 auto to_text(exclusion why) -> std::string_view
@@ -266,11 +283,6 @@
     {
         return exclusion::cold_limit;
     }
-    const auto bound = used_load_part * query.bounds->load_factor * mean_in_flight + load_allowance;
-    if (in_flight_of(candidate) + 1 > bound)
-    {
-        return exclusion::load_bound;
-    }
     if (state.health.is_ejected(query.now))
     {
         return exclusion::ejected;
@@ -283,6 +295,11 @@
     {
         return exclusion::silent;
     }
+    const auto bound = used_load_part * query.bounds->load_factor * mean_in_flight + load_allowance;
+    if (in_flight_of(candidate) + 1 > bound)
+    {
+        return exclusion::load_bound;
+    }
     return exclusion::none;
 }
 
@@ -290,6 +307,7 @@
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
     const auto mean = mean_in_flight_of(upstreams, query.service);
+    const auto disturbed = is_disturbed(upstreams, query);
     const auto holder = query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
     const auto is_held =
         holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
@@ -302,7 +320,7 @@
     {
         const auto& candidate = upstreams[position];
         const auto verdict = judge(candidate, query, mean);
-        const auto penalty = cost_of(verdict);
+        const auto penalty = cost_of(verdict, disturbed);
         if (!penalty)
         {
             ++refusals[static_cast<std::size_t>(verdict)];
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -96,6 +96,22 @@
     CHECK(judge(it.upstreams[1], it.query, 8.0) == exclusion::none);
 }
 
+TEST_CASE("while upstreams are out, the others take over beyond the load bound")
+{
+    setting it;
+    for (auto& upstream : it.upstreams)
+    {
+        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0);
+    }
+    // Three are cut off; the fourth has taken all their load. The mean says that it is full.
+    it.upstreams[3].state = std::make_shared<upstream_state>(0);
+    it.upstreams[3].state->in_flight = 12;
+    REQUIRE(judge(it.upstreams[3], it.query, 3.0) == exclusion::load_bound);
+    const auto choice = it.choose();
+    REQUIRE(choice);
+    CHECK(choice->position == 3);
+}
+
 TEST_CASE("a prompt goes where its shared parts have been read, also for another host")
 {
     setting it;
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -242,7 +242,6 @@
     {
         state.waiting_since = now;
     }
-    state.cold_sends.add(now);
     if (this->facts.prompt)
     {
         const auto input = this->facts.prompt->input_tokens;
@@ -279,6 +278,7 @@
     this->is_sent = true;
     ++this->sends;
     this->tried.push_back(this->upstream.get());
+    this->upstream->cold_sends.add(boot_clock_now());
     this->service.count_send(this->target_service, this->sends > 1);
 }
 
@@ -429,6 +429,7 @@
     if (why == http::transport_failure::not_connected)
     {
         ++this->connect_failures;
+        this->tried.push_back(this->upstream.get());
         this->note_fault(upstream_fault::unreachable);
         this->service.get_pool().close_all(this->upstream.get());
         this->settle_send(send_fate::not_sent, "not connected");
