--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -72,19 +72,25 @@
     return candidate.state->in_flight + candidate.state->in_flight_elsewhere;
 }
 
-auto mean_in_flight_of(std::span<const live_upstream> upstreams, std::size_t service) -> double
+auto weigh_load(std::span<const live_upstream> upstreams, const placement_query& query)
+    -> service_load
 {
+    service_load load;
     double sum = 0.0;
     int count = 0;
     for (const auto& candidate : upstreams)
     {
-        if (candidate.service == service && !candidate.known.entry.leaving)
+        if (candidate.service != query.service || candidate.known.entry.leaving)
         {
-            sum += in_flight_of(candidate);
-            ++count;
+            continue;
         }
+        sum += in_flight_of(candidate);
+        ++count;
+        load.disturbed = load.disturbed || candidate.zone_silent ||
+                         candidate.state->health.is_ejected(query.now);
     }
-    return count == 0 ? 0.0 : sum / count;
+    load.mean_in_flight = count == 0 ? 0.0 : sum / count;
+    return load;
 }
 
 auto rendezvous_first(std::span<const live_upstream> upstreams, const placement_query& query)
@@ -200,8 +206,7 @@
 }
 
 /// Cost of taking an upstream that the verdict advises against; nothing when it rules it out.
-/// `disturbed`: upstreams of the service are out, so that the mean load says nothing of the rest.
-auto cost_of(exclusion verdict, bool disturbed) -> std::optional<double>
+auto cost_of(exclusion verdict, const service_load& load) -> std::optional<double>
 {
     switch (verdict)
     {
@@ -214,24 +219,12 @@
     case exclusion::probation_full:
         return ms_when_probation_full;
     case exclusion::load_bound:
-        return disturbed ? std::optional(ms_when_over_bound) : std::nullopt;
+        return load.disturbed ? std::optional(ms_when_over_bound) : std::nullopt;
     default:
         return std::nullopt;
     }
 }
 
-auto is_disturbed(std::span<const live_upstream> upstreams, const placement_query& query) -> bool
-{
-    return std::any_of(upstreams.begin(), upstreams.end(),
-                       [&](const live_upstream& candidate)
-                       {
-                           return candidate.service == query.service &&
-                                  !candidate.known.entry.leaving &&
-                                  (candidate.zone_silent ||
-                                   candidate.state->health.is_ejected(query.now));
-                       });
-}
-
 } // namespace
 
 auto to_text(exclusion why) -> std::string_view
@@ -249,7 +242,7 @@
     return used_cold_part * whole / static_cast<double>(host_count);
 }
 
-auto judge(const live_upstream& candidate, const placement_query& query, double mean_in_flight)
+auto judge(const live_upstream& candidate, const placement_query& query, const service_load& load)
     -> exclusion
 {
     auto& state = *candidate.state;
@@ -283,6 +276,13 @@
     {
         return exclusion::cold_limit;
     }
+    const auto bound =
+        used_load_part * query.bounds->load_factor * load.mean_in_flight + load_allowance;
+    const auto over_bound = in_flight_of(candidate) + 1 > bound;
+    if (over_bound && !load.disturbed)
+    {
+        return exclusion::load_bound;
+    }
     if (state.health.is_ejected(query.now))
     {
         return exclusion::ejected;
@@ -295,19 +295,13 @@
     {
         return exclusion::silent;
     }
-    const auto bound = used_load_part * query.bounds->load_factor * mean_in_flight + load_allowance;
-    if (in_flight_of(candidate) + 1 > bound)
-    {
-        return exclusion::load_bound;
-    }
-    return exclusion::none;
+    return over_bound ? exclusion::load_bound : exclusion::none;
 }
 
 auto choose_upstream(std::span<const live_upstream> upstreams, const placement_query& query,
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
-    const auto mean = mean_in_flight_of(upstreams, query.service);
-    const auto disturbed = is_disturbed(upstreams, query);
+    const auto load = weigh_load(upstreams, query);
     const auto holder = query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
     const auto is_held =
         holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
@@ -319,8 +313,8 @@
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
         const auto& candidate = upstreams[position];
-        const auto verdict = judge(candidate, query, mean);
-        const auto penalty = cost_of(verdict, disturbed);
+        const auto verdict = judge(candidate, query, load);
+        const auto penalty = cost_of(verdict, load);
         if (!penalty)
         {
             ++refusals[static_cast<std::size_t>(verdict)];
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -63,11 +63,19 @@
     int considered = 0;
 };
 
+/// How loaded the upstreams of a service are as a whole.
+struct service_load
+{
+    double mean_in_flight = 0.0;
+    /// Upstreams are out, so that the mean says little of what the others may carry.
+    bool disturbed = false;
+};
+
 /// May this upstream take one more request? Bounds over all hosts are kept by this host's part.
 /// What rules an upstream out comes before what only speaks against it (ejected, probation_full,
-/// silent).
+/// silent, and load_bound while others are out).
 [[nodiscard]] auto judge(const live_upstream& candidate, const placement_query& query,
-                         double mean_in_flight) -> exclusion;
+                         const service_load& load) -> exclusion;
 
 /// Chooses the upstream that costs the request least, in milliseconds of expected wait. Walks all
 /// upstreams twice and allocates nothing. `why_not` says what stood against it when none is found.
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -92,8 +92,8 @@
         it.upstreams[other].state->in_flight_elsewhere = 4;
     }
     // Mean 8: at most 2 x 8 + 3 = 19 may be under way at one.
-    CHECK(judge(it.upstreams[0], it.query, 8.0) == exclusion::load_bound);
-    CHECK(judge(it.upstreams[1], it.query, 8.0) == exclusion::none);
+    CHECK(judge(it.upstreams[0], it.query, {8.0, false}) == exclusion::load_bound);
+    CHECK(judge(it.upstreams[1], it.query, {8.0, false}) == exclusion::none);
 }
 
 TEST_CASE("while upstreams are out, the others take over beyond the load bound")
@@ -106,7 +106,8 @@
     // Three are cut off; the fourth has taken all their load. The mean says that it is full.
     it.upstreams[3].state = std::make_shared<upstream_state>(0);
     it.upstreams[3].state->in_flight = 12;
-    REQUIRE(judge(it.upstreams[3], it.query, 3.0) == exclusion::load_bound);
+    it.upstreams[3].state->last_heard = now;
+    REQUIRE(judge(it.upstreams[3], it.query, {3.0, false}) == exclusion::load_bound);
     const auto choice = it.choose();
     REQUIRE(choice);
     CHECK(choice->position == 3);
