Two hosts read the registry; the others hear its news from them

Beacons now say up to where a host knows each stream and after which record nothing new was meant; hosts that hear a reader keep up fetch only news, and read by themselves when no reader's position moves for 0.9 s.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_state.hpp"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace poplardrift::fleet
@@ -83,6 +84,16 @@
                      {"upstreams_position", this->mirrors[1].end().value()}});
 }
 
+auto fleet_state::on_quiet_stream(record_stream stream, record_position news_end,
+                                  record_position end) -> void
+{
+    auto& mirror = this->mirrors[static_cast<std::size_t>(stream)];
+    if (mirror.is_complete() && news_end <= mirror.end())
+    {
+        mirror.advance(end);
+    }
+}
+
 auto fleet_state::fold(record_stream stream, const published_record& record, time_point now) -> void
 {
     auto change = this->decoder.decode(stream, record);
@@ -93,6 +104,7 @@
                                                      {"reason", change.last_reason()}});
         return;
     }
+    const auto was_changed = std::exchange(this->changed, false);
     struct visitor
     {
         fleet_state& self;
@@ -104,6 +116,12 @@
         auto operator()(const nothing_said&) -> void {}
     };
     std::visit(visitor{*this, now}, *change);
+    if (this->changed)
+    {
+        auto& news_end = this->news_ends[static_cast<std::size_t>(stream)];
+        news_end = std::max(news_end, record_position(record.position.value() + 1));
+    }
+    this->changed = this->changed || was_changed;
 }
 
 auto fleet_state::on_configuration(const configuration_published& published) -> void
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -32,6 +32,9 @@
     /// All newest records of a stream, as the platform lists them.
     auto on_listing(record_stream stream, const std::vector<published_record>& records,
                     record_position end, time_point now) -> void;
+    /// Another host knows the stream up to `end` and has seen no news after `news_end`.
+    auto on_quiet_stream(record_stream stream, record_position news_end, record_position end)
+        -> void;
     /// The platform does not serve this host, or does again.
     auto on_platform_reachable(bool reachable, time_point now) -> void;
 
@@ -39,6 +42,11 @@
     {
         return this->mirrors[static_cast<std::size_t>(stream)];
     }
+    /// Position after the last record that changed what this host believes.
+    [[nodiscard]] auto news_end_of(record_stream stream) const -> record_position
+    {
+        return this->news_ends[static_cast<std::size_t>(stream)];
+    }
     /// A new view if anything has changed since the last call; null otherwise.
     [[nodiscard]] auto take_view(time_point now) -> std::shared_ptr<const routing::fleet_view>;
 
@@ -57,6 +65,7 @@
     routing::fleet_bounds bounds;
     std::size_t host_count = 1;
     std::array<keyed_mirror, 2> mirrors;
+    std::array<record_position, 2> news_ends;
     std::shared_ptr<const routing::routing_configuration> configuration;
     std::map<routing::upstream_name, routing::known_upstream> upstreams;
     std::set<zone_name> zones_out;
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -24,7 +24,7 @@
 constexpr duration silent_beacon_interval = 1s; ///< to peers that have not been heard
 /// Beacons that are missing in a row when a zone counts as silent; single ones get lost.
 constexpr int beacons_of_silence = 4;
-constexpr duration alive_time = 1500ms;         ///< since the last beacon
+constexpr duration alive_time = 1500ms; ///< since the last beacon
 /// A silent peer may be cut off and still send to upstreams; for this long it keeps its share of
 /// what is divided among the hosts.
 constexpr duration share_time = 45s;
@@ -37,6 +37,12 @@
 /// along: they only save work.
 constexpr std::size_t most_sights_kept = 256;
 constexpr std::size_t most_sights_told = 16;
+/// Hosts that read the registry often; the others hear from them. Two, so that the loss of one is
+/// not noticed.
+constexpr std::size_t registry_readers = 2;
+/// A host that reads it sees the registry move with every heartbeat of an upstream, several times
+/// in this time; one that does not keeps up with it.
+constexpr duration registry_pause = 900ms;
 constexpr duration fetch_timeout = 500ms;
 constexpr std::string_view fetch_path = "/records/";
 
@@ -204,7 +210,17 @@
     other.zone = zone_name(beacon.zone);
     other.incarnation = beacon.incarnation;
     other.heard_at = now;
+    for (std::size_t stream = 0; stream < beacon.ends.size(); ++stream)
+    {
+        if (beacon.ends[stream] > other.ends[stream])
+        {
+            other.advanced_at[stream] = now;
+        }
+        this->state.on_quiet_stream(static_cast<record_stream>(stream), beacon.news_ends[stream],
+                                    beacon.ends[stream]);
+    }
     other.ends = beacon.ends;
+    other.news_ends = beacon.news_ends;
     other.loads = std::move(beacon.loads);
     this->board.add_sights_elsewhere(beacon.sights);
     this->loads_changed = true;
@@ -273,6 +289,8 @@
     beacon.incarnation = this->settings.incarnation;
     beacon.ends = {this->state.mirror_of(record_stream::operators).end(),
                    this->state.mirror_of(record_stream::upstreams).end()};
+    beacon.news_ends = {this->state.news_end_of(record_stream::operators),
+                        this->state.news_end_of(record_stream::upstreams)};
     beacon.loads = this->board.get_own();
     const auto oldest = this->sights_end - this->sights.size();
     other.next_sight = std::clamp(other.next_sight, oldest, this->sights_end);
@@ -339,11 +357,12 @@
         for (std::size_t stream = 0; stream < delivery_time.size(); ++stream)
         {
             const auto& mirror = this->state.mirror_of(static_cast<record_stream>(stream));
-            const auto ahead = this->is_alive(other, now) && other.ends[stream] > mirror.end();
+            const auto ahead = this->is_alive(other, now) && other.ends[stream] > mirror.end() &&
+                               (other.news_ends[stream] > mirror.end() || !mirror.is_complete());
             auto& since = other.ahead_since[stream];
             since = !ahead ? time_point{} : since == time_point{} ? now : since;
-            const auto is_late =
-                ahead && (now - since >= delivery_time[stream] || !mirror.is_complete());
+            const auto is_late = ahead && (now - since >= this->delivery_time_of(stream, now) ||
+                                           !mirror.is_complete());
             if (is_late && !this->fetch)
             {
                 this->fetch_from(address);
@@ -353,6 +372,25 @@
     }
 }
 
+auto peer_link::should_read_registry(time_point now) const -> bool
+{
+    constexpr auto registry = static_cast<std::size_t>(record_stream::upstreams);
+    std::size_t before = 0;
+    for (const auto& [address, other] : this->peers)
+    {
+        const auto keeps_up =
+            this->is_alive(other, now) && now - other.advanced_at[registry] < registry_pause;
+        before += keeps_up && address < this->settings.address ? 1 : 0;
+    }
+    return before < registry_readers;
+}
+
+auto peer_link::delivery_time_of(std::size_t stream, time_point now) const -> duration
+{
+    const auto is_registry = stream == static_cast<std::size_t>(record_stream::upstreams);
+    return is_registry && !this->should_read_registry(now) ? 0ns : delivery_time[stream];
+}
+
 auto peer_link::fetch_from(const address_v4& address) -> void
 {
     this->fetch = std::make_shared<batch_fetch>(*this, address);
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -49,6 +49,9 @@
         -> void;
     /// Sends what is due, and looks for peers that are ahead. Call about every 50 ms.
     auto tick(time_point now) -> void;
+    /// True when this host is to read the registry often: it is among the first by address of those
+    /// that are alive, or none of the others keeps up with it.
+    [[nodiscard]] auto should_read_registry(time_point now) const -> bool;
     /// Hosts that may be alive, this one included.
     [[nodiscard]] auto count_hosts(time_point now) const -> std::size_t;
 
@@ -62,6 +65,8 @@
         time_point heard_at{};
         time_point next_beacon{};
         std::array<record_position, 2> ends;
+        std::array<record_position, 2> news_ends;
+        std::array<time_point, 2> advanced_at{}; ///< when an end last moved
         std::array<time_point, 2> ahead_since{}; ///< time_point{}: not ahead
         std::vector<traffic::upstream_load> loads;
         std::uint64_t next_sight = 0; ///< number of the first sight that it has not been told
@@ -80,6 +85,8 @@
     /// Zones whose hosts have been heard before and are all silent now: probably cut off.
     [[nodiscard]] auto find_silent_zones(time_point now) const -> std::set<zone_name>;
     [[nodiscard]] auto is_alive(const peer& other, time_point now) const -> bool;
+    /// Time that the platform's own delivery of news to this host takes.
+    [[nodiscard]] auto delivery_time_of(std::size_t stream, time_point now) const -> duration;
     [[nodiscard]] auto beacon_interval() const -> duration;
 
     boost::asio::io_context& io;
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -70,9 +70,19 @@
     return records;
 }
 
-using beacon_body =
-    std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, std::uint64_t, std::uint64_t,
-               std::vector<load_row>, std::vector<sight_row>>;
+using position_row = std::tuple<std::uint64_t, std::uint64_t>; // operators, upstreams
+using beacon_body = std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, position_row,
+                               position_row, std::vector<load_row>, std::vector<sight_row>>;
+auto to_row(const std::array<record_position, 2>& positions) -> position_row
+{
+    return {positions[0].value(), positions[1].value()};
+}
+
+auto from_row(const position_row& row) -> std::array<record_position, 2>
+{
+    return {record_position(std::get<0>(row)), record_position(std::get<1>(row))};
+}
+
 using batch_body = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<record_row>,
                               std::vector<record_row>>;
 
@@ -94,7 +104,7 @@
         sights.emplace_back(sight.upstream, sight.chain_hash, sight.tokens);
     }
     return pack(beacon_body(protocol_version, beacon.host, beacon.zone, beacon.incarnation,
-                            beacon.ends[0].value(), beacon.ends[1].value(), loads, sights));
+                            to_row(beacon.ends), to_row(beacon.news_ends), loads, sights));
 }
 
 auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
@@ -109,7 +119,8 @@
     beacon.host = std::get<1>(*body);
     beacon.zone = std::get<2>(*body);
     beacon.incarnation = std::get<3>(*body);
-    beacon.ends = {record_position(std::get<4>(*body)), record_position(std::get<5>(*body))};
+    beacon.ends = from_row(std::get<4>(*body));
+    beacon.news_ends = from_row(std::get<5>(*body));
     for (const auto& [upstream, in_flight, ejected] : std::get<6>(*body))
     {
         beacon.loads.push_back({upstream, in_flight, ejected});
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -17,8 +17,9 @@
 {
     std::string host;
     std::string zone;
-    std::uint64_t incarnation = 0;       ///< differs between starts of the host
-    std::array<record_position, 2> ends; ///< up to where the host knows each stream
+    std::uint64_t incarnation = 0;            ///< differs between starts of the host
+    std::array<record_position, 2> ends;      ///< up to where the host knows each stream
+    std::array<record_position, 2> news_ends; ///< after the last record that meant anything new
     std::vector<traffic::upstream_load> loads;
     std::vector<traffic::prompt_sight> sights; ///< since the last beacon to the same host
 };
