Mended: a change missed while reads wait, and the load bound broken by false findings

Found on the way: a listing's end may lie after changes that its items do not show (test first: a change that overtakes a listing); reading now goes on after the newest item. LIMIT: a reset of one host's connections counted as two faults in a row at six of twelve upstreams at once, the other hosts believed it, and the rest went over the bound: faults within 100 ms count once, at most a third of a service is ejected for its answers, and the bound goes before such findings; upstreams that cannot be reached come last.

--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -372,7 +372,7 @@
     }
 }
 
-auto peer_link::should_read_registry(time_point now) const -> bool
+auto peer_link::is_reader(time_point now) const -> bool
 {
     constexpr auto registry = static_cast<std::size_t>(record_stream::upstreams);
     std::size_t before = 0;
@@ -388,7 +388,7 @@
 auto peer_link::delivery_time_of(std::size_t stream, time_point now) const -> duration
 {
     const auto is_registry = stream == static_cast<std::size_t>(record_stream::upstreams);
-    return is_registry && !this->should_read_registry(now) ? 0ns : delivery_time[stream];
+    return is_registry && !this->is_reader(now) ? 0ns : delivery_time[stream];
 }
 
 auto peer_link::fetch_from(const address_v4& address) -> void
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -49,9 +49,9 @@
         -> void;
     /// Sends what is due, and looks for peers that are ahead. Call about every 50 ms.
     auto tick(time_point now) -> void;
-    /// True when this host is to read the registry often: it is among the first by address of those
-    /// that are alive, or none of the others keeps up with it.
-    [[nodiscard]] auto should_read_registry(time_point now) const -> bool;
+    /// True when this host is to read the platform's streams often: it is among the first by
+    /// address of those that are alive, or too few of the others keep up with the registry.
+    [[nodiscard]] auto is_reader(time_point now) const -> bool;
     /// Hosts that may be alive, this one included.
     [[nodiscard]] auto count_hosts(time_point now) const -> std::size_t;
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -45,13 +45,16 @@
 constexpr std::uint32_t least_fetched_tokens = 300;
 /// Advantage of the first choice where several engines hold a prompt, so that hosts converge.
 constexpr double ms_for_first_choice = 10.0;
-/// Cost of an upstream that seems faulty: it is used before a request is refused, after all others.
-constexpr double ms_when_ejected = 2000.0;
-constexpr double ms_when_silent = 1000.0;
-constexpr double ms_when_probation_full = 500.0;
+/// Costs of upstreams that something speaks against. They are used before a request is refused,
+/// after all others, in this order: a prompt never costs as much, the load bound goes before
+/// findings that may be wrong, and trying what cannot be reached only takes time.
 constexpr double ms_when_zone_silent = 400.0;
-/// Cost beyond the load bound, while upstreams of the service are out and the others take over.
-constexpr double ms_when_over_bound = 300.0;
+constexpr double ms_when_probation_full = 500.0;
+constexpr double ms_when_silent = 1500.0;
+constexpr double ms_when_ejected = 2000.0;
+constexpr double ms_when_over_bound = 3000.0;
+constexpr double ms_when_zone_unreachable = 4000.0;
+constexpr double ms_when_unreachable = 5000.0;
 /// An upstream that was heard more recently is reached, whatever the hosts of its zone do.
 constexpr duration recently_heard = 250ms;
 /// Cost of the recent failure share: a failed request waits for its second send.
@@ -72,6 +75,20 @@
     return candidate.state->in_flight + candidate.state->in_flight_elsewhere;
 }
 
+auto zone_cost(const live_upstream& candidate, const placement_query& query) -> double
+{
+    if (candidate.known.entry.zone == *query.own_zone)
+    {
+        return 0.0;
+    }
+    const auto was_heard = query.now - candidate.state->last_heard <= recently_heard;
+    if (was_heard || !candidate.zone_silent)
+    {
+        return ms_for_other_zone;
+    }
+    return candidate.zone_unreachable ? ms_when_zone_unreachable : ms_when_zone_silent;
+}
+
 auto weigh_load(std::span<const live_upstream> upstreams, const placement_query& query)
     -> service_load
 {
@@ -212,6 +229,8 @@
     {
     case exclusion::none:
         return 0.0;
+    case exclusion::unreachable:
+        return ms_when_unreachable;
     case exclusion::ejected:
         return ms_when_ejected;
     case exclusion::silent:
@@ -229,9 +248,10 @@
 
 auto to_text(exclusion why) -> std::string_view
 {
-    static constexpr std::array<std::string_view, 13> names = {
-        "none",    "other_service",  "leaving", "zone_out",   "lapsed",     "misaddressed", "tried",
-        "ejected", "probation_full", "silent",  "cold_limit", "load_bound", "full"};
+    static constexpr std::array<std::string_view, 14> names = {
+        "none",         "other_service", "leaving", "zone_out",       "lapsed",
+        "misaddressed", "tried",         "ejected", "probation_full", "silent",
+        "cold_limit",   "load_bound",    "full",    "unreachable"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -283,6 +303,14 @@
     {
         return exclusion::load_bound;
     }
+    if (state.health.is_unreachable(query.now))
+    {
+        return exclusion::unreachable;
+    }
+    if (over_bound)
+    {
+        return exclusion::load_bound;
+    }
     if (state.health.is_ejected(query.now))
     {
         return exclusion::ejected;
@@ -295,7 +323,7 @@
     {
         return exclusion::silent;
     }
-    return over_bound ? exclusion::load_bound : exclusion::none;
+    return exclusion::none;
 }
 
 auto choose_upstream(std::span<const live_upstream> upstreams, const placement_query& query,
@@ -307,7 +335,7 @@
         holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
     const auto first =
         query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query) : std::nullopt;
-    std::array<int, 13> refusals{};
+    std::array<int, 14> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
     for (std::size_t position = 0; position < upstreams.size(); ++position)
@@ -324,16 +352,12 @@
         placement_choice choice;
         choice.position = position;
         choice.is_first_choice = first == position;
+        choice.in_flight = in_flight_of(candidate);
+        choice.mean_in_flight = load.mean_in_flight;
+        choice.objection = verdict;
         choice.cost_ms = *penalty + ms_for_each_in_flight * in_flight_of(candidate) +
                          ms_for_all_failing * candidate.state->health.failure_share();
-        if (candidate.known.entry.zone != *query.own_zone)
-        {
-            choice.cost_ms += ms_for_other_zone;
-        }
-        if (candidate.zone_silent && query.now - candidate.state->last_heard > recently_heard)
-        {
-            choice.cost_ms += ms_when_zone_silent;
-        }
+        choice.cost_ms += zone_cost(candidate, query);
         if (query.prompt != nullptr)
         {
             choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -26,6 +26,7 @@
     cold_limit,
     load_bound,
     full,
+    unreachable,
 };
 
 [[nodiscard]] auto to_text(exclusion why) -> std::string_view;
@@ -49,6 +50,9 @@
 {
     std::size_t position = 0;
     double cost_ms = 0.0;
+    int in_flight = 0; ///< at the upstream, of all hosts, before this request
+    double mean_in_flight = 0.0;
+    exclusion objection = exclusion::none; ///< what spoke against it and was overruled
     std::uint32_t cached_tokens = 0;
     std::optional<std::size_t>
         fetch_from;               ///< position of an upstream that has read more of the prompt
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -74,7 +74,7 @@
     setting it;
     for (auto& upstream : it.upstreams)
     {
-        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0);
+        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0, true);
     }
     CHECK(it.choose());
     it.upstreams[2].state = std::make_shared<upstream_state>(0);
@@ -101,7 +101,7 @@
     setting it;
     for (auto& upstream : it.upstreams)
     {
-        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0);
+        upstream.state->health.on_fault(upstream_fault::unreachable, now, 0.0, true);
     }
     // Three are cut off; the fourth has taken all their load. The mean says that it is full.
     it.upstreams[3].state = std::make_shared<upstream_state>(0);
@@ -130,6 +130,22 @@
     CHECK(!choice->fetch_from);
 }
 
+TEST_CASE("the load bound goes before what an upstream has read, also while others are out")
+{
+    setting it;
+    const auto prompt = make_prompt(11, 12);
+    it.rules.engine->bytes_per_token = 0.0;
+    it.query.prompt = &prompt;
+    it.query.affinity = 11;
+    it.upstreams[0].state->health.on_fault(upstream_fault::unreachable, now, 0.0, true);
+    it.upstreams[3].state->cache.on_read(prompt);
+    it.upstreams[3].state->in_flight = 12;
+    it.upstreams[3].state->last_heard = now;
+    const auto choice = it.choose();
+    REQUIRE(choice);
+    CHECK(choice->position != 3);
+}
+
 TEST_CASE("when the holder of a prompt is leaving, its successor copies from it")
 {
     setting it;
@@ -187,22 +203,51 @@
     for (int outcome = 0; outcome < 200; ++outcome)
     {
         const auto moment = now + outcome * 100ms;
-        outcome % 7 == 0 ? usual.on_fault(upstream_fault::failed, moment, 0.14)
+        outcome % 7 == 0 ? usual.on_fault(upstream_fault::failed, moment, 0.14, true)
                          : usual.on_success(moment);
         REQUIRE(!usual.is_ejected(moment));
-        outcome % 2 == 0 ? faulty.on_fault(upstream_fault::failed, moment, 0.14)
+        outcome % 2 == 0 ? faulty.on_fault(upstream_fault::failed, moment, 0.14, true)
                          : faulty.on_success(moment);
     }
     CHECK(faulty.is_on_probation());
 }
 
+TEST_CASE("requests that break together count as one fault")
+{
+    upstream_health health;
+    for (int request = 0; request < 5; ++request)
+    {
+        health.on_fault(upstream_fault::broken, now, 0.0, true);
+    }
+    CHECK(!health.is_ejected(now));
+    health.on_fault(upstream_fault::broken, now + 200ms, 0.0, true);
+    CHECK(health.is_ejected(now + 200ms));
+    CHECK(!health.is_unreachable(now + 200ms));
+}
+
+TEST_CASE("findings that may be wrong do not push the rest over the load bound")
+{
+    setting it;
+    // Each of three has been found faulty; the fourth carries its share to the full.
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        it.upstreams[number].state->health.on_fault(upstream_fault::broken, now - 1s, 0.0, true);
+        it.upstreams[number].state->health.on_fault(upstream_fault::broken, now, 0.0, true);
+    }
+    it.upstreams[3].state->in_flight = 12;
+    it.upstreams[3].state->last_heard = now;
+    const auto choice = it.choose();
+    REQUIRE(choice);
+    CHECK(choice->position != 3);
+}
+
 TEST_CASE("an ejected upstream is taken back after successes, and stays out longer each time")
 {
     upstream_health health;
-    health.on_fault(upstream_fault::unreachable, now, 0.0);
+    health.on_fault(upstream_fault::unreachable, now, 0.0, true);
     CHECK(health.is_ejected(now + 300ms));
     CHECK(!health.is_ejected(now + 500ms));
-    health.on_fault(upstream_fault::unreachable, now + 500ms, 0.0);
+    health.on_fault(upstream_fault::unreachable, now + 500ms, 0.0, true);
     CHECK(health.is_ejected(now + 1200ms));
     for (int success = 0; success < 3; ++success)
     {
--- a/src/routing/upstream_health.hpp
+++ b/src/routing/upstream_health.hpp
@@ -22,8 +22,10 @@
 {
 public:
     auto on_success(time_point now) -> void;
-    /// `usual_share` is the share of failures that the whole service shows at present.
-    auto on_fault(upstream_fault fault, time_point now, double usual_share) -> void;
+    /// `usual_share` is the share of failures that the whole service shows at present. With
+    /// `may_eject` false, only an upstream that cannot be reached is ejected: too many others are
+    /// out.
+    auto on_fault(upstream_fault fault, time_point now, double usual_share, bool may_eject) -> void;
     /// Another host has ejected this upstream.
     auto on_ejected_elsewhere(time_point now) -> void;
 
@@ -31,6 +33,12 @@
     {
         return now < this->ejected_until;
     }
+    /// True while it is ejected because no connection could be made; nothing is lost by trying, but
+    /// time.
+    [[nodiscard]] auto is_unreachable(time_point now) const -> bool
+    {
+        return this->is_ejected(now) && this->unreachable;
+    }
     /// True after an ejection until requests have succeeded again: only few may be under way.
     [[nodiscard]] auto is_on_probation() const -> bool { return this->successes_needed > 0; }
     /// Recent share of requests that failed.
@@ -39,6 +47,7 @@
     [[nodiscard]] auto is_own_finding() const -> bool { return this->own_finding; }
 
 private:
+    auto count_in_a_row(upstream_fault fault, time_point now) -> void;
     auto eject(time_point now, duration first_length) -> void;
 
     time_point ejected_until{};
@@ -47,7 +56,9 @@
     int samples = 0;
     int faults_in_a_row = 0;
     int successes_needed = 0;
+    time_point last_fault{};
     bool own_finding = false;
+    bool unreachable = false;
 };
 
 } // namespace poplardrift::routing
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -42,6 +42,7 @@
     std::shared_ptr<upstream_state> state;
     bool zone_out = false;
     bool zone_silent = false; ///< no host there is heard; the zone may be cut off from this one
+    bool zone_unreachable = false; ///< besides, a connection to an upstream there has failed
 };
 
 } // namespace poplardrift::routing
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -25,8 +25,8 @@
 constexpr duration end_margin = 200ms;
 /// Part of an engine's memory that is counted on for prompts; running requests take the rest.
 constexpr double cached_part = 0.6;
-/// An upstream that could not be reached may have been restarted and be cold.
-constexpr int cold_suspicion = 1;
+/// At most one in this many upstreams of a service is ejected for what it answers.
+constexpr int one_in_ejected = 3;
 
 } // namespace
 
@@ -196,6 +196,49 @@
     return count == 0 ? 0.0 : sum / count;
 }
 
+auto traffic_service::may_eject(const std::string& service) const -> bool
+{
+    const auto now = boot_clock_now();
+    int ejected = 0;
+    int count = 0;
+    for (const auto& upstream : this->upstreams)
+    {
+        if (upstream.known.entry.service == service && !upstream.known.entry.leaving)
+        {
+            ejected += upstream.state->health.is_ejected(now) ? 1 : 0;
+            ++count;
+        }
+    }
+    return ejected < std::max(1, count / one_in_ejected);
+}
+
+auto traffic_service::note_unreachable(routing::upstream_state& state, const std::string& service)
+    -> void
+{
+    const auto position =
+        this->view->configuration ? this->view->configuration->find_service(service) : std::nullopt;
+    if (position)
+    {
+        // It may have been restarted, and be cold.
+        state.suspected_cold_until =
+            boot_clock_now() + this->view->configuration->services[*position].cold_start;
+    }
+    const auto found =
+        std::find_if(this->upstreams.begin(), this->upstreams.end(),
+                     [&](const auto& upstream) { return upstream.state.get() == &state; });
+    if (found == this->upstreams.end() || !found->zone_silent)
+    {
+        return;
+    }
+    for (auto& upstream : this->upstreams)
+    {
+        if (upstream.known.entry.zone == found->known.entry.zone)
+        {
+            upstream.zone_unreachable = true;
+        }
+    }
+}
+
 auto traffic_service::on_upstream_fault(routing::upstream_state& state,
                                         const routing::upstream_name& name,
                                         const std::string& service, routing::upstream_fault fault)
@@ -203,15 +246,10 @@
 {
     const auto now = boot_clock_now();
     const auto was_ejected = state.health.is_ejected(now);
-    state.health.on_fault(fault, now, this->failure_share_of(service));
-    if (fault == routing::upstream_fault::unreachable && this->view->configuration)
+    state.health.on_fault(fault, now, this->failure_share_of(service), this->may_eject(service));
+    if (fault == routing::upstream_fault::unreachable)
     {
-        const auto position = this->view->configuration->find_service(service);
-        if (position)
-        {
-            state.suspected_cold_until =
-                now + cold_suspicion * this->view->configuration->services[*position].cold_start;
-        }
+        this->note_unreachable(state, service);
     }
     if (!was_ejected && state.health.is_ejected(now))
     {
@@ -321,6 +359,7 @@
     for (auto& upstream : this->upstreams)
     {
         upstream.zone_silent = silent_zones.contains(upstream.known.entry.zone);
+        upstream.zone_unreachable = upstream.zone_unreachable && upstream.zone_silent;
     }
     if (!this->board.get_others(this->others_version, this->others))
     {
@@ -336,7 +375,7 @@
         const auto found = by_hash.find(upstream.hash);
         const auto known = found != by_hash.end();
         upstream.state->in_flight_elsewhere = known ? static_cast<int>(found->second.in_flight) : 0;
-        if (known && found->second.ejected)
+        if (known && found->second.ejected && this->may_eject(upstream.known.entry.service))
         {
             upstream.state->health.on_ejected_elsewhere(now);
         }
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -93,7 +93,11 @@
     auto stop_accepting() -> void;
     auto end_when_idle() -> void;
     auto after(duration delay, std::function<void()> action) -> void;
+    auto note_unreachable(routing::upstream_state& state, const std::string& service) -> void;
     [[nodiscard]] auto failure_share_of(const std::string& service) const -> double;
+    /// False when so many upstreams of the service are ejected that the rest could not carry it
+    /// all.
+    [[nodiscard]] auto may_eject(const std::string& service) const -> bool;
 
     traffic_settings settings;
     const wire_adapter& adapter;
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -31,7 +31,8 @@
         listener.on_reachable = [this](bool is_reachable) { this->reachable = is_reachable; };
         listener.on_listed_anew = [this] { ++this->listed_anew; };
         this->follower.emplace(this->io, this->address(),
-                               follower_settings{"keyed.op", 200ms, 10ms}, std::move(listener));
+                               follower_settings{"keyed.op", 200ms, 10ms, 0ns, 0ns},
+                               std::move(listener));
     }
 
     auto address() -> boost::asio::ip::tcp::endpoint
@@ -106,6 +107,28 @@
     CHECK(it.reachable);
 }
 
+TEST_CASE("a change that overtakes a listing is not missed")
+{
+    setting it;
+    it.store.put("keyed.op", "config", "6");
+    it.store.overtake_next_listing("config", "8");
+    it.follower->start();
+    CHECK(it.run_until([&] { return it.value_of("config") == "8"; }));
+}
+
+TEST_CASE("a topic whose records have all expired is followed on")
+{
+    setting it;
+    it.store.put("keyed.op", "a", "1");
+    it.store.put("keyed.op", "a", std::nullopt);
+    it.store.expire("keyed.op");
+    it.follower->start();
+    REQUIRE(it.run_until([&] { return it.mirror.is_complete(); }));
+    it.store.put("keyed.op", "b", "2");
+    CHECK(it.run_until([&] { return it.value_of("b") == "2"; }));
+    CHECK(it.store.calls() < 40);
+}
+
 TEST_CASE("an outage is told once it ends, and calls are few meanwhile")
 {
     setting it;
--- a/tests/store_stand_in.cpp
+++ b/tests/store_stand_in.cpp
@@ -94,6 +94,12 @@
     target.records.clear();
 }
 
+auto store_stand_in::overtake_next_listing(const std::string& key, const std::string& value) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->overtaking = {key, value};
+}
+
 auto store_stand_in::refuse(httplib::Response& response) -> bool
 {
     ++this->call_count;
@@ -170,6 +176,10 @@
                          {"value", to_base64(next->second.second)},
                          {"offset", next->second.first}});
     }
+    if (const auto change = std::exchange(this->overtaking, std::nullopt))
+    {
+        this->put_locked(target, change->first, change->second);
+    }
     response.set_content(json{{"items", items},
                               {"has_more", next != target.newest.end()},
                               {"end_offset", target.first + target.records.size()}}
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -33,6 +33,8 @@
              const std::optional<std::string>& value) -> void;
     /// Forgets all records; the newest of each key stays in the listing.
     auto expire(const std::string& topic) -> void;
+    /// The next listing is overtaken by this change: its end lies after it, its items before.
+    auto overtake_next_listing(const std::string& key, const std::string& value) -> void;
     auto set_down(bool is_down) -> void { this->down = is_down; }
     [[nodiscard]] auto calls() const -> int { return this->call_count; }
 
@@ -59,6 +61,7 @@
     std::mutex mutex;
     std::condition_variable news;
     std::map<std::string, topic> topics;
+    std::optional<std::pair<std::string, std::string>> overtaking;
     std::atomic<bool> down{false};
     std::atomic<bool> stopping{false};
     std::atomic<int> call_count{0};
