--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -40,8 +40,8 @@
 /// Hosts that read the registry often; the others hear from them. Two, so that the loss of one is
 /// not noticed.
 constexpr std::size_t registry_readers = 2;
-/// A host that reads it sees the registry move with every heartbeat of an upstream, several times
-/// in this time; one that does not keeps up with it.
+/// A reader reads every 0.4 s; one that the platform has not answered for this long does not keep
+/// up.
 constexpr duration registry_pause = 900ms;
 constexpr duration fetch_timeout = 500ms;
 constexpr std::string_view fetch_path = "/records/";
@@ -212,13 +212,10 @@
     other.heard_at = now;
     for (std::size_t stream = 0; stream < beacon.ends.size(); ++stream)
     {
-        if (beacon.ends[stream] > other.ends[stream])
-        {
-            other.advanced_at[stream] = now;
-        }
         this->state.on_quiet_stream(static_cast<record_stream>(stream), beacon.news_ends[stream],
                                     beacon.ends[stream]);
     }
+    other.registry_read_at = now - beacon.registry_age;
     other.ends = beacon.ends;
     other.news_ends = beacon.news_ends;
     other.loads = std::move(beacon.loads);
@@ -291,6 +288,8 @@
                    this->state.mirror_of(record_stream::upstreams).end()};
     beacon.news_ends = {this->state.news_end_of(record_stream::operators),
                         this->state.news_end_of(record_stream::upstreams)};
+    beacon.registry_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        boot_clock_now() - this->registry_read_at);
     beacon.loads = this->board.get_own();
     const auto oldest = this->sights_end - this->sights.size();
     other.next_sight = std::clamp(other.next_sight, oldest, this->sights_end);
@@ -374,12 +373,11 @@
 
 auto peer_link::is_reader(time_point now) const -> bool
 {
-    constexpr auto registry = static_cast<std::size_t>(record_stream::upstreams);
     std::size_t before = 0;
     for (const auto& [address, other] : this->peers)
     {
         const auto keeps_up =
-            this->is_alive(other, now) && now - other.advanced_at[registry] < registry_pause;
+            this->is_alive(other, now) && now - other.registry_read_at < registry_pause;
         before += keeps_up && address < this->settings.address ? 1 : 0;
     }
     return before < registry_readers;
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -47,6 +47,8 @@
     /// Addresses of hosts that the platform's directory lists.
     auto add_known_hosts(const std::vector<boost::asio::ip::address_v4>& addresses, time_point now)
         -> void;
+    /// The platform has answered this host's read of the registry.
+    auto on_registry_read(time_point now) -> void { this->registry_read_at = now; }
     /// Sends what is due, and looks for peers that are ahead. Call about every 50 ms.
     auto tick(time_point now) -> void;
     /// True when this host is to read the platform's streams often: it is among the first by
@@ -66,7 +68,7 @@
         time_point next_beacon{};
         std::array<record_position, 2> ends;
         std::array<record_position, 2> news_ends;
-        std::array<time_point, 2> advanced_at{}; ///< when an end last moved
+        time_point registry_read_at{}; ///< when the platform last answered it, by our clock
         std::array<time_point, 2> ahead_since{}; ///< time_point{}: not ahead
         std::vector<traffic::upstream_load> loads;
         std::uint64_t next_sight = 0; ///< number of the first sight that it has not been told
@@ -103,6 +105,7 @@
     std::shared_ptr<batch_fetch> fetch;
     std::deque<traffic::prompt_sight> sights; ///< the newest of this host
     std::uint64_t sights_end = 0;             ///< number of the sight after the newest
+    time_point registry_read_at{};
     bool loads_changed = false;
 };
 
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -71,8 +71,9 @@
 }
 
 using position_row = std::tuple<std::uint64_t, std::uint64_t>; // operators, upstreams
-using beacon_body = std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, position_row,
-                               position_row, std::vector<load_row>, std::vector<sight_row>>;
+using beacon_body =
+    std::tuple<std::uint32_t, std::string, std::string, std::uint64_t, position_row, position_row,
+               std::int64_t, std::vector<load_row>, std::vector<sight_row>>;
 auto to_row(const std::array<record_position, 2>& positions) -> position_row
 {
     return {positions[0].value(), positions[1].value()};
@@ -104,7 +105,8 @@
         sights.emplace_back(sight.upstream, sight.chain_hash, sight.tokens);
     }
     return pack(beacon_body(protocol_version, beacon.host, beacon.zone, beacon.incarnation,
-                            to_row(beacon.ends), to_row(beacon.news_ends), loads, sights));
+                            to_row(beacon.ends), to_row(beacon.news_ends),
+                            beacon.registry_age.count(), loads, sights));
 }
 
 auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
@@ -121,11 +123,12 @@
     beacon.incarnation = std::get<3>(*body);
     beacon.ends = from_row(std::get<4>(*body));
     beacon.news_ends = from_row(std::get<5>(*body));
-    for (const auto& [upstream, in_flight, ejected] : std::get<6>(*body))
+    beacon.registry_age = std::chrono::milliseconds(std::get<6>(*body));
+    for (const auto& [upstream, in_flight, ejected] : std::get<7>(*body))
     {
         beacon.loads.push_back({upstream, in_flight, ejected});
     }
-    for (const auto& [upstream, chain_hash, tokens] : std::get<7>(*body))
+    for (const auto& [upstream, chain_hash, tokens] : std::get<8>(*body))
     {
         beacon.sights.push_back({upstream, chain_hash, tokens});
     }
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -5,6 +5,7 @@
 #include "traffic/load_board.hpp"
 
 #include <array>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,8 @@
     std::uint64_t incarnation = 0;            ///< differs between starts of the host
     std::array<record_position, 2> ends;      ///< up to where the host knows each stream
     std::array<record_position, 2> news_ends; ///< after the last record that meant anything new
+    /// Since the platform last answered this host's read of the registry.
+    std::chrono::milliseconds registry_age{};
     std::vector<traffic::upstream_load> loads;
     std::vector<traffic::prompt_sight> sights; ///< since the last beacon to the same host
 };
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -597,9 +597,11 @@
                                   {{"request", this->facts.id},
                                    {"route", this->route->name},
                                    {"reason", "upstream's failure"},
+                                   {"version", this->configuration->version.value()},
                                    {"status", this->failure_head.status},
                                    {"upstream", this->upstream_name.value()},
-                                   {"sends", this->sends}});
+                                   {"sends", this->sends},
+                                   {"age_ms", to_ms(boot_clock_now() - this->arrived)}});
     this->service.count_outcome(this->route->name, "upstream_failure",
                                 boot_clock_now() - this->arrived);
     this->sink->begin_answer(this->failure_head, this->failure_body.size());
