Hosts that follow others miss no removal: found by a chaos test of the records

The test plays many hosts that read, list, fetch from each other, restart, and hear beacons late, crossed or never, and compares what each believes with the log up to its position. Now such a fetch is a listing; removals and operators' records always count as news; what lies before a known position is not read again.

--- /dev/null
+++ b/src/fleet/fleet_chaos_test.cpp
@@ -0,0 +1,367 @@
+#include "fleet/fleet_state.hpp"
+#include "fleet/plain_decoder.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <map>
+#include <random>
+
+using namespace poplardrift;
+using namespace poplardrift::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point now(1h);
+const plain_decoder decoder;
+
+/// What a host is to believe after a prefix of both streams.
+struct belief
+{
+    std::uint64_t version = 0;
+    std::set<std::string> zones_out;
+    std::map<std::string, bool> leaving; ///< by upstream
+
+    auto operator==(const belief&) const -> bool = default;
+
+    [[nodiscard]] auto text() const -> std::string
+    {
+        auto result = "version " + std::to_string(this->version) + ", zones out:";
+        for (const auto& zone : this->zones_out)
+        {
+            result += " " + zone;
+        }
+        result += ", upstreams:";
+        for (const auto& [name, is_leaving] : this->leaving)
+        {
+            result += " " + name + (is_leaving ? " leaving" : "");
+        }
+        return result;
+    }
+};
+
+/// The platform's streams, with what each prefix means.
+class platform_log final
+{
+public:
+    auto append(record_stream stream, const std::string& key,
+                const std::optional<std::string>& value) -> void
+    {
+        auto& list = this->records[static_cast<std::size_t>(stream)];
+        list.push_back({key, record_position(list.size()), value});
+    }
+    [[nodiscard]] auto end(record_stream stream) const -> std::size_t
+    {
+        return this->records[static_cast<std::size_t>(stream)].size();
+    }
+    [[nodiscard]] auto slice(record_stream stream, std::size_t from, std::size_t to) const
+        -> std::vector<published_record>
+    {
+        const auto& list = this->records[static_cast<std::size_t>(stream)];
+        return {list.begin() + static_cast<std::ptrdiff_t>(from),
+                list.begin() + static_cast<std::ptrdiff_t>(to)};
+    }
+    /// Newest record of each key that is present, as the platform lists them.
+    [[nodiscard]] auto listing(record_stream stream) const -> std::vector<published_record>
+    {
+        std::map<std::string, published_record> newest;
+        for (const auto& item : this->records[static_cast<std::size_t>(stream)])
+        {
+            newest[item.key] = item;
+        }
+        std::vector<published_record> result;
+        for (const auto& [key, item] : newest)
+        {
+            if (item.value)
+            {
+                result.push_back(item);
+            }
+        }
+        return result;
+    }
+    [[nodiscard]] auto meaning(std::size_t operators_end, std::size_t upstreams_end) const -> belief
+    {
+        belief result;
+        for (std::size_t index = 0; index < operators_end; ++index)
+        {
+            const auto& item = this->records[0][index];
+            if (item.key == "config")
+            {
+                result.version = std::max<std::uint64_t>(result.version, std::stoull(*item.value));
+            }
+            else if (item.value)
+            {
+                result.zones_out.insert(item.key);
+            }
+            else
+            {
+                result.zones_out.erase(item.key);
+            }
+        }
+        for (std::size_t index = 0; index < upstreams_end; ++index)
+        {
+            const auto& item = this->records[1][index];
+            if (item.value)
+            {
+                result.leaving[item.key] = item.value->find("leaving") != std::string::npos;
+            }
+            else
+            {
+                result.leaving.erase(item.key);
+            }
+        }
+        return result;
+    }
+
+private:
+    std::array<std::vector<published_record>, 2> records;
+};
+
+constexpr std::array<record_stream, 2> streams = {record_stream::operators,
+                                                  record_stream::upstreams};
+
+/// One host: its state and how far it has read the platform's streams itself.
+struct chaos_host
+{
+    explicit chaos_host(decision_log& log) : state(std::make_unique<fleet_state>(decoder, log)) {}
+
+    std::unique_ptr<fleet_state> state;
+    std::array<std::size_t, 2> read_to{};
+    std::array<bool, 2> listed{};
+    std::shared_ptr<const routing::fleet_view> view = std::make_shared<routing::fleet_view>();
+};
+
+/// What a beacon says of both streams.
+struct chaos_beacon
+{
+    std::size_t from = 0;
+    std::array<record_position, 2> ends;
+    std::array<record_position, 2> news_ends;
+};
+
+class chaos final
+{
+public:
+    chaos(unsigned seed, std::size_t host_count) : random(seed)
+    {
+        for (std::size_t number = 0; number < host_count; ++number)
+        {
+            this->hosts.emplace_back(this->log);
+        }
+        this->publish("config", "1");
+    }
+
+    auto step() -> void
+    {
+        switch (this->random() % 8)
+        {
+        case 0:
+            this->change_something();
+            break;
+        case 1:
+        case 2:
+            this->heartbeat();
+            break;
+        case 3:
+            this->read(this->any_host());
+            break;
+        case 4:
+        case 5:
+            this->send_beacon(this->any_host());
+            break;
+        case 6:
+            this->receive_beacon();
+            break;
+        default:
+            this->restart_sometimes();
+            break;
+        }
+        for (auto& host : this->hosts)
+        {
+            this->check(host);
+        }
+    }
+
+private:
+    auto any_host() -> chaos_host& { return this->hosts[this->random() % this->hosts.size()]; }
+    auto any_upstream() -> std::string { return "u" + std::to_string(this->random() % 4); }
+    auto publish(const std::string& key, const std::optional<std::string>& value) -> void
+    {
+        this->platform.append(record_stream::operators, key, value);
+    }
+
+    auto change_something() -> void
+    {
+        switch (this->random() % 5)
+        {
+        case 0:
+            this->version += 1 + this->random() % 3;
+            this->publish("config", std::to_string(this->version));
+            break;
+        case 1:
+            this->publish("a", this->random() % 2 == 0 ? std::optional<std::string>("{}")
+                                                       : std::nullopt);
+            break;
+        case 2:
+            this->platform.append(record_stream::upstreams, this->any_upstream(), std::nullopt);
+            break;
+        default:
+            // A new start, so that it is not leaving any more.
+            this->start_letter = this->start_letter == 'z' ? 'a' : ++this->start_letter;
+            this->current[this->any_upstream()] = std::string(1, this->start_letter);
+            break;
+        }
+    }
+
+    auto heartbeat() -> void
+    {
+        const auto name = this->any_upstream();
+        auto& value = this->current[name];
+        if (value.empty())
+        {
+            value = "a";
+        }
+        if (this->random() % 6 == 0 && value.size() == 1)
+        {
+            value += " leaving";
+        }
+        this->platform.append(record_stream::upstreams, name, value);
+    }
+
+    auto read(chaos_host& host) -> void
+    {
+        const auto stream = streams[this->random() % 2];
+        const auto index = static_cast<std::size_t>(stream);
+        const auto end = this->platform.end(stream);
+        if (!host.listed[index] || this->random() % 12 == 0)
+        {
+            host.listed[index] = true;
+            host.state->on_listing(stream, this->platform.listing(stream), record_position(end),
+                                   now);
+            host.read_to[index] = end;
+            return;
+        }
+        const auto to =
+            host.read_to[index] +
+            (end > host.read_to[index] ? this->random() % (end - host.read_to[index] + 1) : 0);
+        host.state->on_records(stream, this->platform.slice(stream, host.read_to[index], to),
+                               record_position(to), now);
+        host.read_to[index] = to;
+    }
+
+    auto send_beacon(const chaos_host& host) -> void
+    {
+        chaos_beacon beacon;
+        beacon.from = static_cast<std::size_t>(&host - this->hosts.data());
+        for (const auto stream : streams)
+        {
+            const auto index = static_cast<std::size_t>(stream);
+            beacon.ends[index] = host.state->mirror_of(stream).end();
+            beacon.news_ends[index] = host.state->news_end_of(stream);
+        }
+        this->under_way.push_back(beacon);
+    }
+
+    /// Beacons come late, in any order, or never.
+    auto receive_beacon() -> void
+    {
+        if (this->under_way.empty())
+        {
+            return;
+        }
+        const auto which = this->random() % this->under_way.size();
+        const auto beacon = this->under_way[which];
+        this->under_way.erase(this->under_way.begin() + static_cast<std::ptrdiff_t>(which));
+        auto& host = this->any_host();
+        if (this->random() % 4 == 0 || &host == &this->hosts[beacon.from])
+        {
+            return;
+        }
+        for (const auto stream : streams)
+        {
+            const auto index = static_cast<std::size_t>(stream);
+            host.state->on_quiet_stream(stream, beacon.news_ends[index], beacon.ends[index]);
+            const auto& mirror = host.state->mirror_of(stream);
+            if (beacon.news_ends[index] > mirror.end() || !mirror.is_complete())
+            {
+                this->fetch(host, this->hosts[beacon.from], stream);
+            }
+        }
+    }
+
+    static auto fetch(chaos_host& host, const chaos_host& from, record_stream stream) -> void
+    {
+        const auto& source = from.state->mirror_of(stream);
+        if (source.is_complete())
+        {
+            const auto known_to = host.state->mirror_of(stream).end();
+            host.state->on_changes(stream, source.changes_since(known_to), source.end(), now);
+        }
+    }
+
+    auto restart_sometimes() -> void
+    {
+        if (this->random() % 10 == 0)
+        {
+            this->any_host() = chaos_host(this->log);
+        }
+    }
+
+    auto check(chaos_host& host) -> void
+    {
+        const auto before =
+            host.view->configuration ? host.view->configuration->version.value() : 0;
+        if (auto next = host.state->take_view(now))
+        {
+            host.view = next;
+        }
+        belief held;
+        held.version = host.view->configuration ? host.view->configuration->version.value() : 0;
+        REQUIRE(held.version >= before);
+        for (const auto& zone : host.view->zones_out)
+        {
+            held.zones_out.insert(zone.value());
+        }
+        for (const auto& upstream : host.view->upstreams)
+        {
+            held.leaving[upstream.entry.name.value()] = upstream.entry.leaving;
+        }
+        const auto operators_end = host.state->mirror_of(record_stream::operators).end().value();
+        const auto upstreams_end = host.state->mirror_of(record_stream::upstreams).end().value();
+        INFO("positions " << operators_end << " and " << upstreams_end);
+        REQUIRE(held.text() == this->platform.meaning(operators_end, upstreams_end).text());
+    }
+
+    std::mt19937 random;
+    decision_log log{"chaos", -1};
+    platform_log platform;
+    std::vector<chaos_host> hosts;
+    std::vector<chaos_beacon> under_way;
+    std::map<std::string, std::string> current; ///< what each upstream says of itself
+    std::uint64_t version = 1;
+    char start_letter = 'a';
+};
+
+/// Longer runs by hand: POPLARDRIFT_CHAOS_SEEDS=1000.
+auto seed_count() -> unsigned
+{
+    const auto* const wanted = std::getenv("POPLARDRIFT_CHAOS_SEEDS");
+    return wanted != nullptr ? static_cast<unsigned>(std::atoi(wanted)) : 60U;
+}
+
+} // namespace
+
+TEST_CASE("chaos: a host that follows others believes what the records up to its position say")
+{
+    for (unsigned seed = 1; seed <= seed_count(); ++seed)
+    {
+        INFO("seed " << seed);
+        chaos run(seed, 2 + seed % 4);
+        for (int step = 0; step < 400; ++step)
+        {
+            run.step();
+        }
+    }
+}
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -49,7 +49,10 @@
     }
     for (const auto& record : records)
     {
-        if (mirror.apply(record))
+        // What lies before the end is contained already, perhaps as a removal of a key that was
+        // never heard of.
+        const auto is_contained = mirror.is_complete() && record.position < mirror.end();
+        if (!is_contained && mirror.apply(record))
         {
             this->fold(stream, record, now);
         }
@@ -66,6 +69,9 @@
     {
         this->fold(stream, news, now);
     }
+    // What was removed before the listing is not known one by one, but may be news to others.
+    auto& news_end = this->news_ends[static_cast<std::size_t>(stream)];
+    news_end = std::max(news_end, end);
 }
 
 auto fleet_state::on_platform_reachable(bool reachable, time_point now) -> void
@@ -84,6 +90,29 @@
                      {"upstreams_position", this->mirrors[1].end().value()}});
 }
 
+auto fleet_state::on_changes(record_stream stream, const mirror_changes& changes,
+                             record_position end, time_point now) -> void
+{
+    const auto& mirror = this->mirror_of(stream);
+    if (mirror.is_complete() && end <= mirror.end())
+    {
+        return;
+    }
+    if (changes.is_listing)
+    {
+        this->on_listing(stream, changes.records, end, now);
+        return;
+    }
+    this->on_records(stream, changes.records, end, now);
+    if (!changes.records.empty())
+    {
+        // Records between may have been replaced by later ones that change nothing here, but would
+        // have changed something for others.
+        auto& news_end = this->news_ends[static_cast<std::size_t>(stream)];
+        news_end = std::max(news_end, end);
+    }
+}
+
 auto fleet_state::on_quiet_stream(record_stream stream, record_position news_end,
                                   record_position end) -> void
 {
@@ -116,7 +145,9 @@
         auto operator()(const nothing_said&) -> void {}
     };
     std::visit(visitor{*this, now}, *change);
-    if (this->changed)
+    // Removals and operators' records are news even if they change nothing here: another host may
+    // hold what this one has never heard of.
+    if (this->changed || !record.value || stream == record_stream::operators)
     {
         auto& news_end = this->news_ends[static_cast<std::size_t>(stream)];
         news_end = std::max(news_end, record_position(record.position.value() + 1));
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -32,6 +32,9 @@
     /// All newest records of a stream, as the platform lists them.
     auto on_listing(record_stream stream, const std::vector<published_record>& records,
                     record_position end, time_point now) -> void;
+    /// What another host, which knows the stream up to `end`, has more than this one.
+    auto on_changes(record_stream stream, const mirror_changes& changes, record_position end,
+                    time_point now) -> void;
     /// Another host knows the stream up to `end` and has seen no news after `news_end`.
     auto on_quiet_stream(record_stream stream, record_position news_end, record_position end)
         -> void;
@@ -42,7 +45,7 @@
     {
         return this->mirrors[static_cast<std::size_t>(stream)];
     }
-    /// Position after the last record that changed what this host believes.
+    /// Position after the last record that may change what a host believes.
     [[nodiscard]] auto news_end_of(record_stream stream) const -> record_position
     {
         return this->news_ends[static_cast<std::size_t>(stream)];
--- a/src/fleet/fleet_state_test.cpp
+++ b/src/fleet/fleet_state_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet_state.hpp"
 #include "fleet/peer_messages.hpp"
+#include "fleet/plain_decoder.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -15,51 +16,6 @@
 
 const time_point start(1h);
 
-/// Decodes a record language of its own: "config" with a version, "out ZONE", and upstreams as
-/// "SERVICE START [leaving] [cold]".
-class plain_decoder final : public record_decoder
-{
-public:
-    [[nodiscard]] auto decode(record_stream stream, const published_record& record) const
-        -> outcome<fleet_change> override
-    {
-        using result = outcome<fleet_change>;
-        if (stream == record_stream::operators && record.key == "config")
-        {
-            auto configuration = std::make_shared<routing::routing_configuration>();
-            configuration->version =
-                routing::configuration_version(std::stoull(record.value.value_or("0")));
-            routing::service_rules service;
-            service.name = "s";
-            service.cold_start = 3s;
-            configuration->services.push_back(service);
-            configuration->index({});
-            return result(configuration_published{
-                std::shared_ptr<const routing::routing_configuration>(configuration)});
-        }
-        if (stream == record_stream::operators)
-        {
-            return result(zone_switched{zone_name(record.key), record.value.has_value()});
-        }
-        if (!record.value)
-        {
-            return result(upstream_removed{routing::upstream_name(record.key)});
-        }
-        if (*record.value == "forged")
-        {
-            return result::failure("forged");
-        }
-        routing::upstream_entry entry;
-        entry.name = routing::upstream_name(record.key);
-        entry.service = "s";
-        entry.zone = zone_name("a");
-        entry.start_number = static_cast<std::uint64_t>(record.value->front());
-        entry.leaving = record.value->find("leaving") != std::string::npos;
-        entry.cold_left = record.value->find("cold") != std::string::npos ? duration(2s) : 0ns;
-        return result(upstream_announced{entry});
-    }
-};
-
 struct setting
 {
     auto upstreams(std::initializer_list<published_record> records, time_point now) -> void
@@ -89,12 +45,6 @@
     std::shared_ptr<const routing::fleet_view> last;
 };
 
-auto record(std::string key, std::uint64_t position, std::optional<std::string> value)
-    -> published_record
-{
-    return {std::move(key), record_position(position), std::move(value)};
-}
-
 } // namespace
 
 TEST_CASE("configuration never goes back, whichever order records come in")
@@ -204,7 +154,7 @@
             source.advance(record_position(position + 1));
             if (random() % 9 == 0)
             {
-                auto batch = source.since(copy.end());
+                auto batch = source.changes_since(copy.end()).records;
                 std::shuffle(batch.begin(), batch.end(), random);
                 for (const auto& item : batch)
                 {
@@ -213,12 +163,12 @@
                 copy.advance(source.end());
             }
         }
-        for (const auto& item : source.since(copy.end()))
+        for (const auto& item : source.changes_since(copy.end()).records)
         {
             copy.apply(item);
         }
-        const auto left = source.since(record_position(0));
-        const auto right = copy.since(record_position(0));
+        const auto left = source.changes_since(record_position(0)).records;
+        const auto right = copy.changes_since(record_position(0)).records;
         REQUIRE(left.size() == right.size());
         for (std::size_t index = 0; index < left.size(); ++index)
         {
--- a/src/fleet/keyed_mirror.cpp
+++ b/src/fleet/keyed_mirror.cpp
@@ -44,6 +44,7 @@
             news.push_back({key, held.position, std::nullopt});
         }
     }
+    this->listed_to = std::max(this->listed_to, end);
     this->advance(end);
     return news;
 }
@@ -54,17 +55,19 @@
     this->complete_to = std::max(this->complete_to, end);
 }
 
-auto keyed_mirror::since(record_position from) const -> std::vector<published_record>
+auto keyed_mirror::changes_since(record_position from) const -> mirror_changes
 {
-    std::vector<published_record> records;
+    mirror_changes changes;
+    changes.is_listing = from < this->listed_to;
     for (const auto& [key, held] : this->entries)
     {
-        if (held.position >= from)
+        const auto is_wanted = changes.is_listing ? held.value.has_value() : held.position >= from;
+        if (is_wanted)
         {
-            records.push_back({key, held.position, held.value});
+            changes.records.push_back({key, held.position, held.value});
         }
     }
-    return records;
+    return changes;
 }
 
 } // namespace poplardrift::fleet
--- a/src/fleet/keyed_mirror.hpp
+++ b/src/fleet/keyed_mirror.hpp
@@ -9,6 +9,15 @@
 namespace poplardrift::fleet
 {
 
+/// What another copy lacks.
+struct mirror_changes
+{
+    std::vector<published_record> records;
+    /// The records are all that there are, and keys that are not among them do not exist. Otherwise
+    /// they are all changes since the position that was asked for.
+    bool is_listing = false;
+};
+
 /// A host's copy of the newest record of each key of one stream. Records may come in any order,
 /// twice, and from the platform or other hosts: the highest position of a key wins, so the copy
 /// never goes back. Removed keys are remembered with their position for the same reason. One
@@ -28,8 +37,9 @@
     [[nodiscard]] auto end() const -> record_position { return this->complete_to; }
     /// True when the stream has been read from its start, or a listing of it, at least once.
     [[nodiscard]] auto is_complete() const -> bool { return this->complete; }
-    /// Newest records at or after a position; all for position 0.
-    [[nodiscard]] auto since(record_position from) const -> std::vector<published_record>;
+    /// What a copy lacks that is complete up to a position. A listing if this copy was itself
+    /// listed after that position: it then does not know of all removals.
+    [[nodiscard]] auto changes_since(record_position from) const -> mirror_changes;
 
 private:
     struct entry
@@ -40,6 +50,7 @@
 
     std::map<std::string, entry> entries;
     record_position complete_to;
+    record_position listed_to; ///< end of the last listing; removals before it may be unknown
     bool complete = false;
 };
 
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -406,14 +406,12 @@
     const auto now = boot_clock_now();
     for (std::size_t stream = 0; stream < batch->ends.size(); ++stream)
     {
-        const auto which = static_cast<record_stream>(stream);
-        if (batch->ends[stream] > this->state.mirror_of(which).end())
-        {
-            this->state.on_records(which, batch->records[stream], batch->ends[stream], now);
-        }
+        this->state.on_changes(static_cast<record_stream>(stream), batch->changes[stream],
+                               batch->ends[stream], now);
     }
-    this->log.write(event_code::peer_records_taken, {{"operators", batch->records[0].size()},
-                                                     {"upstreams", batch->records[1].size()}});
+    this->log.write(event_code::peer_records_taken,
+                    {{"operators", batch->changes[0].records.size()},
+                     {"upstreams", batch->changes[1].records.size()}});
     this->on_news();
 }
 
@@ -428,8 +426,8 @@
     const auto& upstreams = this->state.mirror_of(record_stream::upstreams);
     record_batch batch;
     batch.ends = {operators.end(), upstreams.end()};
-    batch.records = {operators.since(record_position(number_after(target, "operators="))),
-                     upstreams.since(record_position(number_after(target, "upstreams=")))};
+    batch.changes = {operators.changes_since(record_position(number_after(target, "operators="))),
+                     upstreams.changes_since(record_position(number_after(target, "upstreams=")))};
     return {200, encode_batch(batch)};
 }
 
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -84,8 +84,18 @@
     return {record_position(std::get<0>(row)), record_position(std::get<1>(row))};
 }
 
-using batch_body = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<record_row>,
-                              std::vector<record_row>>;
+using changes_row = std::tuple<bool, std::vector<record_row>>;
+using batch_body = std::tuple<std::uint32_t, position_row, changes_row, changes_row>;
+
+auto to_changes_row(const mirror_changes& changes) -> changes_row
+{
+    return {changes.is_listing, to_rows(changes.records)};
+}
+
+auto from_changes_row(const changes_row& row) -> mirror_changes
+{
+    return {from_rows(std::get<1>(row)), std::get<0>(row)};
+}
 
 } // namespace
 
@@ -137,8 +147,8 @@
 
 auto encode_batch(const record_batch& batch) -> std::string
 {
-    return pack(batch_body(protocol_version, batch.ends[0].value(), batch.ends[1].value(),
-                           to_rows(batch.records[0]), to_rows(batch.records[1])));
+    return pack(batch_body(protocol_version, to_row(batch.ends), to_changes_row(batch.changes[0]),
+                           to_changes_row(batch.changes[1])));
 }
 
 auto decode_batch(std::string_view bytes) -> outcome<record_batch>
@@ -150,8 +160,8 @@
                                                    : body.last_reason());
     }
     record_batch batch;
-    batch.ends = {record_position(std::get<1>(*body)), record_position(std::get<2>(*body))};
-    batch.records = {from_rows(std::get<3>(*body)), from_rows(std::get<4>(*body))};
+    batch.ends = from_row(std::get<1>(*body));
+    batch.changes = {from_changes_row(std::get<2>(*body)), from_changes_row(std::get<3>(*body))};
     return batch;
 }
 
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/published_record.hpp"
+#include "fleet/keyed_mirror.hpp"
 #include "poplardrift/base/outcome.hpp"
 #include "traffic/load_board.hpp"
 
@@ -31,7 +31,7 @@
 struct record_batch
 {
     std::array<record_position, 2> ends;
-    std::array<std::vector<published_record>, 2> records;
+    std::array<mirror_changes, 2> changes;
 };
 
 [[nodiscard]] auto encode_beacon(const host_beacon& beacon) -> std::string;
--- /dev/null
+++ b/src/fleet/plain_decoder.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "fleet/record_decoder.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace poplardrift::fleet
+{
+
+/// For tests: decodes a record language of its own: "config" with a version, "out ZONE", and
+/// upstreams as "SERVICE START [leaving] [cold]".
+class plain_decoder final : public record_decoder
+{
+public:
+    [[nodiscard]] auto decode(record_stream stream, const published_record& record) const
+        -> outcome<fleet_change> override
+    {
+        using namespace std::chrono_literals;
+        using result = outcome<fleet_change>;
+        if (stream == record_stream::operators && record.key == "config")
+        {
+            auto configuration = std::make_shared<routing::routing_configuration>();
+            configuration->version =
+                routing::configuration_version(std::stoull(record.value.value_or("0")));
+            routing::service_rules service;
+            service.name = "s";
+            service.cold_start = 3s;
+            configuration->services.push_back(service);
+            configuration->index({});
+            return result(configuration_published{
+                std::shared_ptr<const routing::routing_configuration>(configuration)});
+        }
+        if (stream == record_stream::operators)
+        {
+            return result(zone_switched{zone_name(record.key), record.value.has_value()});
+        }
+        if (!record.value)
+        {
+            return result(upstream_removed{routing::upstream_name(record.key)});
+        }
+        if (*record.value == "forged")
+        {
+            return result::failure("forged");
+        }
+        routing::upstream_entry entry;
+        entry.name = routing::upstream_name(record.key);
+        entry.service = "s";
+        entry.zone = zone_name("a");
+        entry.start_number = static_cast<std::uint64_t>(record.value->front());
+        entry.leaving = record.value->find("leaving") != std::string::npos;
+        entry.cold_left = record.value->find("cold") != std::string::npos ? duration(2s) : 0ns;
+        return result(upstream_announced{entry});
+    }
+};
+
+inline auto record(std::string key, std::uint64_t position, std::optional<std::string> value)
+    -> published_record
+{
+    return {std::move(key), record_position(position), std::move(value)};
+}
+
+} // namespace poplardrift::fleet
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -52,7 +52,7 @@
     }
     auto value_of(const std::string& key) -> std::optional<std::string>
     {
-        for (const auto& record : this->mirror.since(fleet::record_position(0)))
+        for (const auto& record : this->mirror.changes_since(fleet::record_position(0)).records)
         {
             if (record.key == key)
             {
