Bounds on held bodies and connections; the log never holds up a stop

Cause: bodies of requests were bounded one by one only, and a reader of the log that had stopped would have kept the process from ending in order (the writer blocked in a full pipe).

--- a/src/observability/decision_log.cpp
+++ b/src/observability/decision_log.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include <poll.h>
 #include <unistd.h>
 
 namespace poplardrift
@@ -23,17 +24,16 @@
 /// Lines are written together, so that a busy host does not make a system call for each.
 constexpr auto write_interval = 100ms;
 
-auto write_all(int output, std::string_view bytes) -> void
+/// A reader that takes nothing for this long while the process stops gets no more lines.
+constexpr int last_wait_ms = 200;
+/// A pipe that can be written takes this much at once without blocking (PIPE_BUF).
+constexpr std::size_t piece_bytes = 4096;
+
+/// Waits until the output takes bytes; false when it does not within the time or is gone.
+auto wait_writable(int output, int wait_ms) -> bool
 {
-    while (!bytes.empty())
-    {
-        const auto written = ::write(output, bytes.data(), bytes.size());
-        if (written <= 0)
-        {
-            return; // nobody reads any more; there is no other place to say so
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(written));
-    }
+    pollfd ready{output, POLLOUT, 0};
+    return ::poll(&ready, 1, wait_ms) > 0 && (ready.revents & POLLOUT) != 0;
 }
 
 } // namespace
@@ -90,6 +90,29 @@
     }
 }
 
+auto decision_log::write_lines(std::string_view lines) -> void
+{
+    while (!lines.empty())
+    {
+        if (!wait_writable(this->output, last_wait_ms))
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->stopping || this->output < 0)
+            {
+                return; // nobody reads; there is no other place to say so
+            }
+            continue;
+        }
+        const auto piece = lines.substr(0, piece_bytes);
+        const auto written = ::write(this->output, piece.data(), piece.size());
+        if (written <= 0)
+        {
+            return;
+        }
+        lines.remove_prefix(static_cast<std::size_t>(written));
+    }
+}
+
 auto decision_log::run() -> void
 {
     std::unique_lock lock(this->mutex);
@@ -113,7 +136,7 @@
                      "\n";
         }
         lock.unlock();
-        write_all(this->output, lines);
+        this->write_lines(lines);
         lock.lock();
     }
 }
--- a/src/observability/decision_log.hpp
+++ b/src/observability/decision_log.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace poplardrift
@@ -32,6 +33,7 @@
 
 private:
     auto run() -> void;
+    auto write_lines(std::string_view lines) -> void;
     [[nodiscard]] auto admit(event_level level, std::int64_t now_ms) -> bool;
 
     std::string host;
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -102,6 +102,14 @@
 {
 }
 
+exchange::~exchange()
+{
+    if (this->holds_body)
+    {
+        this->service.release_body(this->body.size());
+    }
+}
+
 auto exchange::is_stream() const -> bool
 {
     return this->route->kind == route_kind::streaming;
@@ -153,7 +161,12 @@
         this->conclude(400, "no request id");
         return false;
     }
-    return true;
+    this->holds_body = this->service.hold_body(this->body.size());
+    if (!this->holds_body)
+    {
+        this->conclude(503, "too many bodies held");
+    }
+    return this->holds_body;
 }
 
 auto exchange::place() -> void
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -46,6 +46,7 @@
 public:
     exchange(traffic_service& service, answer_sink* sink, http::request_head head, std::string body,
              time_point arrived);
+    ~exchange() override;
 
     auto start() -> void;
     /// The caller has closed its connection.
@@ -89,6 +90,7 @@
     answer_sink* sink;
     http::request_head request;
     std::string body;
+    bool holds_body = false;
     time_point arrived;
     request_facts facts;
 
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -28,6 +28,13 @@
 /// At most one in this many upstreams of a service is ejected for what it answers.
 constexpr int one_in_ejected = 3;
 
+/// What tells one start of an upstream from another.
+auto state_key(const routing::upstream_entry& entry) -> std::string
+{
+    return entry.name.value() + "|" + std::to_string(entry.start_number) + "|" +
+           entry.address.address().to_string() + ":" + std::to_string(entry.address.port());
+}
+
 } // namespace
 
 traffic_service::traffic_service(traffic_settings settings, const wire_adapter& adapter,
@@ -42,6 +49,10 @@
         this->io,
         [this](boost::asio::ip::tcp::socket socket)
         {
+            if (this->sessions.size() >= this->settings.most_sessions)
+            {
+                return; // closed unread, which tells the caller that nothing has run
+            }
             auto session = std::make_shared<caller_session>(*this, std::move(socket));
             this->sessions.insert(session);
             session->start();
@@ -88,10 +99,7 @@
     }
     for (const auto& upstream : rebuilt)
     {
-        const auto& entry = upstream.known.entry;
-        kept[entry.name.value() + "|" + std::to_string(entry.start_number) + "|" +
-             std::to_string(entry.address.address().to_v4().to_uint()) + ":" +
-             std::to_string(entry.address.port())] = upstream.state;
+        kept[state_key(upstream.known.entry)] = upstream.state;
     }
     for (const auto& [key, state] : this->states)
     {
@@ -115,9 +123,7 @@
     -> routing::live_upstream
 {
     const auto& entry = known.entry;
-    const auto key = entry.name.value() + "|" + std::to_string(entry.start_number) + "|" +
-                     std::to_string(entry.address.address().to_v4().to_uint()) + ":" +
-                     std::to_string(entry.address.port());
+    const auto key = state_key(entry);
     routing::live_upstream upstream;
     upstream.known = known;
     upstream.service = service;
@@ -147,6 +153,16 @@
     return {limits.head_bytes, limits.body_bytes};
 }
 
+auto traffic_service::hold_body(std::size_t bytes) -> bool
+{
+    if (this->held_bytes + bytes > this->settings.most_held_bytes)
+    {
+        return false;
+    }
+    this->held_bytes += bytes;
+    return true;
+}
+
 auto traffic_service::is_ready() const -> bool
 {
     return !this->leaving && this->view->configuration && this->view->upstreams_known;
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -32,6 +32,8 @@
     boost::asio::ip::tcp::endpoint callers;
     boost::asio::ip::tcp::endpoint status; ///< readiness
     std::optional<boost::asio::ip::tcp::endpoint> metrics;
+    std::size_t most_held_bytes = 64'000'000; ///< of request bodies, all together
+    std::size_t most_sessions = 10'000;       ///< connections of callers
 };
 
 /// The data path of one host: sessions of callers, connections to upstreams, and the state by which
@@ -64,6 +66,9 @@
     [[nodiscard]] auto get_zone() const -> const zone_name& { return this->settings.zone; }
     [[nodiscard]] auto get_caller_limits() const -> routing::caller_limits;
     [[nodiscard]] auto get_reader_limits() const -> http::reader_limits;
+    /// Takes room for the body of a request; false when all bodies together would be too large.
+    [[nodiscard]] auto hold_body(std::size_t bytes) -> bool;
+    auto release_body(std::size_t bytes) -> void { this->held_bytes -= bytes; }
     [[nodiscard]] auto is_leaving() const -> bool { return this->leaving; }
     [[nodiscard]] auto is_ready() const -> bool;
 
@@ -114,6 +119,7 @@
     connection_pool pool;
     traffic_metrics metrics;
     boost::asio::steady_timer ticker;
+    std::size_t held_bytes = 0;
     std::uint64_t others_version = 0;
     std::vector<upstream_load> others;
     time_point leave_until{};
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -49,7 +49,7 @@
     explicit router(const std::vector<boost::asio::ip::tcp::endpoint>& upstreams)
         : caller_address(free_address()), status_address(free_address()),
           service(traffic::traffic_settings{zone_name("a"), this->caller_address,
-                                            this->status_address, std::nullopt},
+                                            this->status_address, std::nullopt, 6000, 20},
                   this->adapter, this->log, this->board)
     {
         REQUIRE(this->service.open());
@@ -501,3 +501,50 @@
     CHECK(answer.find("finished") != std::string::npos);
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
+
+TEST_CASE("bodies beyond the host's memory are refused, and taken again when others have gone")
+{
+    std::promise<void> go_on;
+    const auto gate = go_on.get_future().share();
+    scripted_server upstream(
+        [gate](peer_connection& peer)
+        {
+            while (!peer.read_request().empty())
+            {
+                gate.wait();
+                peer.send(whole_answer("done"));
+            }
+        });
+    router it({upstream.address()});
+    const auto post =
+        "POST /safe/x HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: i\r\nX-Api-Key: k\r\n"
+        "Connection: close\r\nContent-Length: 4000\r\n\r\n" +
+        std::string(4000, 'x');
+    auto first = connect_to(it.caller_address);
+    first.send(post);
+    std::this_thread::sleep_for(50ms);
+    auto second = connect_to(it.caller_address);
+    second.send(post);
+    CHECK(status_of(second.read_to_end(1000ms)) == "HTTP/1.1 503");
+    go_on.set_value();
+    CHECK(status_of(first.read_to_end(2000ms)) == "HTTP/1.1 200");
+    auto third = connect_to(it.caller_address);
+    third.send(post);
+    CHECK(status_of(third.read_to_end(2000ms)) == "HTTP/1.1 200");
+}
+
+TEST_CASE("connections beyond the host's descriptors are closed unread")
+{
+    scripted_server upstream(always(whole_answer("hello")));
+    router it({upstream.address()});
+    std::vector<peer_connection> callers;
+    for (int number = 0; number < 20; ++number)
+    {
+        callers.push_back(connect_to(it.caller_address));
+    }
+    std::this_thread::sleep_for(50ms);
+    auto beyond = connect_to(it.caller_address);
+    CHECK(beyond.read_to_end(1000ms).empty());
+    callers.front().send(it.request("/safe/x"));
+    CHECK(callers.front().read_until("hello", 1000ms));
+}
