Priorities of routes and workspaces are passed on; news is fetched from the next host; what was unused is gone

Each now begins with its successor. Decoded but unused fields (reported load, output tokens, slots, connection cap) are gone; the exchange is split in two files.

--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -30,7 +30,7 @@
 {
     std::mt19937_64 random(count);
     fleet made;
-    made.rules.engine = engine_rules{64, 600'000, 327'680.0, 550'000.0};
+    made.rules.engine = engine_rules{600'000, 327'680.0, 550'000.0};
     for (std::size_t number = 0; number < count; ++number)
     {
         live_upstream upstream;
@@ -92,8 +92,14 @@
     }
     throw std::bad_alloc();
 }
-auto operator delete(void* memory) noexcept -> void { std::free(memory); }
-auto operator delete(void* memory, std::size_t) noexcept -> void { std::free(memory); }
+auto operator delete(void* memory) noexcept -> void
+{
+    std::free(memory);
+}
+auto operator delete(void* memory, std::size_t) noexcept -> void
+{
+    std::free(memory);
+}
 
 auto main() -> int
 {
--- a/include/poplardrift/base/time.hpp
+++ b/include/poplardrift/base/time.hpp
@@ -32,4 +32,10 @@
     return std::chrono::duration<double>(length).count();
 }
 
+/// Whole milliseconds, for logs and the wire.
+[[nodiscard]] inline auto to_milliseconds(duration length) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
 } // namespace poplardrift
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -351,22 +351,33 @@
 
 auto peer_link::look_for_news(time_point now) -> void
 {
-    for (auto& [address, other] : this->peers)
+    // Each host begins with its successor, so that not all fetch from the same one.
+    const auto own = this->peers.upper_bound(this->settings.address);
+    for (auto item = own; item != this->peers.end(); ++item)
     {
-        for (std::size_t stream = 0; stream < delivery_time.size(); ++stream)
+        this->look_for_news_at(item->first, item->second, now);
+    }
+    for (auto item = this->peers.begin(); item != own; ++item)
+    {
+        this->look_for_news_at(item->first, item->second, now);
+    }
+}
+
+auto peer_link::look_for_news_at(const address_v4& address, peer& other, time_point now) -> void
+{
+    for (std::size_t stream = 0; stream < delivery_time.size(); ++stream)
+    {
+        const auto& mirror = this->state.mirror_of(static_cast<record_stream>(stream));
+        const auto ahead = this->is_alive(other, now) && other.ends[stream] > mirror.end() &&
+                           (other.news_ends[stream] > mirror.end() || !mirror.is_complete());
+        auto& since = other.ahead_since[stream];
+        since = !ahead ? time_point{} : since == time_point{} ? now : since;
+        const auto is_late =
+            ahead && (now - since >= this->delivery_time_of(stream, now) || !mirror.is_complete());
+        if (is_late && !this->fetch)
         {
-            const auto& mirror = this->state.mirror_of(static_cast<record_stream>(stream));
-            const auto ahead = this->is_alive(other, now) && other.ends[stream] > mirror.end() &&
-                               (other.news_ends[stream] > mirror.end() || !mirror.is_complete());
-            auto& since = other.ahead_since[stream];
-            since = !ahead ? time_point{} : since == time_point{} ? now : since;
-            const auto is_late = ahead && (now - since >= this->delivery_time_of(stream, now) ||
-                                           !mirror.is_complete());
-            if (is_late && !this->fetch)
-            {
-                this->fetch_from(address);
-                since = now;
-            }
+            this->fetch_from(address);
+            since = now;
         }
     }
 }
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -81,6 +81,8 @@
     auto collect_sights() -> void;
     auto add_up_loads(time_point now) -> void;
     auto look_for_news(time_point now) -> void;
+    auto look_for_news_at(const boost::asio::ip::address_v4& address, peer& other, time_point now)
+        -> void;
     auto fetch_from(const boost::asio::ip::address_v4& address) -> void;
     auto on_batch(const std::string& body) -> void;
     auto answer_fetch(const http::request_head& head) const -> traffic::status_answer;
--- a/src/routing/fleet_view.hpp
+++ b/src/routing/fleet_view.hpp
@@ -24,7 +24,6 @@
     std::string service;
     boost::asio::ip::tcp::endpoint address;
     zone_name zone;
-    int slots = 1;
     bool leaving = false;           ///< finishes what it has; takes nothing new
     duration cold_left{};           ///< from the moment of writing
     std::uint64_t start_number = 0; ///< differs between starts of an upstream; 0 when not said
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -248,10 +248,9 @@
 
 auto to_text(exclusion why) -> std::string_view
 {
-    static constexpr std::array<std::string_view, 14> names = {
-        "none",         "other_service", "leaving", "zone_out",       "lapsed",
-        "misaddressed", "tried",         "ejected", "probation_full", "silent",
-        "cold_limit",   "load_bound",    "full",    "unreachable"};
+    static constexpr std::array<std::string_view, 13> names = {
+        "none",    "other_service",  "leaving", "zone_out",   "lapsed",     "misaddressed", "tried",
+        "ejected", "probation_full", "silent",  "cold_limit", "load_bound", "unreachable"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -335,7 +334,7 @@
         holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
     const auto first =
         query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query) : std::nullopt;
-    std::array<int, 14> refusals{};
+    std::array<int, 13> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
     for (std::size_t position = 0; position < upstreams.size(); ++position)
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -25,7 +25,6 @@
     silent,
     cold_limit,
     load_bound,
-    full,
     unreachable,
 };
 
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -18,7 +18,7 @@
 {
     setting()
     {
-        this->rules.engine = engine_rules{64, 600'000, 327'680.0, 550'000.0};
+        this->rules.engine = engine_rules{600'000, 327'680.0, 550'000.0};
         for (int number = 0; number < 4; ++number)
         {
             live_upstream upstream;
--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -19,7 +19,6 @@
 {
     std::vector<prompt_part> parts; ///< in order; the last belongs to the request or its session
     std::uint32_t input_tokens = 0;
-    std::uint32_t output_tokens = 0; ///< the most it may generate
 };
 
 } // namespace poplardrift::routing
--- a/src/routing/resend_policy.cpp
+++ b/src/routing/resend_policy.cpp
@@ -1,8 +1,17 @@
 #include "routing/resend_policy.hpp"
 
+#include <array>
+
 namespace poplardrift::routing
 {
 
+auto to_text(send_fate fate) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 5> names = {"not_sent", "declined", "unknown",
+                                                              "failed", "broken_midway"};
+    return names[static_cast<std::size_t>(fate)];
+}
+
 auto may_repeat(route_kind kind, bool resumable) -> bool
 {
     switch (kind)
--- a/src/routing/resend_policy.hpp
+++ b/src/routing/resend_policy.hpp
@@ -3,6 +3,7 @@
 #include "routing/routing_configuration.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace poplardrift::routing
 {
@@ -17,6 +18,8 @@
     broken_midway ///< ran, and part of its answer has reached the caller
 };
 
+[[nodiscard]] auto to_text(send_fate fate) -> std::string_view;
+
 /// What is to happen after a send came to nothing.
 enum class next_step : std::uint8_t
 {
--- a/src/routing/routing_configuration.hpp
+++ b/src/routing/routing_configuration.hpp
@@ -40,21 +40,19 @@
     std::string host_name;
     std::string path_prefix;
     route_kind kind = route_kind::non_idempotent;
-    bool resumable = false;      ///< a broken stream may go on at another upstream
-    bool anonymous = false;      ///< needs no workspace key
-    bool carries_prompt = false; ///< requests say what prompt parts they share
-    duration timeout{};          ///< a caller is kept waiting no longer
-    duration objective{};        ///< an answer within this time is on time
-    duration event_gap{};        ///< streams: the longest pause that is still on time
-    int max_attempts = 1;        ///< upstreams that one caller's request may be sent to
-    int priority = 0;            ///< 0 is most urgent
+    bool resumable = false; ///< a broken stream may go on at another upstream
+    bool anonymous = false; ///< needs no workspace key
+    duration timeout{};     ///< a caller is kept waiting no longer
+    duration objective{};   ///< an answer within this time is on time
+    duration event_gap{};   ///< streams: the longest pause that is still on time
+    int max_attempts = 1;   ///< upstreams that one caller's request may be sent to
+    int priority = 0;       ///< 0 is most urgent
     std::vector<service_share> shares;
 };
 
 /// Engine facts of a service of model engines.
 struct engine_rules
 {
-    int slots = 1;
     std::uint64_t cache_tokens = 0; ///< memory of one engine, in tokens
     double bytes_per_token = 0.0;   ///< of memory; zero when engines do not fetch from each other
     double link_megabits = 0.0;     ///< a second, between engines
@@ -64,9 +62,7 @@
 struct service_rules
 {
     std::string name;
-    std::string health_path;
-    int max_connections = 0; ///< at one upstream, of all hosts together
-    duration cold_start{};   ///< an upstream that has just started is cold for this long
+    duration cold_start{}; ///< an upstream that has just started is cold for this long
     double cold_requests_per_second = 0.0;
     std::optional<engine_rules> engine;
 };
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -25,8 +25,6 @@
 constexpr duration place_again_after = 10ms;
 /// Part of the objective that a request may wait for an upstream before it is refused.
 constexpr int wait_part_of_objective = 8;
-/// When a refused caller should come back: upstreams report and answer within this time.
-constexpr const char* retry_after_seconds = "0.15";
 /// Multiple of the objective after which a request that may be repeated is sent elsewhere: an
 /// answer this late has missed its objective, and its upstream is probably stuck.
 constexpr double first_output_patience = 1.5;
@@ -36,8 +34,6 @@
 constexpr duration least_patience = 280ms;
 /// Least time that a further send needs to be of use.
 constexpr duration least_time_for_send = 40ms;
-/// Bytes waiting for a slow caller beyond which its upstream is not read on.
-constexpr std::size_t most_bytes_waiting = 262'144;
 /// Plain answers up to this size are held until they are whole, so that a broken one can be
 /// repeated; larger ones are forwarded as they come.
 constexpr std::size_t most_held_bytes = 1'048'576;
@@ -45,23 +41,11 @@
 constexpr duration most_idle_once = 1500ms;
 constexpr duration most_idle_any = 60s; ///< the pool's own limits are shorter
 
-auto to_ms(duration length) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 auto scaled(duration length, double factor) -> duration
 {
     return std::chrono::duration_cast<duration>(length * factor);
 }
 
-auto to_text(send_fate fate) -> const char*
-{
-    static constexpr std::array<const char*, 5> names = {"not_sent", "declined", "unknown",
-                                                         "failed", "broken_midway"};
-    return names[static_cast<std::size_t>(fate)];
-}
-
 auto path_of(std::string_view target) -> std::string_view
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -267,6 +251,11 @@
     out.upstream = &this->upstream_name;
     out.time_left = this->deadline - now;
     out.workspace = this->workspace;
+    out.priority = this->route->priority;
+    if (this->workspace != nullptr && this->workspace->priority)
+    {
+        out.priority = *this->workspace->priority;
+    }
     out.request_id = this->facts.id;
     const auto resume = this->last_event ? std::to_string(*this->last_event) : std::string();
     out.resume_after = resume;
@@ -346,60 +335,6 @@
     }
 }
 
-auto exchange::forward_events() -> void
-{
-    while (!this->done)
-    {
-        const auto event = this->events.next();
-        if (!event)
-        {
-            break;
-        }
-        this->forward_event(*event);
-    }
-    if (!this->done && this->connection && this->sink->bytes_waiting() > most_bytes_waiting)
-    {
-        this->paused = true;
-        this->connection->set_reading(false);
-    }
-}
-
-auto exchange::forward_event(const sse_event& event) -> void
-{
-    const auto now = boot_clock_now();
-    if (event.sequence && this->last_event && *event.sequence <= *this->last_event)
-    {
-        return; // repeated at the start of a resumed answer
-    }
-    if (this->tokens_counted)
-    {
-        // The prompt has been read.
-        this->upstream->unread_tokens -= this->unread_tokens;
-        this->tokens_counted = false;
-        this->upstream->cache.on_read(*this->facts.prompt);
-        this->service.on_prompt_read(this->upstream_name, *this->facts.prompt);
-    }
-    this->last_progress = now;
-    if (!this->head_committed)
-    {
-        this->first_output = now;
-        this->commit_head();
-    }
-    if (event.sequence)
-    {
-        this->last_event = event.sequence;
-    }
-    ++this->events_out;
-    this->sink->write_body(event.raw);
-}
-
-auto exchange::commit_head() -> void
-{
-    this->caller_head = this->answer_head;
-    this->head_committed = true;
-    this->sink->begin_answer(this->caller_head, std::nullopt);
-}
-
 auto exchange::on_response_end() -> void
 {
     const auto self = this->shared_from_this();
@@ -538,7 +473,7 @@
                                    {"fate", to_text(fate)},
                                    {"reason", reason},
                                    {"sends", this->sends},
-                                   {"age_ms", to_ms(now - this->arrived)}});
+                                   {"age_ms", to_milliseconds(now - this->arrived)}});
     this->place();
 }
 
@@ -564,111 +499,6 @@
     }
 }
 
-auto exchange::answer_whole() -> void
-{
-    const auto now = boot_clock_now();
-    this->done = true;
-    this->timer.cancel();
-    const auto upstream_used = this->upstream_name;
-    this->release_send();
-    if (!this->head_committed)
-    {
-        this->first_output = now;
-        this->sink->begin_answer(this->answer_head, this->held_body.size());
-    }
-    if (!this->held_body.empty())
-    {
-        this->sink->write_body(this->held_body);
-    }
-    this->service.get_log().write(event_code::request_done,
-                                  {{"request", this->facts.id},
-                                   {"route", this->route->name},
-                                   {"version", this->configuration->version.value()},
-                                   {"upstream", upstream_used.value()},
-                                   {"sends", this->sends},
-                                   {"cost_ms", this->placement.cost_ms},
-                                   {"candidates", this->placement.candidates},
-                                   {"in_flight", this->placement.in_flight},
-                                   {"mean_in_flight", this->placement.mean_in_flight},
-                                   {"objection", routing::to_text(this->placement.objection)},
-                                   {"first_choice", this->placement.is_first_choice},
-                                   {"cached", this->placement.cached_tokens},
-                                   {"fetched", this->placement.fetch_from.has_value()},
-                                   {"affinity", this->affinity},
-                                   {"first_ms", to_ms(this->first_output - this->arrived)},
-                                   {"total_ms", to_ms(now - this->arrived)},
-                                   {"events", this->events_out}});
-    this->service.count_outcome(this->route->name, "done", this->first_output - this->arrived);
-    this->sink->end_answer();
-}
-
-auto exchange::pass_on_failure() -> void
-{
-    this->done = true;
-    this->timer.cancel();
-    this->service.get_log().write(event_code::request_failed,
-                                  {{"request", this->facts.id},
-                                   {"route", this->route->name},
-                                   {"reason", "upstream's failure"},
-                                   {"version", this->configuration->version.value()},
-                                   {"status", this->failure_head.status},
-                                   {"upstream", this->upstream_name.value()},
-                                   {"sends", this->sends},
-                                   {"age_ms", to_ms(boot_clock_now() - this->arrived)}});
-    this->service.count_outcome(this->route->name, "upstream_failure",
-                                boot_clock_now() - this->arrived);
-    this->sink->begin_answer(this->failure_head, this->failure_body.size());
-    this->sink->write_body(this->failure_body);
-    this->sink->end_answer();
-}
-
-auto exchange::answer_own(int status, const char* reason) -> void
-{
-    http::response_head head;
-    head.status = status;
-    head.reason = http::reason_phrase(status);
-    head.fields.add("Content-Type", "text/plain");
-    if (status == 503)
-    {
-        head.fields.add("Retry-After", retry_after_seconds);
-    }
-    const std::string text = std::string(reason) + "\n";
-    this->sink->begin_answer(head, text.size());
-    this->sink->write_body(text);
-    this->sink->end_answer();
-}
-
-auto exchange::conclude(int status, const char* reason) -> void
-{
-    const auto now = boot_clock_now();
-    this->done = true;
-    this->timer.cancel();
-    const auto code = this->head_committed ? event_code::stream_broken
-                      : status == 503      ? event_code::request_refused
-                      : status >= 500      ? event_code::request_failed
-                                           : event_code::request_invalid;
-    this->service.get_log().write(
-        code, {{"request", this->facts.id},
-               {"route", this->route != nullptr ? this->route->name : ""},
-               {"version", this->configuration ? this->configuration->version.value() : 0},
-               {"status", status},
-               {"reason", reason},
-               {"worst_fate", to_text(this->worst)},
-               {"upstream", this->upstream_name.value()},
-               {"sends", this->sends},
-               {"connect_failures", this->connect_failures},
-               {"events", this->events_out},
-               {"age_ms", to_ms(now - this->arrived)}});
-    this->service.count_outcome(this->route != nullptr ? this->route->name : "none", reason,
-                                now - this->arrived);
-    if (this->head_committed)
-    {
-        this->sink->break_off();
-        return;
-    }
-    this->answer_own(status, reason);
-}
-
 auto exchange::on_caller_gone() -> void
 {
     if (this->done)
@@ -684,7 +514,7 @@
                                    {"upstream", this->upstream_name.value()},
                                    {"sends", this->sends},
                                    {"events", this->events_out},
-                                   {"age_ms", to_ms(boot_clock_now() - this->arrived)}});
+                                   {"age_ms", to_milliseconds(boot_clock_now() - this->arrived)}});
     this->service.count_outcome(this->route != nullptr ? this->route->name : "none", "cancelled",
                                 boot_clock_now() - this->arrived);
 }
--- /dev/null
+++ b/src/traffic/exchange_answer.cpp
@@ -0,0 +1,182 @@
+// The part of an exchange that faces the caller: events, whole answers, refusals.
+
+#include "net/clock.hpp"
+#include "traffic/exchange.hpp"
+#include "traffic/traffic_service.hpp"
+
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+/// When a refused caller should come back: upstreams report and answer within this time.
+constexpr const char* retry_after_seconds = "0.15";
+/// Bytes waiting for a slow caller beyond which its upstream is not read on.
+constexpr std::size_t most_bytes_waiting = 262'144;
+
+} // namespace
+
+auto exchange::forward_events() -> void
+{
+    while (!this->done)
+    {
+        const auto event = this->events.next();
+        if (!event)
+        {
+            break;
+        }
+        this->forward_event(*event);
+    }
+    if (!this->done && this->connection && this->sink->bytes_waiting() > most_bytes_waiting)
+    {
+        this->paused = true;
+        this->connection->set_reading(false);
+    }
+}
+
+auto exchange::forward_event(const sse_event& event) -> void
+{
+    const auto now = boot_clock_now();
+    if (event.sequence && this->last_event && *event.sequence <= *this->last_event)
+    {
+        return; // repeated at the start of a resumed answer
+    }
+    if (this->tokens_counted)
+    {
+        // The prompt has been read.
+        this->upstream->unread_tokens -= this->unread_tokens;
+        this->tokens_counted = false;
+        this->upstream->cache.on_read(*this->facts.prompt);
+        this->service.on_prompt_read(this->upstream_name, *this->facts.prompt);
+    }
+    this->last_progress = now;
+    if (!this->head_committed)
+    {
+        this->first_output = now;
+        this->commit_head();
+    }
+    if (event.sequence)
+    {
+        this->last_event = event.sequence;
+    }
+    ++this->events_out;
+    this->sink->write_body(event.raw);
+}
+
+auto exchange::commit_head() -> void
+{
+    this->caller_head = this->answer_head;
+    this->head_committed = true;
+    this->sink->begin_answer(this->caller_head, std::nullopt);
+}
+
+auto exchange::answer_whole() -> void
+{
+    const auto now = boot_clock_now();
+    this->done = true;
+    this->timer.cancel();
+    const auto upstream_used = this->upstream_name;
+    this->release_send();
+    if (!this->head_committed)
+    {
+        this->first_output = now;
+        this->sink->begin_answer(this->answer_head, this->held_body.size());
+    }
+    if (!this->held_body.empty())
+    {
+        this->sink->write_body(this->held_body);
+    }
+    this->service.get_log().write(
+        event_code::request_done,
+        {{"request", this->facts.id},
+         {"route", this->route->name},
+         {"version", this->configuration->version.value()},
+         {"upstream", upstream_used.value()},
+         {"sends", this->sends},
+         {"cost_ms", this->placement.cost_ms},
+         {"candidates", this->placement.candidates},
+         {"in_flight", this->placement.in_flight},
+         {"mean_in_flight", this->placement.mean_in_flight},
+         {"objection", routing::to_text(this->placement.objection)},
+         {"first_choice", this->placement.is_first_choice},
+         {"cached", this->placement.cached_tokens},
+         {"fetched", this->placement.fetch_from.has_value()},
+         {"affinity", this->affinity},
+         {"first_ms", to_milliseconds(this->first_output - this->arrived)},
+         {"total_ms", to_milliseconds(now - this->arrived)},
+         {"events", this->events_out}});
+    this->service.count_outcome(this->route->name, "done", this->first_output - this->arrived);
+    this->sink->end_answer();
+}
+
+auto exchange::pass_on_failure() -> void
+{
+    this->done = true;
+    this->timer.cancel();
+    this->service.get_log().write(event_code::request_failed,
+                                  {{"request", this->facts.id},
+                                   {"route", this->route->name},
+                                   {"reason", "upstream's failure"},
+                                   {"version", this->configuration->version.value()},
+                                   {"status", this->failure_head.status},
+                                   {"upstream", this->upstream_name.value()},
+                                   {"sends", this->sends},
+                                   {"age_ms", to_milliseconds(boot_clock_now() - this->arrived)}});
+    this->service.count_outcome(this->route->name, "upstream_failure",
+                                boot_clock_now() - this->arrived);
+    this->sink->begin_answer(this->failure_head, this->failure_body.size());
+    this->sink->write_body(this->failure_body);
+    this->sink->end_answer();
+}
+
+auto exchange::answer_own(int status, const char* reason) -> void
+{
+    http::response_head head;
+    head.status = status;
+    head.reason = http::reason_phrase(status);
+    head.fields.add("Content-Type", "text/plain");
+    if (status == 503)
+    {
+        head.fields.add("Retry-After", retry_after_seconds);
+    }
+    const std::string text = std::string(reason) + "\n";
+    this->sink->begin_answer(head, text.size());
+    this->sink->write_body(text);
+    this->sink->end_answer();
+}
+
+auto exchange::conclude(int status, const char* reason) -> void
+{
+    const auto now = boot_clock_now();
+    this->done = true;
+    this->timer.cancel();
+    const auto code = this->head_committed ? event_code::stream_broken
+                      : status == 503      ? event_code::request_refused
+                      : status >= 500      ? event_code::request_failed
+                                           : event_code::request_invalid;
+    this->service.get_log().write(
+        code, {{"request", this->facts.id},
+               {"route", this->route != nullptr ? this->route->name : ""},
+               {"version", this->configuration ? this->configuration->version.value() : 0},
+               {"status", status},
+               {"reason", reason},
+               {"worst_fate", to_text(this->worst)},
+               {"upstream", this->upstream_name.value()},
+               {"sends", this->sends},
+               {"connect_failures", this->connect_failures},
+               {"events", this->events_out},
+               {"age_ms", to_milliseconds(now - this->arrived)}});
+    this->service.count_outcome(this->route != nullptr ? this->route->name : "none", reason,
+                                now - this->arrived);
+    if (this->head_committed)
+    {
+        this->sink->break_off();
+        return;
+    }
+    this->answer_own(status, reason);
+}
+
+} // namespace poplardrift::traffic
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -27,20 +27,13 @@
     const routing::upstream_name* upstream = nullptr; ///< any other one must decline
     duration time_left{};
     const routing::workspace_rules* workspace = nullptr;
+    int priority = 0; ///< 0 is most urgent
     std::string_view request_id;
     std::string_view resume_after;
     /// The upstream is to copy what this one has read of the prompt; null: it reads by itself.
     const http::endpoint* fetch_from = nullptr;
 };
 
-/// Load that an upstream reports with an answer.
-struct reported_load
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-};
-
 /// What an answer's head says to the router.
 struct answer_facts
 {
@@ -48,7 +41,6 @@
     bool misaddressed = false; ///< declined because another upstream was meant
     bool success = false;
     bool trusted = false; ///< bears the upstream's mark and is not encoded on the way
-    std::optional<reported_load> load;
 };
 
 /// Translates between the wire and the router's types. Holds no state; any thread.
