--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -35,15 +35,8 @@
     auto operator==(const reading&) const -> bool = default;
 };
 
-auto read_in_pieces(const std::string& bytes, std::mt19937& random) -> reading
+auto result_of(request_reader& reader) -> reading
 {
-    request_reader reader(limits);
-    for (std::size_t at = 0; at < bytes.size() && reader.error() == read_error::none;)
-    {
-        const auto piece = std::min<std::size_t>(bytes.size() - at, 1 + random() % 7);
-        reader.feed(std::string_view(bytes).substr(at, piece));
-        at += piece;
-    }
     reading result;
     result.error = reader.error();
     result.complete = reader.is_complete();
@@ -55,18 +48,22 @@
     return result;
 }
 
-auto read_whole(const std::string& bytes) -> reading
+auto read_in_pieces(const std::string& bytes, std::mt19937& random) -> reading
 {
-    auto reader = read_request(bytes);
-    reading result;
-    result.error = reader.error();
-    result.complete = reader.is_complete();
-    if (result.complete)
+    request_reader reader(limits);
+    for (std::size_t at = 0; at < bytes.size() && reader.error() == read_error::none;)
     {
-        result.target = reader.head().target;
-        result.body = reader.take_body();
+        const auto piece = std::min<std::size_t>(bytes.size() - at, 1 + random() % 7);
+        reader.feed(std::string_view(bytes).substr(at, piece));
+        at += piece;
     }
-    return result;
+    return result_of(reader);
+}
+
+auto read_whole(const std::string& bytes) -> reading
+{
+    auto reader = read_request(bytes);
+    return result_of(reader);
 }
 
 } // namespace
