--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,4 +1,5 @@
 #include "ctl/commands.hpp"
+#include "ctl/router_commands.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -28,6 +29,36 @@
                       "do not remove paths that the folder lacks");
 }
 
+/// Commands for routers on the users' platform.
+auto add_router_commands(CLI::App& app, router_options& options, exit_code& result) -> void
+{
+    auto* router = app.add_subcommand("router", "ask poplardrift-router on the users' platform");
+    router->require_subcommand(1);
+    auto* status = router->add_subcommand("status", "what each router believes of the fleet");
+    auto* explain =
+        router->add_subcommand("explain", "where a router would send a request now, and why");
+    for (auto* command : {status, explain})
+    {
+        command
+            ->add_option("--router", options.routers,
+                         "ADDRESS:PORT of a router's readiness or metrics; may be repeated")
+            ->envname("POPLARDRIFT_ROUTER")
+            ->required();
+    }
+    explain->add_option("--host-name", options.host_name, "host that the request is meant for")
+        ->required();
+    explain->add_option("--path", options.path, "path of the request")->required();
+    explain->add_option("--field", options.fields,
+                        "\"Name: value\" as the request would have it; may be repeated");
+    status->callback([&] { result = run_router_status(options); });
+    explain->callback([&] { result = run_router_explain(options); });
+    auto* trace =
+        app.add_subcommand("trace", "one request's way through the logs of several hosts");
+    trace->add_option("request", options.request, "identifier of the request")->required();
+    trace->add_option("files", options.files, "logs of hosts")->required();
+    trace->callback([&] { result = run_trace(options); });
+}
+
 auto default_author() -> std::string
 {
     const auto* user = std::getenv("USER");
@@ -41,6 +72,7 @@
     CLI::App app("poplardriftctl: drives a poplardrift fleet");
     command_options options;
     std::string api_key;
+    router_options router;
     auto result = exit_code::ok;
     options.author = default_author();
     app.add_option("--admin", options.admin,
@@ -97,6 +129,8 @@
     undrain->callback([&] { result = run_zone(options, true); });
     auto* status = app.add_subcommand("status", "show hosts, zones and upstreams");
     status->callback([&] { result = run_status(options); });
+    add_router_commands(app, router, result);
+    app.parse_complete_callback([&] { router.json = options.json; });
     CLI11_PARSE(app, argc, argv);
     return static_cast<int>(result);
 }
--- /dev/null
+++ b/src/ctl/router_commands.cpp
@@ -0,0 +1,205 @@
+#include "ctl/router_commands.hpp"
+
+#include "observability/request_trace.hpp"
+#include "traffic/operator_pages.hpp"
+
+#include <httplib.h>
+
+#include <iomanip>
+#include <iostream>
+
+namespace poplardrift::ctl
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr time_t answer_timeout_seconds = 3;
+
+auto ask_router(const std::string& address, const std::string& path, const httplib::Headers& fields)
+    -> outcome<json>
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(answer_timeout_seconds);
+    client.set_read_timeout(answer_timeout_seconds);
+    const auto answer = client.Get(path, fields);
+    if (!answer || answer->status != 200)
+    {
+        return outcome<json>::failure(address + ": " +
+                                      (answer ? "status " + std::to_string(answer->status)
+                                              : httplib::to_string(answer.error())));
+    }
+    auto body = json::parse(answer->body, nullptr, false);
+    return body.is_object() ? outcome<json>(std::move(body))
+                            : outcome<json>::failure(address + ": not an answer of a router");
+}
+
+auto parse_fields(const std::vector<std::string>& lines) -> std::optional<httplib::Headers>
+{
+    httplib::Headers fields;
+    for (const auto& line : lines)
+    {
+        const auto colon = line.find(':');
+        const auto value = line.find_first_not_of(' ', colon + 1);
+        if (colon == std::string::npos || colon == 0 || value == std::string::npos)
+        {
+            return std::nullopt;
+        }
+        fields.emplace(line.substr(0, colon), line.substr(value));
+    }
+    return fields;
+}
+
+/// Words for what keeps an upstream from being an ordinary one.
+auto conditions_of(const json& upstream) -> std::string
+{
+    std::string words;
+    for (const auto* name :
+         {"leaving", "zone_out", "zone_silent", "ejected", "cold", "misaddressed"})
+    {
+        if (upstream.at(name).get<bool>())
+        {
+            words += std::string(" ") + name;
+        }
+    }
+    return words;
+}
+
+auto print_status(const std::string& address, const json& status) -> void
+{
+    std::cout << address << " zone " << status.at("zone").get<std::string>() << ": "
+              << (status.at("ready").get<bool>() ? "ready" : "not ready") << ", "
+              << status.at("hosts") << " hosts";
+    if (const auto found = status.find("configuration"); found != status.end())
+    {
+        std::cout << ", configuration " << found->at("version") << " for " << std::fixed
+                  << std::setprecision(1) << found->at("in_force_ms").get<double>() / 1000.0
+                  << " s";
+    }
+    std::cout << "\n";
+    for (const auto& zone : status.at("zones_out"))
+    {
+        std::cout << "  zone out " << zone.get<std::string>() << "\n";
+    }
+    for (const auto& upstream : status.at("upstreams"))
+    {
+        std::cout << "  " << std::left << std::setw(20) << upstream.at("name").get<std::string>()
+                  << std::setw(16) << upstream.at("service").get<std::string>() << std::setw(12)
+                  << upstream.at("zone").get<std::string>() << "in flight "
+                  << upstream.at("in_flight") << "+" << upstream.at("in_flight_elsewhere")
+                  << ", failing " << std::fixed << std::setprecision(2)
+                  << upstream.at("failure_share").get<double>() << conditions_of(upstream) << "\n";
+    }
+}
+
+auto print_explanation(const json& told) -> void
+{
+    std::cout << told.at("outcome").get<std::string>();
+    if (!told.contains("route"))
+    {
+        std::cout << "\n";
+        return;
+    }
+    std::cout << ": route " << told.at("route").get<std::string>() << ", service "
+              << told.at("service").get<std::string>() << ", configuration " << told.at("version")
+              << "\n";
+    for (const auto& candidate : told.at("candidates"))
+    {
+        std::cout << "  " << std::left << std::setw(20)
+                  << candidate.at("upstream").get<std::string>();
+        if (!candidate.contains("cost_ms"))
+        {
+            std::cout << "ruled out: " << candidate.at("verdict").get<std::string>() << "\n";
+            continue;
+        }
+        std::cout << std::fixed << std::setprecision(1) << candidate.at("cost_ms").get<double>()
+                  << " ms, in flight " << candidate.at("in_flight") << ", cached tokens "
+                  << candidate.at("cached_tokens");
+        if (candidate.at("verdict") != "none")
+        {
+            std::cout << ", against it: " << candidate.at("verdict").get<std::string>();
+        }
+        if (candidate.contains("fetch_from"))
+        {
+            std::cout << ", copies from " << candidate.at("fetch_from").get<std::string>();
+        }
+        std::cout << "\n";
+    }
+}
+
+} // namespace
+
+auto run_router_status(const router_options& options) -> exit_code
+{
+    std::size_t answers = 0;
+    for (const auto& address : options.routers)
+    {
+        const auto status = ask_router(address, std::string(traffic::status_page), {});
+        if (!status)
+        {
+            std::cerr << status.last_reason() << "\n";
+            continue;
+        }
+        ++answers;
+        if (options.json)
+        {
+            std::cout << status->dump() << "\n";
+        }
+        else
+        {
+            print_status(address, *status);
+        }
+    }
+    return answers == options.routers.size() ? exit_code::ok : exit_code::unreachable;
+}
+
+auto run_router_explain(const router_options& options) -> exit_code
+{
+    auto fields = parse_fields(options.fields);
+    if (!fields || options.path.rfind('/', 0) != 0)
+    {
+        std::cerr << "fields are \"Name: value\", and a path begins with /\n";
+        return exit_code::bad_input;
+    }
+    fields->emplace("Host", options.host_name);
+    const auto told = ask_router(options.routers.front(),
+                                 std::string(traffic::explain_page) + options.path, *fields);
+    if (!told)
+    {
+        std::cerr << told.last_reason() << "\n";
+        return exit_code::unreachable;
+    }
+    if (options.json)
+    {
+        std::cout << told->dump() << "\n";
+    }
+    else
+    {
+        print_explanation(*told);
+    }
+    return told->at("outcome") == "placed" ? exit_code::ok : exit_code::refused;
+}
+
+auto run_trace(const router_options& options) -> exit_code
+{
+    const auto lines = trace_request(options.request, options.files);
+    if (!lines)
+    {
+        std::cerr << lines.last_reason() << "\n";
+        return exit_code::bad_input;
+    }
+    for (const auto& line : *lines)
+    {
+        std::cout << (options.json ? line.dump() : to_trace_text(line)) << "\n";
+    }
+    if (lines->empty())
+    {
+        std::cerr << "no line of request " << options.request << "\n";
+        return exit_code::refused;
+    }
+    return exit_code::ok;
+}
+
+} // namespace poplardrift::ctl
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -244,6 +244,61 @@
     }
 }
 
+/// What is the same for all candidates of one query.
+struct placement_context
+{
+    service_load load;
+    std::optional<prompt_holder> holder;
+    std::optional<std::size_t> first; ///< position of the first choice by rendezvous hashing
+};
+
+auto make_context(std::span<const live_upstream> upstreams, const placement_query& query)
+    -> placement_context
+{
+    placement_context context;
+    context.load = weigh_load(upstreams, query);
+    if (query.prompt == nullptr)
+    {
+        return context;
+    }
+    context.holder = find_holder(upstreams, query);
+    const auto is_held = context.holder && context.holder->may_serve &&
+                         context.holder->tokens >= shared_tokens_of(*query.prompt);
+    if (!is_held)
+    {
+        context.first = rendezvous_first(upstreams, query);
+    }
+    return context;
+}
+
+/// The cost of one candidate; nothing when the verdict rules it out.
+auto weigh(std::span<const live_upstream> upstreams, std::size_t position,
+           const placement_query& query, const placement_context& context, exclusion verdict)
+    -> std::optional<placement_choice>
+{
+    const auto penalty = cost_of(verdict, context.load);
+    if (!penalty)
+    {
+        return std::nullopt;
+    }
+    const auto& candidate = upstreams[position];
+    placement_choice choice;
+    choice.position = position;
+    choice.is_first_choice = context.first == position;
+    choice.in_flight = in_flight_of(candidate);
+    choice.mean_in_flight = context.load.mean_in_flight;
+    choice.objection = verdict;
+    choice.cost_ms = *penalty + ms_for_each_in_flight * in_flight_of(candidate) +
+                     ms_for_all_failing * candidate.state->health.failure_share();
+    choice.cost_ms += zone_cost(candidate, query);
+    if (query.prompt != nullptr)
+    {
+        choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
+        choice.cost_ms += weigh_prompt(candidate, query, context.holder, choice);
+    }
+    return choice;
+}
+
 } // namespace
 
 auto to_text(exclusion why) -> std::string_view
@@ -328,41 +383,21 @@
 auto choose_upstream(std::span<const live_upstream> upstreams, const placement_query& query,
                      placement_refusal& why_not) -> std::optional<placement_choice>
 {
-    const auto load = weigh_load(upstreams, query);
-    const auto holder = query.prompt != nullptr ? find_holder(upstreams, query) : std::nullopt;
-    const auto is_held =
-        holder && holder->may_serve && holder->tokens >= shared_tokens_of(*query.prompt);
-    const auto first =
-        query.prompt != nullptr && !is_held ? rendezvous_first(upstreams, query) : std::nullopt;
+    const auto context = make_context(upstreams, query);
     std::array<int, 13> refusals{};
     std::optional<placement_choice> best;
     int candidates = 0;
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
-        const auto& candidate = upstreams[position];
-        const auto verdict = judge(candidate, query, load);
-        const auto penalty = cost_of(verdict, load);
-        if (!penalty)
+        const auto verdict = judge(upstreams[position], query, context.load);
+        const auto choice = weigh(upstreams, position, query, context, verdict);
+        if (!choice)
         {
             ++refusals[static_cast<std::size_t>(verdict)];
             continue;
         }
         ++candidates;
-        placement_choice choice;
-        choice.position = position;
-        choice.is_first_choice = first == position;
-        choice.in_flight = in_flight_of(candidate);
-        choice.mean_in_flight = load.mean_in_flight;
-        choice.objection = verdict;
-        choice.cost_ms = *penalty + ms_for_each_in_flight * in_flight_of(candidate) +
-                         ms_for_all_failing * candidate.state->health.failure_share();
-        choice.cost_ms += zone_cost(candidate, query);
-        if (query.prompt != nullptr)
-        {
-            choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
-            choice.cost_ms += weigh_prompt(candidate, query, holder, choice);
-        }
-        if (!best || choice.cost_ms < best->cost_ms)
+        if (!best || choice->cost_ms < best->cost_ms)
         {
             best = choice;
         }
@@ -383,4 +418,21 @@
     return std::nullopt;
 }
 
+auto explain_placement(std::span<const live_upstream> upstreams, const placement_query& query)
+    -> std::vector<candidate_account>
+{
+    const auto context = make_context(upstreams, query);
+    std::vector<candidate_account> accounts;
+    for (std::size_t position = 0; position < upstreams.size(); ++position)
+    {
+        const auto verdict = judge(upstreams[position], query, context.load);
+        if (verdict != exclusion::other_service)
+        {
+            accounts.push_back(
+                {position, verdict, weigh(upstreams, position, query, context, verdict)});
+        }
+    }
+    return accounts;
+}
+
 } // namespace poplardrift::routing
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace poplardrift::routing
 {
@@ -86,6 +87,20 @@
                                    const placement_query& query, placement_refusal& why_not)
     -> std::optional<placement_choice>;
 
+/// What the decision sees in one upstream of the service.
+struct candidate_account
+{
+    std::size_t position = 0;
+    exclusion verdict = exclusion::none;
+    std::optional<placement_choice> choice; ///< nothing when the verdict rules it out
+};
+
+/// The same weighing as choose_upstream, told for every upstream of the service. For operators; it
+/// allocates.
+[[nodiscard]] auto explain_placement(std::span<const live_upstream> upstreams,
+                                     const placement_query& query)
+    -> std::vector<candidate_account>;
+
 /// Requests that this host may send to a cold upstream in one second.
 [[nodiscard]] auto cold_share(const service_rules& rules, const fleet_bounds& bounds,
                               std::size_t host_count) -> double;
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -35,9 +35,24 @@
         this->query.bounds = &this->bounds;
     }
 
+    /// The choice, after a look that the explanation says the same.
     auto choose() -> std::optional<placement_choice>
     {
-        return choose_upstream(this->upstreams, this->query, this->why);
+        const auto chosen = choose_upstream(this->upstreams, this->query, this->why);
+        std::optional<placement_choice> cheapest;
+        for (const auto& account : explain_placement(this->upstreams, this->query))
+        {
+            const auto is_cheaper =
+                account.choice && (!cheapest || account.choice->cost_ms < cheapest->cost_ms);
+            cheapest = is_cheaper ? account.choice : cheapest;
+        }
+        CHECK(chosen.has_value() == cheapest.has_value());
+        if (chosen && cheapest)
+        {
+            CHECK(chosen->position == cheapest->position);
+            CHECK(chosen->cost_ms == cheapest->cost_ms);
+        }
+        return chosen;
     }
 
     zone_name zone{"a"};
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -1,6 +1,7 @@
 #include "traffic/exchange.hpp"
 
 #include "net/clock.hpp"
+#include "traffic/placement_request.hpp"
 #include "traffic/traffic_service.hpp"
 
 #include <algorithm>
@@ -21,10 +22,6 @@
 
 /// Connections that may fail before a request is given up; nothing has been sent on them.
 constexpr int most_connect_failures = 4;
-/// Pause before looking for an upstream again while none can take the request.
-constexpr duration place_again_after = 10ms;
-/// Part of the objective that a request may wait for an upstream before it is refused.
-constexpr int wait_part_of_objective = 8;
 /// Multiple of the objective after which a request that may be repeated is sent elsewhere: an
 /// answer this late has missed its objective, and its upstream is probably stuck.
 constexpr double first_output_patience = 1.5;
@@ -37,46 +34,12 @@
 /// Plain answers up to this size are held until they are whole, so that a broken one can be
 /// repeated; larger ones are forwarded as they come.
 constexpr std::size_t most_held_bytes = 1'048'576;
-/// Idle time after which a connection is too likely to be closed for a request that may run once.
-constexpr duration most_idle_once = 1500ms;
-constexpr duration most_idle_any = 60s; ///< the pool's own limits are shorter
 
 auto scaled(duration length, double factor) -> duration
 {
     return std::chrono::duration_cast<duration>(length * factor);
 }
 
-auto path_of(std::string_view target) -> std::string_view
-{
-    return target.substr(0, target.find_first_of("?#"));
-}
-
-auto host_name_of(const http::request_head& head) -> std::string_view
-{
-    const auto value = head.fields.find("Host").value_or("");
-    return value.substr(0, value.find(':'));
-}
-
-/// Picks one of a route's services by their weights; the same request gets the same one.
-auto choose_share(const routing::route_rules& route, std::string_view request_id) -> std::size_t
-{
-    double sum = 0.0;
-    for (const auto& share : route.shares)
-    {
-        sum += share.weight;
-    }
-    auto point = sum * static_cast<double>(hash_bytes_64(request_id) >> 11) * 0x1.0p-53;
-    for (const auto& share : route.shares)
-    {
-        point -= share.weight;
-        if (point < 0.0)
-        {
-            return share.service;
-        }
-    }
-    return route.shares.back().service;
-}
-
 } // namespace
 
 exchange::exchange(traffic_service& service, answer_sink* sink, http::request_head head,
@@ -153,137 +116,6 @@
     return this->holds_body;
 }
 
-auto exchange::place() -> void
-{
-    const auto now = boot_clock_now();
-    const auto& view = this->service.get_view();
-    const auto position = view.configuration->find_service(this->target_service);
-    if (!position)
-    {
-        this->apply_step(routing::final_step(send_fate::not_sent, this->worst));
-        return;
-    }
-    const auto& rules = view.configuration->services[*position];
-    routing::placement_query query;
-    query.service = *position;
-    query.rules = &rules;
-    if (this->facts.prompt && rules.engine)
-    {
-        const auto& parts = this->facts.prompt->parts;
-        query.prompt = &*this->facts.prompt;
-        query.affinity = parts.size() > 1 ? parts[parts.size() - 2].chain_hash
-                         : !parts.empty() ? parts.back().chain_hash
-                                          : hash_bytes_64(this->facts.id);
-        this->affinity = query.affinity;
-    }
-    query.tried = this->tried;
-    query.own_zone = &this->service.get_zone();
-    query.now = now;
-    query.bounds = &view.bounds;
-    query.host_count = view.host_count;
-    routing::placement_refusal why;
-    const auto choice = routing::choose_upstream(this->service.get_upstreams(), query, why);
-    if (!choice)
-    {
-        this->wait_for_place(why);
-        return;
-    }
-    this->send_to(this->service.get_upstreams()[choice->position], *choice);
-}
-
-auto exchange::wait_for_place(const routing::placement_refusal& why) -> void
-{
-    const auto now = boot_clock_now();
-    const auto limit = this->arrived + this->route->objective / wait_part_of_objective;
-    const auto can_wait = this->sends == 0 && now < limit;
-    if (!can_wait)
-    {
-        this->service.get_log().write(event_code::request_refused,
-                                      {{"request", this->facts.id},
-                                       {"route", this->route->name},
-                                       {"reason", "no upstream"},
-                                       {"most_common", routing::to_text(why.most_common)},
-                                       {"considered", why.considered},
-                                       {"sends", this->sends}});
-        this->apply_step(routing::final_step(send_fate::not_sent, this->worst));
-        return;
-    }
-    auto wait =
-        std::make_shared<boost::asio::steady_timer>(this->service.get_io(), place_again_after);
-    wait->async_wait(
-        [self = this->shared_from_this(), wait](const boost::system::error_code&)
-        {
-            if (!self->done && !self->connection)
-            {
-                self->place();
-            }
-        });
-}
-
-auto exchange::send_to(const routing::live_upstream& chosen,
-                       const routing::placement_choice& choice) -> void
-{
-    const auto now = boot_clock_now();
-    this->upstream = chosen.state;
-    this->upstream_name = chosen.known.entry.name;
-    this->placement = choice;
-    this->sent_at = now;
-    this->last_progress = now;
-    this->is_sent = false;
-    this->answer = {};
-    this->held_body.clear();
-    this->events = sse_splitter();
-
-    auto& state = *this->upstream;
-    if (state.in_flight++ == 0)
-    {
-        state.waiting_since = now;
-    }
-    if (this->facts.prompt)
-    {
-        const auto input = this->facts.prompt->input_tokens;
-        this->unread_tokens = input - std::min(input, choice.cached_tokens);
-        state.unread_tokens += this->unread_tokens;
-        this->tokens_counted = true;
-    }
-
-    send_facts out;
-    out.upstream = &this->upstream_name;
-    out.time_left = this->deadline - now;
-    out.workspace = this->workspace;
-    out.priority = this->route->priority;
-    if (this->workspace != nullptr && this->workspace->priority)
-    {
-        out.priority = *this->workspace->priority;
-    }
-    out.request_id = this->facts.id;
-    const auto resume = this->last_event ? std::to_string(*this->last_event) : std::string();
-    out.resume_after = resume;
-    if (choice.fetch_from)
-    {
-        out.fetch_from = &this->service.get_upstreams()[*choice.fetch_from].known.entry.address;
-    }
-    auto wire = this->service.get_adapter().encode_request(this->request, this->body, out);
-
-    const auto once = !routing::may_repeat(this->route->kind, this->route->resumable);
-    this->connection = this->service.get_pool().take(this->upstream.get(), now,
-                                                     once ? most_idle_once : most_idle_any);
-    if (!this->connection)
-    {
-        this->connection = this->service.connect(chosen.known.entry.address);
-    }
-    this->connection->send(std::move(wire), this);
-}
-
-auto exchange::on_request_sent() -> void
-{
-    this->is_sent = true;
-    ++this->sends;
-    this->tried.push_back(this->upstream.get());
-    this->upstream->cold_sends.add(boot_clock_now());
-    this->service.count_send(this->target_service, this->sends > 1);
-}
-
 auto exchange::on_response_head(const http::response_head& head) -> void
 {
     const auto now = boot_clock_now();
--- /dev/null
+++ b/src/traffic/exchange_send.cpp
@@ -0,0 +1,144 @@
+// The part of an exchange that places a request and sends it.
+
+#include "net/clock.hpp"
+#include "traffic/exchange.hpp"
+#include "traffic/placement_request.hpp"
+#include "traffic/traffic_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Pause before looking for an upstream again while none can take the request.
+constexpr duration place_again_after = 10ms;
+/// Part of the objective that a request may wait for an upstream before it is refused.
+constexpr int wait_part_of_objective = 8;
+/// Idle time after which a connection is too likely to be closed for a request that may run once.
+constexpr duration most_idle_once = 1500ms;
+constexpr duration most_idle_any = 60s; ///< the pool's own limits are shorter
+
+} // namespace
+
+auto exchange::place() -> void
+{
+    const auto position =
+        this->service.get_view().configuration->find_service(this->target_service);
+    if (!position)
+    {
+        this->apply_step(routing::final_step(routing::send_fate::not_sent, this->worst));
+        return;
+    }
+    const auto query =
+        make_query(this->service, *position, this->facts.prompt, this->facts.id, this->tried);
+    this->affinity = query.affinity;
+    routing::placement_refusal why;
+    const auto choice = routing::choose_upstream(this->service.get_upstreams(), query, why);
+    if (!choice)
+    {
+        this->wait_for_place(why);
+        return;
+    }
+    this->send_to(this->service.get_upstreams()[choice->position], *choice);
+}
+
+auto exchange::wait_for_place(const routing::placement_refusal& why) -> void
+{
+    const auto now = boot_clock_now();
+    const auto limit = this->arrived + this->route->objective / wait_part_of_objective;
+    const auto can_wait = this->sends == 0 && now < limit;
+    if (!can_wait)
+    {
+        this->service.get_log().write(event_code::request_refused,
+                                      {{"request", this->facts.id},
+                                       {"route", this->route->name},
+                                       {"reason", "no upstream"},
+                                       {"most_common", routing::to_text(why.most_common)},
+                                       {"considered", why.considered},
+                                       {"sends", this->sends}});
+        this->apply_step(routing::final_step(routing::send_fate::not_sent, this->worst));
+        return;
+    }
+    auto wait =
+        std::make_shared<boost::asio::steady_timer>(this->service.get_io(), place_again_after);
+    wait->async_wait(
+        [self = this->shared_from_this(), wait](const boost::system::error_code&)
+        {
+            if (!self->done && !self->connection)
+            {
+                self->place();
+            }
+        });
+}
+
+auto exchange::send_to(const routing::live_upstream& chosen,
+                       const routing::placement_choice& choice) -> void
+{
+    const auto now = boot_clock_now();
+    this->upstream = chosen.state;
+    this->upstream_name = chosen.known.entry.name;
+    this->placement = choice;
+    this->sent_at = now;
+    this->last_progress = now;
+    this->is_sent = false;
+    this->answer = {};
+    this->held_body.clear();
+    this->events = sse_splitter();
+
+    auto& state = *this->upstream;
+    if (state.in_flight++ == 0)
+    {
+        state.waiting_since = now;
+    }
+    if (this->facts.prompt)
+    {
+        const auto input = this->facts.prompt->input_tokens;
+        this->unread_tokens = input - std::min(input, choice.cached_tokens);
+        state.unread_tokens += this->unread_tokens;
+        this->tokens_counted = true;
+    }
+
+    send_facts out;
+    out.upstream = &this->upstream_name;
+    out.time_left = this->deadline - now;
+    out.workspace = this->workspace;
+    out.priority = this->route->priority;
+    if (this->workspace != nullptr && this->workspace->priority)
+    {
+        out.priority = *this->workspace->priority;
+    }
+    out.request_id = this->facts.id;
+    const auto resume = this->last_event ? std::to_string(*this->last_event) : std::string();
+    out.resume_after = resume;
+    if (choice.fetch_from)
+    {
+        out.fetch_from = &this->service.get_upstreams()[*choice.fetch_from].known.entry.address;
+    }
+    auto wire = this->service.get_adapter().encode_request(this->request, this->body, out);
+
+    const auto once = !routing::may_repeat(this->route->kind, this->route->resumable);
+    this->connection = this->service.get_pool().take(this->upstream.get(), now,
+                                                     once ? most_idle_once : most_idle_any);
+    if (!this->connection)
+    {
+        this->connection = this->service.connect(chosen.known.entry.address);
+    }
+    this->connection->send(std::move(wire), this);
+}
+
+auto exchange::on_request_sent() -> void
+{
+    this->is_sent = true;
+    ++this->sends;
+    this->tried.push_back(this->upstream.get());
+    this->upstream->cold_sends.add(boot_clock_now());
+    this->service.count_send(this->target_service, this->sends > 1);
+}
+
+} // namespace poplardrift::traffic
--- /dev/null
+++ b/src/traffic/operator_pages.cpp
@@ -0,0 +1,141 @@
+#include "traffic/operator_pages.hpp"
+
+#include "net/clock.hpp"
+#include "traffic/placement_request.hpp"
+#include "traffic/traffic_service.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace poplardrift::traffic
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+auto milliseconds_since(time_point moment, time_point now) -> double
+{
+    return to_milliseconds(now - moment);
+}
+
+auto tell_upstream(const routing::live_upstream& upstream, time_point now) -> json
+{
+    const auto& entry = upstream.known.entry;
+    const auto& state = *upstream.state;
+    json told = {{"name", entry.name.value()},
+                 {"service", entry.service},
+                 {"zone", entry.zone.value()},
+                 {"address",
+                  entry.address.address().to_string() + ":" + std::to_string(entry.address.port())},
+                 {"leaving", entry.leaving},
+                 {"zone_out", upstream.zone_out},
+                 {"zone_silent", upstream.zone_silent},
+                 {"in_flight", state.in_flight},
+                 {"in_flight_elsewhere", state.in_flight_elsewhere},
+                 {"failure_share", state.health.failure_share()},
+                 {"ejected", state.health.is_ejected(now)},
+                 {"cold", now < upstream.known.cold_until || now < state.suspected_cold_until},
+                 {"misaddressed", state.misaddressed},
+                 {"unread_tokens", state.unread_tokens}};
+    if (state.last_heard != time_point{})
+    {
+        told["heard_ms_ago"] = milliseconds_since(state.last_heard, now);
+    }
+    return told;
+}
+
+auto tell_account(const routing::candidate_account& account,
+                  const std::vector<routing::live_upstream>& upstreams) -> json
+{
+    json told = {{"upstream", upstreams[account.position].known.entry.name.value()},
+                 {"verdict", routing::to_text(account.verdict)}};
+    if (const auto& choice = account.choice)
+    {
+        told["cost_ms"] = choice->cost_ms;
+        told["in_flight"] = choice->in_flight;
+        told["cached_tokens"] = choice->cached_tokens;
+        told["first_choice"] = choice->is_first_choice;
+        if (choice->fetch_from)
+        {
+            told["fetch_from"] = upstreams[*choice->fetch_from].known.entry.name.value();
+        }
+    }
+    return told;
+}
+
+} // namespace
+
+auto tell_status(const traffic_service& service) -> std::string
+{
+    const auto now = boot_clock_now();
+    const auto& view = service.get_view();
+    json told = {{"ready", service.is_ready()},
+                 {"leaving", service.is_leaving()},
+                 {"zone", service.get_zone().value()},
+                 {"hosts", view.host_count},
+                 {"upstreams_known", view.upstreams_known},
+                 {"zones_out", json::array()},
+                 {"upstreams", json::array()}};
+    if (view.configuration)
+    {
+        told["configuration"] = {
+            {"version", view.configuration->version.value()},
+            {"in_force_ms", milliseconds_since(service.get_configuration_since(), now)},
+            {"routes", view.configuration->routes.size()},
+            {"services", view.configuration->services.size()},
+            {"workspaces", view.configuration->workspaces.size()}};
+    }
+    for (const auto& zone : view.zones_out)
+    {
+        told["zones_out"].push_back(zone.value());
+    }
+    for (const auto& upstream : service.get_upstreams())
+    {
+        told["upstreams"].push_back(tell_upstream(upstream, now));
+    }
+    return told.dump() + "\n";
+}
+
+auto explain_request(const traffic_service& service, const http::request_head& head) -> std::string
+{
+    const auto& configuration = service.get_view().configuration;
+    if (!configuration)
+    {
+        return json{{"outcome", "no configuration yet"}}.dump() + "\n";
+    }
+    const auto target = std::string_view(head.target).substr(explain_page.size());
+    const auto* const route = configuration->find_route(host_name_of(head), path_of(target));
+    if (route == nullptr)
+    {
+        return json{{"outcome", "no route"}}.dump() + "\n";
+    }
+    const auto facts = service.get_adapter().decode_request(head);
+    const auto share = choose_share(*route, facts.id);
+    const auto query = make_query(service, share, facts.prompt, facts.id, {});
+    auto accounts = routing::explain_placement(service.get_upstreams(), query);
+    std::stable_sort(accounts.begin(), accounts.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         const auto rank = [](const auto& account) {
+                             return std::pair(!account.choice,
+                                              account.choice ? account.choice->cost_ms : 0.0);
+                         };
+                         return rank(left) < rank(right);
+                     });
+    json told = {{"outcome", accounts.empty() || !accounts.front().choice ? "refused" : "placed"},
+                 {"route", route->name},
+                 {"service", query.rules->name},
+                 {"version", configuration->version.value()},
+                 {"is_prompt", query.prompt != nullptr},
+                 {"candidates", json::array()}};
+    for (const auto& account : accounts)
+    {
+        told["candidates"].push_back(tell_account(account, service.get_upstreams()));
+    }
+    return told.dump() + "\n";
+}
+
+} // namespace poplardrift::traffic
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -1,6 +1,7 @@
 #include "traffic/traffic_service.hpp"
 
 #include "net/clock.hpp"
+#include "traffic/operator_pages.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -83,6 +84,10 @@
 auto traffic_service::apply_view(std::shared_ptr<const routing::fleet_view> next) -> void
 {
     const auto was_ready = this->is_ready();
+    if (next->configuration != this->view->configuration)
+    {
+        this->configuration_since = boot_clock_now();
+    }
     this->view = std::move(next);
     absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> kept;
     std::vector<routing::live_upstream> rebuilt;
@@ -321,6 +326,14 @@
     {
         return {200, this->metrics.to_text()};
     }
+    if (head.method == "GET" && head.target == status_page)
+    {
+        return {200, tell_status(*this)};
+    }
+    if (head.method == "GET" && head.target.rfind(explain_page, 0) == 0)
+    {
+        return {200, explain_request(*this, head)};
+    }
     return {404, "no such page\n"};
 }
 
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -65,6 +65,11 @@
     {
         return this->upstreams;
     }
+    /// When the present configuration came into force here.
+    [[nodiscard]] auto get_configuration_since() const -> time_point
+    {
+        return this->configuration_since;
+    }
     [[nodiscard]] auto get_zone() const -> const zone_name& { return this->settings.zone; }
     [[nodiscard]] auto get_caller_limits() const -> routing::caller_limits;
     [[nodiscard]] auto get_reader_limits() const -> http::reader_limits;
@@ -124,7 +129,7 @@
     std::size_t held_bytes = 0;
     std::uint64_t others_version = 0;
     std::vector<upstream_load> others;
-    time_point leave_until{};
+    time_point configuration_since{};
     bool leaving = false;
     bool accepting = true;
 };
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -467,6 +467,32 @@
     CHECK(closed.get_future().get() - left < 200ms);
 }
 
+TEST_CASE("operators see what a host believes, and where a request would go")
+{
+    scripted_server upstream([](peer_connection&) {});
+    router it({upstream.address(), free_address()});
+    const auto ask = [&](const std::string& path)
+    {
+        auto operators = connect_to(it.status_address);
+        operators.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        return nlohmann::json::parse(operators.read_response(1000ms).body);
+    };
+    const auto status = ask("/status");
+    CHECK(status["ready"] == true);
+    CHECK(status["configuration"]["version"] == 1);
+    REQUIRE(status["upstreams"].size() == 2);
+    CHECK(status["upstreams"][0]["name"] == "u0");
+    CHECK(status["upstreams"][0]["ejected"] == false);
+
+    const auto explained = ask("/explain/safe/x");
+    CHECK(explained["outcome"] == "placed");
+    CHECK(explained["service"] == "s");
+    REQUIRE(explained["candidates"].size() == 2);
+    CHECK(explained["candidates"][0]["verdict"] == "none");
+    CHECK(explained["candidates"][0].contains("cost_ms"));
+    CHECK(ask("/explain/nowhere")["outcome"] == "no route");
+}
+
 TEST_CASE("requests on a kept connection are answered in order")
 {
     scripted_server upstream(
