--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/keyed_mirror.hpp"
 #include "platform/host_directory.hpp"
+#include "platform/topic_follower.hpp"
 #include "store_stand_in.hpp"
 
 #include <catch2/catch.hpp>
@@ -116,6 +117,35 @@
     CHECK(it.run_until([&] { return it.value_of("config") == "8"; }));
 }
 
+TEST_CASE("a change between the pages of a listing is not missed")
+{
+    setting it;
+    for (int number = 0; number < 6; ++number)
+    {
+        it.store.put("keyed.op", "k" + std::to_string(number), "old");
+    }
+    it.store.change_between_pages({{"k0", std::nullopt}, {"k1", "new"}, {"k5", "new"}});
+    it.follower->start();
+    REQUIRE(it.run_until([&] { return it.value_of("k5") == "new"; }));
+    CHECK(it.run_until([&] { return it.value_of("k1") == "new" && !it.value_of("k0"); }));
+}
+
+TEST_CASE("a host hears of more hosts than fit a page of the directory")
+{
+    setting it;
+    for (int number = 1; number <= 8; ++number)
+    {
+        it.store.put("keyed.poplardrift-hosts", "h" + std::to_string(number),
+                     "127.0.0." + std::to_string(number));
+    }
+    std::vector<boost::asio::ip::address_v4> heard;
+    host_directory directory(it.io, it.address(), "h9",
+                             boost::asio::ip::make_address_v4("127.0.0.9"),
+                             [&](const auto& hosts) { heard = hosts; });
+    directory.start();
+    CHECK(it.run_until([&] { return heard.size() == 9; }));
+}
+
 TEST_CASE("a topic whose records have all expired is followed on")
 {
     setting it;
--- a/tests/store_stand_in.cpp
+++ b/tests/store_stand_in.cpp
@@ -103,6 +103,12 @@
     this->overtaking = {key, value};
 }
 
+auto store_stand_in::change_between_pages(const change_list& changes) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->between_pages = changes;
+}
+
 auto store_stand_in::refuse(httplib::Response& response) -> bool
 {
     ++this->call_count;
@@ -188,6 +194,10 @@
                               {"end_offset", target.first + target.records.size()}}
                              .dump(),
                          "application/json");
+    for (const auto& [key, value] : std::exchange(this->between_pages, {}))
+    {
+        this->put_locked(target, key, value);
+    }
 }
 
 } // namespace poplardrift::tests
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -35,6 +35,10 @@
     auto expire(const std::string& topic) -> void;
     /// The next listing is overtaken by this change: its end lies after it, its items before.
     auto overtake_next_listing(const std::string& key, const std::string& value) -> void;
+    /// Once the first page of the next listing has been answered, these changes are made; without a
+    /// value a key is removed.
+    using change_list = std::vector<std::pair<std::string, std::optional<std::string>>>;
+    auto change_between_pages(const change_list& changes) -> void;
     auto set_down(bool is_down) -> void { this->down = is_down; }
     [[nodiscard]] auto calls() const -> int { return this->call_count; }
 
@@ -62,6 +66,7 @@
     std::condition_variable news;
     std::map<std::string, topic> topics;
     std::optional<std::pair<std::string, std::string>> overtaking;
+    change_list between_pages;
     std::atomic<bool> down{false};
     std::atomic<bool> stopping{false};
     std::atomic<int> call_count{0};
