--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -490,17 +490,28 @@
                                                  : result.answer.content_type);
 }
 
+auto http_front::workspace_or_refusal(const httplib::Request& request, const routing_view& view,
+                                      httplib::Response& response, const std::string& id)
+    -> const workspace_view*
+{
+    const auto* workspace = this->workspace_of(request, view);
+    if (workspace == nullptr)
+    {
+        this->refuse(response,
+                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
+                     id);
+    }
+    return workspace;
+}
+
 auto http_front::handle_new_key(const httplib::Request& request, httplib::Response& response)
     -> void
 {
     const auto id = this->new_id().second;
     const auto view = this->context.slots.view();
-    const auto* workspace = this->workspace_of(request, *view);
+    const auto* workspace = this->workspace_or_refusal(request, *view, response, id);
     if (workspace == nullptr)
     {
-        this->refuse(response,
-                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
-                     id);
         return;
     }
     response.status = 201;
@@ -514,12 +525,9 @@
 {
     const auto id = this->new_id().second;
     const auto view = this->context.slots.view();
-    const auto* workspace = this->workspace_of(request, *view);
+    const auto* workspace = this->workspace_or_refusal(request, *view, response, id);
     if (workspace == nullptr)
     {
-        this->refuse(response,
-                     not_run(unauthorized, "Unauthorized", "an API key of a workspace is needed"),
-                     id);
         return;
     }
     const auto key = request.path.substr(lookup_prefix.size());
--- a/src/daemon/http_front.hpp
+++ b/src/daemon/http_front.hpp
@@ -38,6 +38,10 @@
     auto answer_whole(chat_relay& relay, httplib::Response& response) -> void;
     [[nodiscard]] auto workspace_of(const httplib::Request& request, const routing_view& view) const
         -> const workspace_view*;
+    /// Null when the request has no workspace's key; it is refused then.
+    [[nodiscard]] auto workspace_or_refusal(const httplib::Request& request,
+                                            const routing_view& view, httplib::Response& response,
+                                            const std::string& id) -> const workspace_view*;
     [[nodiscard]] auto new_id() -> std::pair<request_id, std::string>;
     auto refuse(httplib::Response& response, const problem& fault, const std::string& id) -> void;
 
