Stream benchmark without coroutines: the linter's compiler cannot read them

clang-tidy failed on bench/stream_benchmark.cpp (co_spawn and awaitable are unknown to it with this Asio). It uses the product's own byte_stream now.

--- a/bench/stream_benchmark.cpp
+++ b/bench/stream_benchmark.cpp
@@ -6,31 +6,23 @@
 #include "platform/http_adapter.hpp"
 #include "traffic/traffic_service.hpp"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
 #include <pthread.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <charconv>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
+#include <memory>
 #include <thread>
 
 using namespace poplardrift;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
-using boost::system::error_code;
 
 namespace
 {
@@ -38,13 +30,13 @@
 constexpr auto event_gap = 40ms; ///< 25 tokens a second, as letter 1 has it
 constexpr auto warm_up = 3s;
 constexpr auto measured_time = 8s;
+constexpr duration silence_limit = 8s;
 constexpr std::string_view stamp_mark = "t=";
 
 struct tally
 {
     std::atomic<std::uint64_t> events{0};
     std::atomic<bool> is_measuring{false};
-    std::atomic<bool> is_over{false};
     std::vector<std::int64_t> delays_ns; ///< callers' thread only
 };
 
@@ -53,84 +45,110 @@
     return std::chrono::steady_clock::now().time_since_epoch().count();
 }
 
-/// Sends events until the run is over.
-auto serve_stream(tcp::socket socket, tally& counts) -> asio::awaitable<void>
+/// One connection of the upstream: sends events from the request on until the connection ends.
+class event_source final : public http::stream_listener,
+                           public std::enable_shared_from_this<event_source>
 {
-    error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
-    std::string request;
-    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", token);
-    const std::string head =
-        "HTTP/1.1 200 OK\r\nPoplardrift-Runner-Seal: s\r\n"
-        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    co_await asio::async_write(socket, asio::buffer(head), token);
-    asio::steady_timer timer(socket.get_executor());
-    timer.expires_after(std::chrono::milliseconds(std::rand() % event_gap.count()));
-    for (auto number = 1; !error && !counts.is_over; ++number)
+public:
+    event_source(asio::io_context& io, tcp::socket socket, int number)
+        : stream(std::make_shared<http::byte_stream>(std::move(socket), this)), timer(io),
+          number(number)
     {
-        co_await timer.async_wait(token);
-        std::string event = "id: " + std::to_string(number) + "\ndata: {\"" +
-                            std::string(stamp_mark) + std::to_string(now_ns()) +
-                            "\",\"text\":\"a token of text\"}\n\n";
-        std::string chunk;
-        http::append_chunk(chunk, event);
-        co_await asio::async_write(socket, asio::buffer(chunk), token);
-        timer.expires_at(timer.expiry() + event_gap);
     }
-}
 
-auto accept_streams(tcp::acceptor& acceptor, tally& counts) -> asio::awaitable<void>
-{
-    while (true)
+    auto start() -> void
     {
-        error_code error;
-        auto socket =
-            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-        {
-            co_return;
-        }
-        socket.set_option(tcp::no_delay(true));
-        asio::co_spawn(acceptor.get_executor(), serve_stream(std::move(socket), counts),
-                       asio::detached);
+        this->keep = this->shared_from_this();
+        this->stream->start(silence_limit);
     }
-}
 
-auto take_events(std::string_view bytes, tally& counts) -> void
-{
-    const auto now = now_ns();
-    for (auto at = bytes.find(stamp_mark); at != std::string_view::npos;
-         at = bytes.find(stamp_mark, at + 1))
+private:
+    auto on_bytes(std::string_view) -> void override
     {
-        std::int64_t sent = 0;
-        const auto* const begin = bytes.data() + at + stamp_mark.size();
-        std::from_chars(begin, bytes.data() + bytes.size(), sent);
-        if (counts.is_measuring)
+        if (std::exchange(this->has_begun, true))
         {
-            ++counts.events;
-            counts.delays_ns.push_back(now - sent);
+            return;
         }
+        this->stream->write("HTTP/1.1 200 OK\r\nPoplardrift-Runner-Seal: s\r\n"
+                            "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+        // Streams are spread over the gap.
+        this->timer.expires_after(std::chrono::milliseconds(this->number % event_gap.count()));
+        this->send_next();
     }
-}
+    auto on_closed(http::close_kind) -> void override
+    {
+        this->timer.cancel();
+        this->keep = nullptr;
+    }
+    auto on_written() -> void override {}
+
+    auto send_next() -> void
+    {
+        this->timer.async_wait(
+            [self = this->shared_from_this()](const boost::system::error_code& error)
+            {
+                if (error || !self->keep)
+                {
+                    return;
+                }
+                const auto event = "id: " + std::to_string(++self->events) + "\ndata: {\"" +
+                                   std::string(stamp_mark) + std::to_string(now_ns()) +
+                                   "\",\"text\":\"a token of text\"}\n\n";
+                std::string chunk;
+                http::append_chunk(chunk, event);
+                self->stream->write(std::move(chunk));
+                self->timer.expires_at(self->timer.expiry() + event_gap);
+                self->send_next();
+            });
+    }
+
+    std::shared_ptr<http::byte_stream> stream;
+    asio::steady_timer timer;
+    int number;
+    int events = 0;
+    bool has_begun = false;
+    std::shared_ptr<event_source> keep; ///< the source owns itself while it is connected
+};
 
-auto read_stream(asio::io_context& io, tcp::endpoint router, int number, tally& counts)
-    -> asio::awaitable<void>
+/// One caller: reads a stream and notes the delay of its events.
+class event_sink final : public http::stream_listener
 {
-    error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
-    tcp::socket socket(io);
-    co_await socket.async_connect(router, token);
-    const auto request =
-        "GET /stream/x HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: " + std::to_string(number) +
-        "\r\n\r\n";
-    co_await asio::async_write(socket, asio::buffer(request), token);
-    std::array<char, 16'384> bytes{};
-    while (!error && !counts.is_over)
+public:
+    event_sink(asio::io_context& io, const tcp::endpoint& router, int number, tally& counts)
+        : counts(counts)
     {
-        const auto count = co_await socket.async_read_some(asio::buffer(bytes), token);
-        take_events({bytes.data(), count}, counts);
+        tcp::socket socket(io);
+        socket.connect(router);
+        this->stream = std::make_shared<http::byte_stream>(std::move(socket), this);
+        this->stream->start(silence_limit);
+        this->stream->write("GET /stream/x HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: " +
+                            std::to_string(number) + "\r\n\r\n");
     }
-}
+
+private:
+    auto on_bytes(std::string_view bytes) -> void override
+    {
+        const auto now = now_ns();
+        for (auto at = bytes.find(stamp_mark); at != std::string_view::npos;
+             at = bytes.find(stamp_mark, at + 1))
+        {
+            std::int64_t sent = 0;
+            const auto* const begin = bytes.data() + at + stamp_mark.size();
+            std::from_chars(begin, bytes.data() + bytes.size(), sent);
+            if (this->counts.is_measuring)
+            {
+                ++this->counts.events;
+                this->counts.delays_ns.push_back(now - sent);
+            }
+        }
+    }
+    auto on_closed(http::close_kind) -> void override {}
+    auto on_written() -> void override {}
+
+    std::shared_ptr<http::byte_stream> stream;
+    tally& counts;
+};
 
 auto make_view(const tcp::endpoint& upstream) -> std::shared_ptr<const routing::fleet_view>
 {
@@ -190,9 +208,16 @@
 {
     tally counts;
     asio::io_context upstream_io{1};
-    tcp::acceptor acceptor(upstream_io, {asio::ip::address_v4::loopback(), 0});
-    acceptor.listen(4096);
-    asio::co_spawn(upstream_io, accept_streams(acceptor, counts), asio::detached);
+    const auto upstream_address = free_address();
+    auto accepted = 0;
+    const auto upstream = std::make_shared<http::listener>(
+        upstream_io, [&](tcp::socket socket)
+        { std::make_shared<event_source>(upstream_io, std::move(socket), accepted++)->start(); });
+    if (!upstream->open(upstream_address))
+    {
+        std::cerr << "cannot listen\n";
+        std::exit(EXIT_FAILURE);
+    }
     std::thread upstream_thread([&] { upstream_io.run(); });
 
     platform::http_adapter adapter;
@@ -208,13 +233,15 @@
         std::exit(EXIT_FAILURE);
     }
     std::thread traffic_thread([&] { service.run(); });
-    service.set_view(make_view(acceptor.local_endpoint()));
+    service.set_view(make_view(upstream_address));
     std::this_thread::sleep_for(100ms);
 
     asio::io_context caller_io{1};
+    std::vector<std::unique_ptr<event_sink>> sinks;
+    sinks.reserve(static_cast<std::size_t>(streams));
     for (auto number = 0; number < streams; ++number)
     {
-        asio::co_spawn(caller_io, read_stream(caller_io, address, number, counts), asio::detached);
+        sinks.push_back(std::make_unique<event_sink>(caller_io, address, number, counts));
     }
     std::thread caller_thread([&] { caller_io.run(); });
 
@@ -225,7 +252,7 @@
     counts.is_measuring = false;
     const auto used = seconds_used(traffic_thread) - before;
 
-    counts.is_over = true;
+    caller_io.stop();
     caller_thread.join();
     service.leave(500ms);
     traffic_thread.join();
