Loads and sights are looked up by key; a changed retry window counts; JSON pages say so

share_load compared each sight with each upstream, 20 times a second: with 8,000 upstreams that is a million comparisons. Positions by key are made once a view. A reload that changes the retry window kept the former one until the next start, though OPERATIONS.md says that bounds take effect at once: retry_ledger::set_window, with a test. /status and /explain were sent as text/plain.

--- a/src/routing/limits_test.cpp
+++ b/src/routing/limits_test.cpp
@@ -47,6 +47,27 @@
 
 } // namespace
 
+TEST_CASE("a change of the retry window frees no budget")
+{
+    fleet_bounds bounds;
+    bounds.retry_ratio = 0.0;
+    bounds.retry_slack = 10.0; // of which 8 are used
+    bounds.retry_window = 2s;
+    retry_ledger ledger(bounds.retry_window);
+    const time_point now(1h);
+    auto taken = 0;
+    while (ledger.take(now, bounds, 1))
+    {
+        ++taken;
+    }
+    CHECK(taken == 8);
+    bounds.retry_window = 10s;
+    ledger.set_window(bounds.retry_window, now + 1s);
+    CHECK(!ledger.take(now + 5s, bounds, 1));
+    CHECK(!ledger.take(now + 10s, bounds, 1));
+    CHECK(ledger.take(now + 12s, bounds, 1));
+}
+
 TEST_CASE("a sliding counter never counts less than the window holds")
 {
     std::mt19937 random(7);
--- a/src/routing/retry_ledger.cpp
+++ b/src/routing/retry_ledger.cpp
@@ -12,6 +12,19 @@
 
 } // namespace
 
+auto retry_ledger::set_window(duration next, time_point now) -> void
+{
+    if (next == this->window)
+    {
+        return;
+    }
+    const auto made = this->repeats.total(now);
+    this->window = next;
+    this->requests = sliding_counter(next);
+    this->repeats = sliding_counter(next);
+    this->repeats.add(now, static_cast<std::uint32_t>(made));
+}
+
 auto retry_ledger::take(time_point now, const fleet_bounds& bounds, std::size_t host_count) -> bool
 {
     const auto by_requests = bounds.retry_ratio * static_cast<double>(this->requests.total(now));
--- a/src/routing/retry_ledger.hpp
+++ b/src/routing/retry_ledger.hpp
@@ -12,7 +12,11 @@
 class retry_ledger final
 {
 public:
-    explicit retry_ledger(duration window) : requests(window), repeats(window) {}
+    explicit retry_ledger(duration window) : window(window), requests(window), repeats(window) {}
+
+    /// The limit holds over another length of time from now on. Repeats of the former window count
+    /// as made now, and requests are counted anew, so that the change frees no budget.
+    auto set_window(duration next, time_point now) -> void;
 
     auto on_request(time_point now) -> void { this->requests.add(now); }
     /// Takes one repeated send out of the budget; false when none is left.
@@ -20,6 +24,7 @@
         -> bool;
 
 private:
+    duration window;
     sliding_counter requests;
     sliding_counter repeats;
 };
--- a/src/routing/sliding_counter.hpp
+++ b/src/routing/sliding_counter.hpp
@@ -17,11 +17,11 @@
 public:
     explicit sliding_counter(duration window) : step(window / (steps - 1)) {}
 
-    auto add(time_point now) -> void
+    auto add(time_point now, std::uint32_t count = 1) -> void
     {
         this->advance(now);
-        ++this->counts[this->position];
-        ++this->sum;
+        this->counts[this->position] += count;
+        this->sum += count;
     }
     /// Events in the window that ends now.
     [[nodiscard]] auto total(time_point now) -> std::uint64_t
--- a/src/routing/upstream_key.hpp
+++ b/src/routing/upstream_key.hpp
@@ -9,8 +9,8 @@
 {
 
 /// Stands for an upstream's name between hosts and in rendezvous hashing. Four bytes keep what
-/// hosts tell each other small; two names of a fleet that share a key share their counts of
-/// requests of other hosts, which is rare and harms only the evenness of the load.
+/// hosts tell each other small; of two names of a fleet that share a key, one gets what is told of
+/// both, which is rare and harms only the evenness of the load.
 using upstream_key = std::uint32_t;
 
 [[nodiscard]] inline auto upstream_key_of(const upstream_name& name) -> upstream_key
--- a/src/traffic/status_session.cpp
+++ b/src/traffic/status_session.cpp
@@ -34,7 +34,7 @@
     {
         const auto reply = this->answer(this->reader.head());
         const auto keep_alive = this->reader.head().keep_alive;
-        this->respond(reply.status, reply.text, keep_alive);
+        this->respond(reply, keep_alive);
         if (!keep_alive)
         {
             return;
@@ -43,23 +43,23 @@
     }
     if (this->reader.error() != http::read_error::none)
     {
-        this->respond(400, "malformed request\n", false);
+        this->respond({400, "malformed request\n"}, false);
     }
 }
 
-auto status_session::respond(int status, const std::string& text, bool keep_alive) -> void
+auto status_session::respond(const status_answer& reply, bool keep_alive) -> void
 {
-    auto out = "HTTP/1.1 " + std::to_string(status) + " ";
-    out.append(http::reason_phrase(status));
+    auto out = "HTTP/1.1 " + std::to_string(reply.status) + " ";
+    out.append(http::reason_phrase(reply.status));
     out.append("\r\n");
-    http::append_field(out, "Content-Type", "text/plain");
-    http::append_field(out, "Content-Length", std::to_string(text.size()));
+    http::append_field(out, "Content-Type", reply.content_type);
+    http::append_field(out, "Content-Length", std::to_string(reply.text.size()));
     if (!keep_alive)
     {
         http::append_field(out, "Connection", "close");
     }
     out.append("\r\n");
-    out.append(text);
+    out.append(reply.text);
     this->stream->write(std::move(out));
     if (!keep_alive)
     {
--- a/src/traffic/status_session.hpp
+++ b/src/traffic/status_session.hpp
@@ -15,6 +15,7 @@
 {
     int status = 404;
     std::string text;
+    std::string content_type = "text/plain";
 };
 
 /// One connection of a prober or a metrics collector: small GET requests, answered at once.
@@ -32,7 +33,7 @@
     auto on_bytes(std::string_view bytes) -> void override;
     auto on_closed(http::close_kind kind) -> void override;
     auto on_written() -> void override {}
-    auto respond(int status, const std::string& text, bool keep_alive) -> void;
+    auto respond(const status_answer& reply, bool keep_alive) -> void;
 
     std::shared_ptr<http::byte_stream> stream;
     http::request_reader reader;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -29,6 +29,8 @@
 /// At most one in this many upstreams of a service is ejected for what it answers.
 constexpr int one_in_ejected = 3;
 
+constexpr const char* json_type = "application/json";
+
 /// What tells one start of an upstream from another.
 auto state_key(const routing::upstream_entry& entry) -> std::string
 {
@@ -89,6 +91,10 @@
         this->configuration_since = boot_clock_now();
     }
     this->view = std::move(next);
+    for (auto& [service, ledger] : this->ledgers)
+    {
+        ledger.set_window(this->view->bounds.retry_window, boot_clock_now());
+    }
     absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> kept;
     std::vector<routing::live_upstream> rebuilt;
     if (this->view->configuration)
@@ -115,6 +121,11 @@
     }
     this->states = std::move(kept);
     this->upstreams = std::move(rebuilt);
+    this->positions.clear();
+    for (std::size_t position = 0; position < this->upstreams.size(); ++position)
+    {
+        this->positions[this->upstreams[position].key] = position;
+    }
     this->others_version = 0; // counts of others are put into the new states at the next tick
     if (!was_ready && this->is_ready())
     {
@@ -328,11 +339,11 @@
     }
     if (head.method == "GET" && head.target == status_page)
     {
-        return {200, tell_status(*this)};
+        return {200, tell_status(*this), json_type};
     }
     if (head.method == "GET" && head.target.rfind(explain_page, 0) == 0)
     {
-        return {200, explain_request(*this, head)};
+        return {200, explain_request(*this, head), json_type};
     }
     return {404, "no such page\n"};
 }
@@ -374,39 +385,60 @@
         }
     }
     this->board.set_own(std::move(own));
+    this->take_sights();
+    this->take_silent_zones();
+    this->take_loads_of_others();
+}
+
+auto traffic_service::find_upstream(routing::upstream_key key) -> routing::live_upstream*
+{
+    const auto found = this->positions.find(key);
+    return found == this->positions.end() ? nullptr : &this->upstreams[found->second];
+}
+
+auto traffic_service::take_sights() -> void
+{
     for (const auto& sight : this->board.take_sights_elsewhere())
     {
-        for (const auto& upstream : this->upstreams)
+        if (auto* const upstream = this->find_upstream(sight.upstream))
         {
-            if (upstream.key == sight.upstream)
-            {
-                upstream.state->cache.on_read_elsewhere({sight.chain_hash, sight.tokens});
-            }
+            upstream->state->cache.on_read_elsewhere({sight.chain_hash, sight.tokens});
         }
     }
+}
+
+auto traffic_service::take_silent_zones() -> void
+{
     const auto silent_zones = this->board.get_silent_zones();
     for (auto& upstream : this->upstreams)
     {
         upstream.zone_silent = silent_zones.contains(upstream.known.entry.zone);
         upstream.zone_unreachable = upstream.zone_unreachable && upstream.zone_silent;
     }
+}
+
+auto traffic_service::take_loads_of_others() -> void
+{
     if (!this->board.get_others(this->others_version, this->others))
     {
         return;
     }
-    absl::flat_hash_map<routing::upstream_key, upstream_load> by_key;
-    for (const auto& load : this->others)
+    for (const auto& upstream : this->upstreams)
     {
-        by_key[load.upstream] = load;
+        upstream.state->in_flight_elsewhere = 0;
     }
-    for (const auto& upstream : this->upstreams)
+    const auto now = boot_clock_now();
+    for (const auto& load : this->others)
     {
-        const auto found = by_key.find(upstream.key);
-        const auto known = found != by_key.end();
-        upstream.state->in_flight_elsewhere = known ? static_cast<int>(found->second.in_flight) : 0;
-        if (known && found->second.ejected && this->may_eject(upstream.known.entry.service))
+        auto* const upstream = this->find_upstream(load.upstream);
+        if (upstream == nullptr)
+        {
+            continue;
+        }
+        upstream->state->in_flight_elsewhere = static_cast<int>(load.in_flight);
+        if (load.ejected && this->may_eject(upstream->known.entry.service))
         {
-            upstream.state->health.on_ejected_elsewhere(now);
+            upstream->state->health.on_ejected_elsewhere(now);
         }
     }
 }
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -101,6 +101,10 @@
     auto accept_status(boost::asio::ip::tcp::socket socket) -> void;
     auto tick() -> void;
     auto share_load() -> void;
+    auto take_sights() -> void;
+    auto take_silent_zones() -> void;
+    auto take_loads_of_others() -> void;
+    [[nodiscard]] auto find_upstream(routing::upstream_key key) -> routing::live_upstream*;
     auto begin_leaving(duration within) -> void;
     auto stop_accepting() -> void;
     auto end_when_idle() -> void;
@@ -120,6 +124,7 @@
     std::vector<std::shared_ptr<http::listener>> status_listeners;
     std::shared_ptr<const routing::fleet_view> view = std::make_shared<routing::fleet_view>();
     std::vector<routing::live_upstream> upstreams;
+    absl::flat_hash_map<routing::upstream_key, std::size_t> positions; ///< in upstreams
     absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> states;
     absl::flat_hash_map<std::string, routing::retry_ledger> ledgers;
     absl::flat_hash_set<std::shared_ptr<caller_session>> sessions;
