A host without requests that falls silent is logged; an unknown sender is answered at once

member-changed to silent was written only for hosts that had told of load (test fails before: 'a host without requests that falls silent is told of as well'). A beacon without introduction from an unknown host was forgotten at the next tick; now that host is sent a beacon, to which it answers with an introduction. peer_link closes its listener when it goes. First tests of peer_link itself: finding each other, silence, a new incarnation.

--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -130,6 +130,14 @@
 {
 }
 
+peer_link::~peer_link()
+{
+    if (this->fetch_listener)
+    {
+        this->fetch_listener->close(); // it lives on while it waits for connections
+    }
+}
+
 auto peer_link::open() -> bool
 {
     error_code error;
@@ -208,7 +216,9 @@
     }
     if (other.host.empty() || other.incarnation != beacon.incarnation)
     {
-        return; // it introduces itself within a second
+        // It introduces itself within a second, or at once when it hears who is here.
+        other.known_since = std::max(other.known_since, now);
+        return;
     }
     other.heard_at = now;
     for (std::size_t stream = 0; stream < beacon.ends.size(); ++stream)
@@ -228,6 +238,7 @@
 {
     if (other.incarnation != beacon.incarnation || !this->is_alive(other, now))
     {
+        other.counted_alive = true;
         this->log.write(event_code::member_changed, {{"peer", beacon.introduction->host},
                                                      {"state", "alive"},
                                                      {"incarnation", beacon.incarnation}});
@@ -281,16 +292,13 @@
                                                                   : silent_beacon_interval);
             this->send_beacon(address, other);
         }
-        if (!other.loads.empty() && !this->is_alive(other, now))
+        if (other.counted_alive && !this->is_alive(other, now))
         {
-            this->log.write(event_code::member_changed,
-                            {{"peer", other.host}, {"state", "silent"}});
-            other.loads.clear();
-            this->loads_changed = true;
+            this->note_silence(other);
         }
         ++item;
     }
-    this->add_up_loads(now);
+    this->add_up_loads();
     this->board.set_silent_zones(this->find_silent_zones(now));
     this->look_for_news(now);
 }
@@ -325,7 +333,15 @@
     this->socket.send_to(boost::asio::buffer(bytes), {to, this->settings.port}, 0, ignored);
 }
 
-auto peer_link::add_up_loads(time_point) -> void
+auto peer_link::note_silence(peer& other) -> void
+{
+    this->log.write(event_code::member_changed, {{"peer", other.host}, {"state", "silent"}});
+    other.counted_alive = false;
+    other.loads.clear();
+    this->loads_changed = true;
+}
+
+auto peer_link::add_up_loads() -> void
 {
     if (!std::exchange(this->loads_changed, false))
     {
@@ -461,7 +477,7 @@
     batch.ends = {operators.end(), upstreams.end()};
     batch.changes = {operators.changes_since(record_position(number_after(target, "operators="))),
                      upstreams.changes_since(record_position(number_after(target, "upstreams=")))};
-    return {200, encode_batch(batch)};
+    return {200, encode_batch(batch), "application/octet-stream"};
 }
 
 auto peer_link::count_hosts(time_point now) const -> std::size_t
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -43,6 +43,9 @@
 public:
     peer_link(boost::asio::io_context& io, peer_settings settings, fleet_state& state,
               traffic::load_board& board, decision_log& log, std::function<void()> on_news);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    auto operator=(const peer_link&) -> peer_link& = delete;
 
     [[nodiscard]] auto open() -> bool;
     /// Addresses of hosts that the platform's directory lists.
@@ -75,6 +78,7 @@
         time_point next_introduction{};
         std::array<record_position, 2> ends;
         std::array<record_position, 2> news_ends;
+        bool counted_alive = false;    ///< the log's last word of it
         time_point registry_read_at{}; ///< when the platform last answered it, by our clock
         std::array<time_point, 2> ahead_since{}; ///< time_point{}: not ahead
         std::vector<traffic::upstream_load> loads;
@@ -87,7 +91,8 @@
     auto on_introduction(peer& other, const host_beacon& beacon, time_point now) -> void;
     auto send_beacon(const boost::asio::ip::address_v4& to, peer& other) -> void;
     auto collect_sights() -> void;
-    auto add_up_loads(time_point now) -> void;
+    auto add_up_loads() -> void;
+    auto note_silence(peer& other) -> void;
     auto look_for_news(time_point now) -> void;
     auto look_for_news_at(const boost::asio::ip::address_v4& address, peer& other, time_point now)
         -> void;
--- /dev/null
+++ b/src/fleet/peer_link_test.cpp
@@ -0,0 +1,163 @@
+#include "fleet/peer_link.hpp"
+#include "fleet/plain_decoder.hpp"
+#include "net/clock.hpp"
+#include "scripted_peers.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <functional>
+#include <optional>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace poplardrift;
+using namespace poplardrift::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// All hosts use the same port.
+auto peer_port() -> std::uint16_t
+{
+    static const auto port = tests::free_address().port();
+    return port;
+}
+
+auto address_of(int number) -> boost::asio::ip::address_v4
+{
+    return boost::asio::ip::make_address_v4("127.77.0." + std::to_string(number));
+}
+
+/// One host of a small fleet on loopback; it knows host 1 from its settings.
+class test_host final
+{
+public:
+    test_host(boost::asio::io_context& io, int number, std::uint32_t incarnation)
+    {
+        REQUIRE(::pipe2(this->ends.data(), O_NONBLOCK) == 0);
+        this->log.emplace("h" + std::to_string(number), this->ends[1]);
+        this->state.emplace(this->decoder, *this->log);
+        peer_settings settings;
+        settings.host = "h" + std::to_string(number);
+        settings.zone = zone_name("z" + std::to_string(number));
+        settings.incarnation = incarnation;
+        settings.address = address_of(number);
+        settings.port = peer_port();
+        settings.seeds = {address_of(1)};
+        this->link.emplace(io, settings, *this->state, this->board, *this->log, [] {});
+        REQUIRE(this->link->open());
+    }
+    ~test_host()
+    {
+        this->link.reset();
+        this->log.reset();
+        ::close(this->ends[0]);
+        ::close(this->ends[1]);
+    }
+    test_host(const test_host&) = delete;
+    auto operator=(const test_host&) -> test_host& = delete;
+
+    /// Requests of other hosts at an upstream, as this one has heard.
+    auto heard_load(std::uint32_t upstream) -> std::uint32_t
+    {
+        static_cast<void>(this->board.get_others(this->version, this->others));
+        for (const auto& load : this->others)
+        {
+            if (load.upstream == upstream)
+            {
+                return load.in_flight;
+            }
+        }
+        return 0;
+    }
+    /// True when the log has said this of a peer since the last call.
+    auto has_logged(const std::string& peer, const std::string& word) -> bool
+    {
+        std::array<char, 65'536> buffer{};
+        const auto count = ::read(this->ends[0], buffer.data(), buffer.size());
+        this->text.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+        const auto at = this->text.find(R"("peer":")" + peer + R"(","state":")" + word);
+        if (at == std::string::npos)
+        {
+            return false;
+        }
+        this->text.erase(0, at + 1);
+        return true;
+    }
+
+    plain_decoder decoder;
+    std::array<int, 2> ends{};
+    std::optional<decision_log> log;
+    std::optional<fleet_state> state;
+    traffic::load_board board;
+    std::optional<peer_link> link;
+
+private:
+    std::uint64_t version = 0;
+    std::vector<traffic::upstream_load> others;
+    std::string text;
+};
+
+/// Lets hosts talk until the condition holds; false when it does not within 4 s.
+auto run_until(boost::asio::io_context& io, const std::vector<test_host*>& hosts,
+               const std::function<bool()>& condition) -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + 4s;
+    auto holds = condition();
+    while (!holds && std::chrono::steady_clock::now() < end)
+    {
+        for (auto* const host : hosts)
+        {
+            host->link->tick(boot_clock_now());
+        }
+        io.restart();
+        io.run_for(20ms);
+        holds = condition();
+    }
+    return holds;
+}
+
+} // namespace
+
+TEST_CASE("hosts find each other, tell their loads, and say so when one falls silent")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    test_host second(io, 2, 20);
+    second.board.set_own({{7, 3, false}});
+    CHECK(run_until(io, {&first, &second}, [&] { return first.heard_load(7) == 3; }));
+    CHECK(run_until(io, {&first, &second}, [&] { return first.has_logged("h2", "alive"); }));
+    CHECK(first.link->count_hosts(boot_clock_now()) == 2);
+    CHECK(run_until(io, {&first}, [&] { return first.heard_load(7) == 0; }));
+    CHECK(run_until(io, {&first}, [&] { return first.has_logged("h2", "silent"); }));
+}
+
+TEST_CASE("a host without requests that falls silent is told of as well")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    test_host second(io, 2, 20);
+    REQUIRE(run_until(io, {&first, &second}, [&] { return first.has_logged("h2", "alive"); }));
+    CHECK(run_until(io, {&first}, [&] { return first.has_logged("h2", "silent"); }));
+}
+
+TEST_CASE("a host that starts again is heard at once, under its new incarnation")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    std::optional<test_host> second(std::in_place, io, 2, 20U);
+    REQUIRE(run_until(io, {&first, &*second}, [&] { return first.has_logged("h2", "alive"); }));
+    second.reset();
+    io.restart();
+    io.run_for(20ms);
+    second.emplace(io, 2, 21U);
+    second->board.set_own({{7, 4, false}});
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(run_until(io, {&first, &*second}, [&] { return first.heard_load(7) == 4; }));
+    first.board.set_own({{8, 5, false}});
+    CHECK(run_until(io, {&first, &*second}, [&] { return second->heard_load(8) == 5; }));
+    CHECK(std::chrono::steady_clock::now() - began < 900ms);
+}
