Cells: loads within an availability zone, sums between zones, reads that do not grow with the fleet

Change: exchange_plan decides by the number of peers. Up to 40 it is the mesh as before. Beyond it each zone is a cell: beacons with loads go to the cell only; two hosts of a cell send its sum to each other cell, to one of its hosts after the other, which passes it on; hosts of other cells only hear that a host is alive. Each cell has its own two registry readers, whose interval follows the time within which a leaving upstream has to be left; safeguard reads, listings and the directory's listings are spaced by the number of peers; ages are held against the intervals of the plan. Ruled out: a longer constant for a reader's age (the mesh keeps its old loads); zones that place by themselves (six copies of every shared prompt).

--- a/include/poplardrift/base/time.hpp
+++ b/include/poplardrift/base/time.hpp
@@ -32,6 +32,12 @@
     return std::chrono::duration<double>(length).count();
 }
 
+/// Converts from floating-point seconds, truncated to nanoseconds.
+[[nodiscard]] inline auto from_seconds(double seconds) -> duration
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 /// Converts to whole milliseconds, truncated, for logs and the wire.
 [[nodiscard]] inline auto to_milliseconds(duration length) -> std::int64_t
 {
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -17,9 +17,9 @@
 /// Records of an upstream's former process are delivered at most this long after its restart has
 /// been seen. A lower start number is accepted later, because the upstream's clock may be set back.
 constexpr duration late_record_window = 2500ms;
-/// Part of the time limit for removals that is reserved for reading the record and for requests in
-/// flight.
-constexpr duration removal_margin = 500ms;
+/// The time limit for removals divided by this is reserved for reading the record, which takes
+/// longer in fleets with longer limits, and for requests in flight.
+constexpr int removal_margin_divisor = 4;
 
 } // namespace
 
@@ -274,8 +274,8 @@
     auto& known = found->second;
     if (this->may_have_expired(now) && !known.entry.leaving)
     {
-        known.usable_until =
-            now + std::max<duration>(this->bounds.leave_within - removal_margin, 0s);
+        const auto limit = this->bounds.leave_within;
+        known.usable_until = now + std::min(limit - limit / removal_margin_divisor, renewal_time);
         return;
     }
     this->log.write(event_code::upstream_gone, {{"upstream", removed.name.value()}});
--- a/src/fleet/fleet_state_test.cpp
+++ b/src/fleet/fleet_state_test.cpp
@@ -131,6 +131,20 @@
     CHECK(later->upstreams[0].entry.name.value() == "v");
 }
 
+TEST_CASE("an entry that may only have expired is used for as long as a renewal takes, not longer")
+{
+    fleet_state_fixture fixture;
+    routing::fleet_bounds bounds;
+    bounds.leave_within = 4s;
+    fixture.state.set_bounds(bounds);
+    fixture.upstreams({make_record("u", 1, "1")}, start);
+    fixture.state.on_platform_reachable(false, start + 1s);
+    // Removed on the platform 1.2 s before this host learns of it.
+    fixture.upstreams({make_record("u", 2, std::nullopt)}, start + 2s);
+    CHECK(fixture.view(start + 4s)->upstreams.size() == 1);
+    CHECK(fixture.view(start + 2s + 4s - 1200ms)->upstreams.empty());
+}
+
 TEST_CASE(
     "a key that is missing from a listing is removed and a late older record does not restore it")
 {
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "fleet/exchange_plan.hpp"
 #include "fleet/fleet_state.hpp"
 #include "fleet/peer_messages.hpp"
+#include "fleet/prefix_queue.hpp"
 #include "http/listener.hpp"
 #include "http/upstream_connection.hpp"
 #include "observability/decision_log.hpp"
@@ -12,7 +14,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,13 +34,15 @@
     boost::asio::ip::address_v4 address;
     std::uint16_t port = 0; ///< UDP (beacons) and TCP (record fetches); same on all hosts
     std::vector<boost::asio::ip::address_v4> seeds; ///< initial peers, contacted at start
+    /// Time between two reads of the upstream registry by a host that reads it for others.
+    duration registry_interval = std::chrono::milliseconds(400);
 };
 
-/// Exchanges state with the other hosts of the fleet. Sends each peer a periodic UDP beacon with
-/// this host's loads, stream positions and cached prefixes; sums the loads that peers report; and
-/// fetches records over HTTP from a peer that is ahead when the platform does not deliver them in
-/// time. Peers are discovered from received beacons; the initial addresses come from the platform's
-/// directory and the settings. Control thread.
+/// Exchanges state with the other hosts of the fleet, as exchange_plan describes. Sends peers a
+/// periodic UDP beacon with this host's loads, stream positions and cached prefixes; sums the loads
+/// that peers report; and fetches records over HTTP from a peer that is ahead when the platform
+/// does not deliver them in time. Peers are discovered from received beacons; the initial addresses
+/// come from the platform's directory and the settings. Control thread.
 class peer_link final
 {
 public:
@@ -61,8 +64,10 @@
     /// every 50 ms.
     auto tick(time_point now) -> void;
     /// True when this host should poll the registry frequently: fewer than the required number of
-    /// live, up-to-date peers have a lower address.
+    /// live, up-to-date peers of its cell have a lower address.
     [[nodiscard]] auto is_reader(time_point now) const -> bool;
+    /// See exchange_plan::safeguard_factor.
+    [[nodiscard]] auto safeguard_factor() const -> double { return this->plan.safeguard_factor(); }
     /// Bytes of beacons sent since the last call, including IP and UDP headers.
     [[nodiscard]] auto take_bytes_sent() -> std::size_t
     {
@@ -89,16 +94,41 @@
         /// fetch from it; time_point{} if not ahead.
         std::array<time_point, 2> ahead_since{};
         std::vector<traffic::upstream_load> loads;
-        std::uint64_t next_cached_prefix = 0; ///< number of the first prefix not yet sent to it
+        std::uint64_t next_cached_prefix = 0; ///< position in prefixes_of_host
+    };
+    /// The sum of another cell as last received, and what is sent to that cell.
+    struct remote_cell
+    {
+        std::vector<traffic::upstream_load> loads;
+        time_point received_at{};
+        time_point next_summary_at{};
+        std::uint64_t next_cached_prefix = 0; ///< position in prefixes_of_cell
+        boost::asio::ip::address_v4 last_receiver;
     };
     class batch_fetch;
 
     auto receive() -> void;
     auto on_datagram(std::size_t size) -> void;
+    auto on_beacon(const boost::asio::ip::address_v4& from, host_beacon beacon, time_point now)
+        -> void;
+    auto on_summary(const boost::asio::ip::address_v4& from, zone_summary summary, time_point now)
+        -> void;
     auto on_identity(peer& other, const host_beacon& beacon, time_point now) -> void;
     auto send_beacon(const boost::asio::ip::address_v4& to, peer& other) -> void;
-    auto collect_local_prefixes() -> void;
-    auto sum_loads() -> void;
+    auto send_summaries(time_point now) -> void;
+    auto send_summary(const zone_name& zone, remote_cell& cell, time_point now) -> void;
+    auto relay(zone_summary summary, time_point now) -> void;
+    auto send(const std::string& bytes, const boost::asio::ip::address_v4& to) -> void;
+    auto update_plan() -> void;
+    auto collect_local_prefixes(time_point now) -> void;
+    auto sum_loads(time_point now) -> void;
+    /// Sum of the loads of the peers that `covers` accepts, and of this host if `with_own`.
+    template <class Predicate>
+    [[nodiscard]] auto sum_peer_loads(const Predicate& covers, bool with_own) const
+        -> std::map<routing::upstream_key, traffic::upstream_load>;
+    [[nodiscard]] auto find_receiver(const zone_name& zone, const remote_cell& cell,
+                                     time_point now) const
+        -> std::optional<boost::asio::ip::address_v4>;
     auto on_peer_silent(peer& other) -> void;
     auto fetch_missing_records(time_point now) -> void;
     auto fetch_if_behind(const boost::asio::ip::address_v4& address, peer& other, time_point now)
@@ -112,7 +142,15 @@
     /// Time to wait for the platform to deliver new records before fetching them from a peer.
     [[nodiscard]] auto platform_delivery_delay_of(std::size_t stream, time_point now) const
         -> duration;
-    [[nodiscard]] auto beacon_interval() const -> duration;
+    [[nodiscard]] auto is_in_own_zone(const peer& other) const -> bool
+    {
+        return other.host.empty() || other.zone == this->settings.zone;
+    }
+    /// True for peers with which this host exchanges its own loads.
+    [[nodiscard]] auto is_in_cell(const peer& other) const -> bool
+    {
+        return !this->plan.uses_cells() || this->is_in_own_zone(other);
+    }
 
     boost::asio::io_context& io;
     peer_settings settings;
@@ -126,8 +164,10 @@
     std::shared_ptr<http::listener> fetch_listener;
     std::map<boost::asio::ip::address_v4, peer> peers;
     std::shared_ptr<batch_fetch> fetch;
-    std::deque<traffic::cached_prefix> cached_prefixes; ///< newest ones reported by this host
-    std::uint64_t cached_prefixes_end = 0;              ///< number that the next prefix gets
+    std::map<zone_name, remote_cell> remote_cells;
+    exchange_plan plan{0, 0};
+    prefix_queue prefixes_of_host; ///< cached through requests of this host
+    prefix_queue prefixes_of_cell; ///< cached through requests of any host of the cell
     time_point started_at{};
     time_point registry_read_at{};
     bool loads_changed = false;
--- a/src/fleet/peer_link_test.cpp
+++ b/src/fleet/peer_link_test.cpp
@@ -5,8 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include <fcntl.h>
@@ -35,14 +37,15 @@
 class test_host final
 {
 public:
-    test_host(boost::asio::io_context& io, int number, std::uint32_t incarnation)
+    test_host(boost::asio::io_context& io, int number, std::uint32_t incarnation,
+              const std::string& zone = "")
     {
         REQUIRE(::pipe2(this->pipe_ends.data(), O_NONBLOCK) == 0);
         this->log.emplace("h" + std::to_string(number), this->pipe_ends[1]);
         this->state.emplace(this->decoder, *this->log);
         peer_settings settings;
         settings.host = "h" + std::to_string(number);
-        settings.zone = zone_name("z" + std::to_string(number));
+        settings.zone = zone_name(zone.empty() ? "z" + std::to_string(number) : zone);
         settings.incarnation = incarnation;
         settings.address = address_of(number);
         settings.port = peer_port();
@@ -161,3 +164,58 @@
     CHECK(run_until(io, {&first, &*second}, [&] { return second->remote_load(8) == 5; }));
     CHECK(std::chrono::steady_clock::now() - began < 900ms);
 }
+
+TEST_CASE("hosts of a large fleet sum the loads of all zones once each")
+{
+    boost::asio::io_context io{1};
+    std::vector<std::unique_ptr<test_host>> fleet;
+    std::vector<test_host*> hosts;
+    std::vector<boost::asio::ip::address_v4> addresses;
+    constexpr int host_count = 45;
+    for (int number = 1; number <= host_count; ++number)
+    {
+        const std::string zone(1, static_cast<char>('a' + number % 3));
+        fleet.push_back(std::make_unique<test_host>(io, number, 10U, zone));
+        hosts.push_back(fleet.back().get());
+        addresses.push_back(address_of(number));
+    }
+    for (auto* const host : hosts)
+    {
+        host->link->add_known_hosts(addresses, boot_clock_now());
+        host->mailbox.set_local_loads({{7, 1, false}});
+    }
+    const auto all_sum_to = [&](std::uint32_t sum)
+    {
+        return [&hosts, sum]
+        {
+            return std::all_of(hosts.begin(), hosts.end(),
+                               [sum](auto* host) { return host->remote_load(7) == sum; });
+        };
+    };
+    CHECK(run_until(io, hosts, all_sum_to(host_count - 1)));
+    // Each zone has its own two readers of the registry.
+    const auto now = boot_clock_now();
+    for (auto* const host : hosts)
+    {
+        host->link->on_registry_read(now);
+    }
+    const auto count_readers = [&]
+    {
+        return std::count_if(hosts.begin(), hosts.end(),
+                             [](auto* host) { return host->link->is_reader(boot_clock_now()); });
+    };
+    CHECK(run_until(io, hosts, [&] { return count_readers() == 6; }));
+}
+
+TEST_CASE("a host whose messages cannot be decoded still counts among those that share the limits")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    first.link->add_known_hosts({address_of(2)}, boot_clock_now() - 60s);
+    CHECK(first.link->hosts_at(boot_clock_now()).others.empty());
+    boost::asio::ip::udp::socket other(io, {address_of(2), peer_port()});
+    const std::string message = "of another version";
+    other.send_to(boost::asio::buffer(message), {address_of(1), peer_port()});
+    CHECK(run_until(io, {&first},
+                    [&] { return first.link->hosts_at(boot_clock_now()).others.size() == 1; }));
+}
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -14,10 +14,12 @@
 namespace
 {
 
-/// First field of each message; messages of another version are rejected.
+/// First field of each message: version and kind. Messages of other versions are rejected.
 constexpr std::uint32_t protocol_version = 3;
-/// Keeps a beacon within one packet on common networks.
+constexpr std::uint32_t summary_version = 64 + protocol_version;
+/// Keep a message within one packet on common networks. The highest loads are sent.
 constexpr std::size_t max_loads_per_beacon = 60;
+constexpr std::size_t max_loads_per_summary = 150;
 
 /// Keys are packed as consecutive fixed-size big-endian numbers, which saves the MessagePack type
 /// byte of each.
@@ -103,13 +105,19 @@
     return number;
 }
 
-auto to_load_rows(const std::vector<traffic::upstream_load>& loads) -> load_rows
+auto to_load_rows(std::vector<traffic::upstream_load> loads, std::size_t most) -> load_rows
 {
+    if (loads.size() > most)
+    {
+        std::partial_sort(
+            loads.begin(), loads.begin() + static_cast<std::ptrdiff_t>(most), loads.end(),
+            [](const auto& left, const auto& right) { return left.in_flight > right.in_flight; });
+    }
     load_rows rows;
     auto& [keys, counts] = rows;
     for (const auto& load : loads)
     {
-        if (counts.size() < max_loads_per_beacon)
+        if (counts.size() < most)
         {
             append_number(keys, load.upstream);
             counts.push_back(load.in_flight * 4 + (load.may_have_restarted ? 2 : 0) +
@@ -200,6 +208,24 @@
     return {record_position(std::get<0>(row)), record_position(std::get<1>(row))};
 }
 
+using summary_body = std::tuple<std::uint32_t, std::string, bool, load_rows, cached_prefix_rows>;
+
+auto decode_summary(std::string_view bytes) -> outcome<zone_summary>
+{
+    const auto body = unpack<summary_body>(bytes);
+    if (!body)
+    {
+        return outcome<zone_summary>::failure(body.failure_reason());
+    }
+    const auto loads = from_load_rows(std::get<3>(*body));
+    const auto cached_prefixes = from_cached_prefix_rows(std::get<4>(*body));
+    if (!loads || !cached_prefixes)
+    {
+        return outcome<zone_summary>::failure("numbers of keys and values differ");
+    }
+    return zone_summary{std::get<1>(*body), std::get<2>(*body), *loads, *cached_prefixes};
+}
+
 using changes_row = std::tuple<bool, std::vector<record_row>>;
 using batch_body = std::tuple<std::uint32_t, position_row, changes_row, changes_row>;
 
@@ -220,7 +246,7 @@
     const auto identity = beacon.identity.value_or(host_identity{});
     return pack(beacon_body(protocol_version, identity.host, identity.zone, beacon.incarnation,
                             to_row(beacon.ends), to_distances(beacon), beacon.registry_age.count(),
-                            to_load_rows(beacon.loads),
+                            to_load_rows(beacon.loads, max_loads_per_beacon),
                             to_cached_prefix_rows(beacon.cached_prefixes)));
 }
 
@@ -252,6 +278,28 @@
     return beacon;
 }
 
+auto encode_summary(const zone_summary& summary) -> std::string
+{
+    return pack(summary_body(summary_version, summary.zone, summary.is_relayed,
+                             to_load_rows(summary.loads, max_loads_per_summary),
+                             to_cached_prefix_rows(summary.cached_prefixes)));
+}
+
+auto decode_datagram(std::string_view bytes) -> outcome<std::variant<host_beacon, zone_summary>>
+{
+    using result = outcome<std::variant<host_beacon, zone_summary>>;
+    // A tuple of fewer than 16 members takes one byte; its first member follows.
+    const auto is_summary =
+        bytes.size() > 1 && static_cast<unsigned char>(bytes[1]) == summary_version;
+    if (is_summary)
+    {
+        auto summary = decode_summary(bytes);
+        return summary ? result(std::move(*summary)) : result::failure(summary.failure_reason());
+    }
+    auto beacon = decode_beacon(bytes);
+    return beacon ? result(std::move(*beacon)) : result::failure(beacon.failure_reason());
+}
+
 auto encode_batch(const record_batch& batch) -> std::string
 {
     return pack(batch_body(protocol_version, to_row(batch.ends), to_changes_row(batch.changes[0]),
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace poplardrift::fleet
@@ -36,6 +37,16 @@
     std::vector<traffic::cached_prefix> cached_prefixes; ///< not yet sent to the receiver
 };
 
+/// Sum of the loads that the hosts of one availability zone cause, and prefixes that they have
+/// caused to be cached. Sent to one host of another zone, which passes it on within its own.
+struct zone_summary
+{
+    std::string zone; ///< of the hosts that the sum covers
+    bool is_relayed = false;
+    std::vector<traffic::upstream_load> loads;
+    std::vector<traffic::cached_prefix> cached_prefixes;
+};
+
 /// Records that a peer returns for a fetch, with its stream positions.
 struct record_batch
 {
@@ -47,6 +58,9 @@
 /// versions.
 [[nodiscard]] auto encode_beacon(const host_beacon& beacon) -> std::string;
 [[nodiscard]] auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>;
+[[nodiscard]] auto encode_summary(const zone_summary& summary) -> std::string;
+[[nodiscard]] auto decode_datagram(std::string_view bytes)
+    -> outcome<std::variant<host_beacon, zone_summary>>;
 [[nodiscard]] auto encode_batch(const record_batch& batch) -> std::string;
 [[nodiscard]] auto decode_batch(std::string_view bytes) -> outcome<record_batch>;
 
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -16,9 +16,12 @@
 /// A topic_follower that applies a topic of the store stand-in to a mirror.
 struct follower_fixture
 {
-    follower_fixture()
+    explicit follower_fixture(const follower_settings& settings = {"keyed.op", 200ms, 10ms, 0ns,
+                                                                   0ns},
+                              bool is_designated_reader = true)
     {
         follower_listener listener;
+        listener.is_designated_reader = [is_designated_reader] { return is_designated_reader; };
         listener.on_records = [this](const auto& records, auto end)
         {
             for (const auto& record : records)
@@ -31,9 +34,7 @@
         { static_cast<void>(this->mirror.apply_listing(records, end)); };
         listener.on_reachable = [this](bool is_reachable) { this->reachable = is_reachable; };
         listener.on_relisted = [this] { ++this->relist_count; };
-        this->follower.emplace(this->io, this->address(),
-                               follower_settings{"keyed.op", 200ms, 10ms, 0ns, 0ns},
-                               std::move(listener));
+        this->follower.emplace(this->io, this->address(), settings, std::move(listener));
     }
 
     auto address() -> boost::asio::ip::tcp::endpoint
@@ -141,9 +142,9 @@
                           "127.0.0." + std::to_string(number));
     }
     std::vector<boost::asio::ip::address_v4> reported_hosts;
-    host_directory directory(fixture.io, fixture.address(), "h9",
-                             boost::asio::ip::make_address_v4("127.0.0.9"),
-                             [&](const auto& hosts) { reported_hosts = hosts; });
+    host_directory directory(
+        fixture.io, fixture.address(), "h9", boost::asio::ip::make_address_v4("127.0.0.9"),
+        [&](const auto& hosts) { reported_hosts = hosts; }, [] { return 1.0; });
     directory.start();
     CHECK(fixture.run_until([&] { return reported_hosts.size() == 9; }));
 }
@@ -175,6 +176,18 @@
     CHECK(fixture.run_until([&] { return fixture.reachable; }));
 }
 
+TEST_CASE("a host for which others read notices the end of an outage without waiting for a change")
+{
+    follower_fixture fixture({"keyed.op", 200ms, 10ms, 8s, 0ns}, false);
+    fixture.follower->start();
+    REQUIRE(fixture.run_until([&] { return fixture.reachable; }));
+    fixture.store.set_down(true);
+    fixture.store.put("keyed.op", "a", "1"); // ends the read that is waiting
+    REQUIRE(fixture.run_until([&] { return !fixture.reachable; }));
+    fixture.store.set_down(false);
+    CHECK(fixture.run_until([&] { return fixture.reachable; }));
+}
+
 TEST_CASE("the directory reports hosts that registered earlier and the host itself")
 {
     store_stand_in store;
@@ -184,12 +197,14 @@
     std::vector<boost::asio::ip::address_v4> seen_by_second;
     const auto first_address = boost::asio::ip::make_address_v4("10.1.0.1");
     const auto second_address = boost::asio::ip::make_address_v4("10.1.0.2");
-    host_directory first(io, address, "one", first_address, [](const auto&) {});
+    host_directory first(
+        io, address, "one", first_address, [](const auto&) {}, [] { return 1.0; });
     first.start();
     io.run_for(200ms);
     io.restart();
-    host_directory second(io, address, "two", second_address,
-                          [&](const auto& hosts) { seen_by_second = hosts; });
+    host_directory second(
+        io, address, "two", second_address, [&](const auto& hosts) { seen_by_second = hosts; },
+        [] { return 1.0; });
     second.start();
     io.run_for(200ms);
     CHECK(seen_by_second ==
