--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -50,6 +50,8 @@
     auto write(std::string bytes) -> void;
     /// Pauses or resumes reading. While paused, the end of the connection is not detected.
     auto set_reading(bool wanted) -> void;
+    /// Delivers bytes that have arrived but have not been read yet.
+    auto poll() -> void { this->read_available(); }
     /// Closes immediately. The listener is not called again.
     auto close() -> void;
     /// Closes immediately with a reset, so that the peer cannot mistake it for the end of a
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -47,6 +47,23 @@
 
 auto listener::close() -> void
 {
+    if (!this->acceptor.is_open())
+    {
+        return;
+    }
+    // Closing would reset the connections in the accept queue, whose requests may already be on
+    // their way.
+    error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error)
+    {
+        boost::asio::ip::tcp::socket socket(this->io);
+        this->acceptor.accept(socket, error);
+        if (!error)
+        {
+            this->handler(std::move(socket));
+        }
+    }
     error_code ignored;
     this->acceptor.close(ignored);
 }
@@ -57,13 +74,16 @@
         [self = this->shared_from_this()](const error_code& error,
                                           boost::asio::ip::tcp::socket socket)
         {
+            if (!error)
+            {
+                self->handler(std::move(socket));
+            }
             if (!self->acceptor.is_open())
             {
                 return;
             }
             if (!error)
             {
-                self->handler(std::move(socket));
                 self->accept_next();
                 return;
             }
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -95,6 +95,9 @@
     return read_error::malformed;
 }
 
+/// Most bytes of one element between body bytes, such as a chunk's header with extensions.
+constexpr std::size_t max_element_bytes = 65'536;
+
 /// Feeds pending bytes to a parser. Bytes it does not consume stay pending.
 template <class Parser>
 auto advance(Parser& parser, std::string& pending) -> read_error
@@ -107,7 +110,7 @@
         pending.erase(0, consumed);
         if (code == beast::http::error::need_more)
         {
-            return read_error::none;
+            return pending.size() <= max_element_bytes ? read_error::none : read_error::malformed;
         }
         if (code)
         {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -121,7 +121,8 @@
         return true;
     }
     const auto echoed = this->reader.head().fields.find(this->request.echo_field);
-    return !echoed || *echoed == this->request.echo_value;
+    // Without the field, a response on a reused connection may be a late copy of an earlier one.
+    return echoed ? *echoed == this->request.echo_value : !this->peer_echoes;
 }
 
 auto upstream_connection::skip_stale_response() -> bool
@@ -182,6 +183,8 @@
 {
     ++this->completed_responses;
     const auto& head = this->reader.head();
+    this->peer_echoes = this->peer_echoes || (!this->request.echo_field.empty() &&
+                                              head.fields.find(this->request.echo_field));
     const auto written = this->stream && this->stream->bytes_waiting() == 0;
     // Not reusable if the response came before the whole request was written, as the rest of its
     // body is still being sent; if there are bytes ahead, which belong to no request; or after
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -113,6 +113,7 @@
     std::uint64_t completed_responses = 0;
     time_point established_at{};
     int stale_responses = 0;
+    bool peer_echoes = false; ///< an earlier response on this connection carried the echo field
     bool head_delivered = false;
     bool reusable = false;
     bool ended = false; ///< no further request may use this connection
--- a/src/routing/host_retry_budget.cpp
+++ b/src/routing/host_retry_budget.cpp
@@ -25,13 +25,19 @@
     this->repeats.add(now, static_cast<std::uint32_t>(former_repeats));
 }
 
-auto host_retry_budget::try_consume(time_point now, const fleet_bounds& bounds,
-                                    std::size_t host_count) -> bool
+auto host_retry_budget::has_room(time_point now, const fleet_bounds& bounds, std::size_t host_count)
+    -> bool
 {
     const auto request_share = bounds.retry_ratio * static_cast<double>(this->requests.total(now));
     const auto fixed_share = bounds.retry_slack / static_cast<double>(host_count);
     const auto used = static_cast<double>(this->repeats.total(now));
-    if (used + 1.0 > limit_margin_factor * (request_share + fixed_share))
+    return used + 1.0 <= limit_margin_factor * (request_share + fixed_share);
+}
+
+auto host_retry_budget::try_consume(time_point now, const fleet_bounds& bounds,
+                                    std::size_t host_count) -> bool
+{
+    if (!this->has_room(now, bounds, host_count))
     {
         return false;
     }
--- a/src/routing/host_retry_budget.hpp
+++ b/src/routing/host_retry_budget.hpp
@@ -21,6 +21,9 @@
     auto set_window(duration new_window, time_point now) -> void;
 
     auto on_request(time_point now) -> void { this->requests.add(now); }
+    /// True if try_consume would succeed.
+    [[nodiscard]] auto has_room(time_point now, const fleet_bounds& bounds, std::size_t host_count)
+        -> bool;
     /// Consumes one retry; returns false if the budget is exhausted.
     [[nodiscard]] auto try_consume(time_point now, const fleet_bounds& bounds,
                                    std::size_t host_count) -> bool;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -421,6 +421,10 @@
     {
         failure.considered += count;
     }
+    const auto count_of = [&](exclusion_reason reason)
+    { return exclusion_counts[static_cast<std::size_t>(reason)]; };
+    failure.may_clear_soon =
+        count_of(exclusion_reason::cold_limit) + count_of(exclusion_reason::load_bound) > 0;
     return std::nullopt;
 }
 
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -66,6 +66,8 @@
 {
     exclusion_reason most_common_exclusion = exclusion_reason::other_service;
     int considered = 0;
+    /// An upstream is excluded only by a limit or state that changes within tens of ms.
+    bool may_clear_soon = false;
 };
 
 /// Load over all upstreams of a service.
--- a/src/traffic/caller_session.cpp
+++ b/src/traffic/caller_session.cpp
@@ -20,6 +20,9 @@
 /// Limit of buffered bytes of pipelined requests; beyond it reading pauses until the current
 /// response has ended.
 constexpr std::size_t max_pipelined_bytes = 65'536;
+/// Time after a connection has been accepted in which its first request is on its way. A planned
+/// stop does not close it meanwhile.
+constexpr duration fresh_period = 500ms;
 constexpr duration timeout_check_interval = 500ms; ///< caller timeouts are whole seconds
 
 } // namespace
@@ -44,8 +47,14 @@
 
 auto caller_session::close_when_idle() -> void
 {
+    const auto self = this->shared_from_this();
     this->closing = true;
     if (this->is_idle())
+    {
+        this->stream->poll(); // a request that has just arrived is answered
+    }
+    const auto is_fresh = !this->has_received && boot_clock_now() - this->idle_since < fresh_period;
+    if (!this->finished && this->is_idle() && !is_fresh)
     {
         this->finish();
     }
@@ -70,6 +79,7 @@
         this->is_reading_message = true;
         this->message_started_at = boot_clock_now();
     }
+    this->has_received = true;
     this->reader.feed(bytes);
     if (this->current)
     {
@@ -300,7 +310,9 @@
 {
     const auto now = boot_clock_now();
     const auto limits = this->service.get_caller_limits();
-    if (this->is_idle() && now - this->idle_since > limits.idle_timeout)
+    const auto idle_limit =
+        this->closing ? std::min<duration>(fresh_period, limits.idle_timeout) : limits.idle_timeout;
+    if (this->is_idle() && now - this->idle_since > idle_limit)
     {
         this->finish();
         return;
--- a/src/traffic/caller_session.hpp
+++ b/src/traffic/caller_session.hpp
@@ -56,6 +56,7 @@
     boost::asio::steady_timer timer;
     time_point message_started_at{};
     time_point idle_since{};
+    bool has_received = false; ///< any byte of a request
     time_point head_began{};
     bool is_reading_message = false;
     bool chunked = false;
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -1,6 +1,7 @@
 #include "traffic/exchange.hpp"
 
 #include "net/clock.hpp"
+#include "overload/wait_policy.hpp"
 #include "traffic/placement_request.hpp"
 #include "traffic/traffic_service.hpp"
 
@@ -31,8 +32,6 @@
 constexpr double event_timeout_factor = 2.0;
 /// Lower bound of both progress timeouts: the slowest plain responses take about 220 ms.
 constexpr duration min_progress_timeout = 280ms;
-/// Time left before the deadline below which no further send is made.
-constexpr duration min_time_for_send = 40ms;
 /// Plain responses up to this size are buffered until they are complete, so that the request can be
 /// repeated after a broken one; larger ones are forwarded as they arrive.
 constexpr std::size_t max_buffered_bytes = 1'048'576;
@@ -78,6 +77,11 @@
     const auto service_index = choose_service(*this->route, this->metadata.id);
     this->target_service = this->configuration->services[service_index].name;
     this->service.retry_budget_of(this->target_service).on_request(boot_clock_now());
+    if (!overload::has_time_for_send(timeout))
+    {
+        this->finish_with_error(503, "deadline too short");
+        return;
+    }
     this->arm_timer();
     this->place();
 }
@@ -135,9 +139,7 @@
     if (this->response.success && !this->response.trusted)
     {
         const auto self = this->shared_from_this();
-        this->abandon_upstream();
-        this->record_fault(upstream_fault::broken);
-        this->finish_send(send_outcome::unknown, "response not authenticated");
+        this->fail_malformed("response not authenticated");
     }
 }
 
@@ -153,20 +155,34 @@
         return;
     }
     this->buffered_body.append(bytes);
-    if (this->response.success && this->buffered_body.size() > max_buffered_bytes)
+    if (this->buffered_body.size() <= max_buffered_bytes)
     {
-        if (!this->head_committed)
-        {
-            this->caller_head = this->upstream_head;
-            this->head_committed = true;
-            const auto length = this->upstream_head.framing == http::body_framing::length
-                                    ? std::optional(this->upstream_head.content_length)
-                                    : std::nullopt;
-            this->sink->begin_response(this->caller_head, length);
-        }
-        this->sink->write_body(this->buffered_body);
-        this->buffered_body.clear();
+        return;
     }
+    if (!this->response.success)
+    {
+        this->fail_malformed("failure response too large");
+        return;
+    }
+    if (!this->head_committed)
+    {
+        this->caller_head = this->upstream_head;
+        this->head_committed = true;
+        const auto length = this->upstream_head.framing == http::body_framing::length
+                                ? std::optional(this->upstream_head.content_length)
+                                : std::nullopt;
+        this->sink->begin_response(this->caller_head, length);
+    }
+    this->sink->write_body(this->buffered_body);
+    this->buffered_body.clear();
+    this->pause_if_caller_is_slow();
+}
+
+auto exchange::fail_malformed(const char* reason) -> void
+{
+    this->abandon_upstream();
+    this->record_fault(upstream_fault::broken);
+    this->finish_send(send_outcome::unknown, reason);
 }
 
 auto exchange::on_response_end() -> void
@@ -225,6 +241,7 @@
 
 auto exchange::record_success() -> void
 {
+    this->service.return_schedule_of(this->target_service).on_completion(boot_clock_now());
     this->upstream->health.on_success(boot_clock_now());
 }
 
@@ -285,7 +302,7 @@
     context.sends = this->sends;
     context.last = outcome;
     context.worst = this->worst_outcome;
-    context.time_left = this->deadline - now > min_time_for_send &&
+    context.time_left = overload::has_time_for_send(this->deadline - now) &&
                         this->connect_failures < max_connect_failures &&
                         (!this->head_committed || this->is_stream());
     auto step = routing::decide_next_step(context);
@@ -371,13 +388,11 @@
         return time_point::max();
     }
     const auto has_output = this->last_progress > this->sent_at && this->is_stream();
-    if (has_output)
-    {
-        return this->last_progress +
-               std::max(scaled(this->route->event_gap, event_timeout_factor), min_progress_timeout);
-    }
-    return this->sent_at + std::max(scaled(this->route->objective, first_output_timeout_factor),
-                                    min_progress_timeout);
+    const auto limit = has_output ? scaled(this->route->event_gap, event_timeout_factor)
+                                  : scaled(this->route->objective, first_output_timeout_factor);
+    const auto since =
+        std::max(has_output ? this->last_progress : this->sent_at, this->progress_checked_at);
+    return since + std::max(limit, min_progress_timeout);
 }
 
 auto exchange::arm_timer() -> void
@@ -398,6 +413,33 @@
         });
 }
 
+auto exchange::can_move() -> bool
+{
+    const auto position =
+        this->service.get_view().configuration->find_service(this->target_service);
+    if (!position || !this->service.may_retry(this->target_service))
+    {
+        return false;
+    }
+    const auto query = make_placement_query(this->service, *position, this->metadata.prompt,
+                                            this->metadata.id, this->tried);
+    routing::placement_failure why;
+    return routing::choose_upstream(this->service.get_upstreams(), query, why).has_value();
+}
+
+auto exchange::on_no_progress(time_point now) -> void
+{
+    if (!this->can_move())
+    {
+        // The upstream may only be slow; ending its work would leave the caller with nothing.
+        this->progress_checked_at = now;
+        return;
+    }
+    this->record_fault(upstream_fault::silent);
+    this->abandon_upstream();
+    this->finish_send(send_outcome::unknown, "no progress");
+}
+
 auto exchange::on_timer() -> void
 {
     const auto now = boot_clock_now();
@@ -417,9 +459,7 @@
     }
     if (now >= this->progress_deadline())
     {
-        this->record_fault(upstream_fault::silent);
-        this->abandon_upstream();
-        this->finish_send(send_outcome::unknown, "no progress");
+        this->on_no_progress(now);
     }
     if (!this->done)
     {
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -74,6 +74,9 @@
         -> http::upstream_request;
     auto finish_send(routing::send_outcome outcome, const char* reason) -> void;
     auto apply_step(routing::next_step step) -> void;
+    /// Ends a send whose response is invalid. The upstream may have executed the request.
+    auto fail_malformed(const char* reason) -> void;
+    auto pause_if_caller_is_slow() -> void;
     auto release_send() -> void;
     auto record_success() -> void;
     auto record_fault(routing::upstream_fault fault) -> void;
@@ -89,6 +92,9 @@
     auto arm_timer() -> void;
     auto on_timer() -> void;
     [[nodiscard]] auto progress_deadline() const -> time_point;
+    /// True if another upstream could take over now.
+    [[nodiscard]] auto can_move() -> bool;
+    auto on_no_progress(time_point now) -> void;
     auto abandon_upstream() -> void;
     [[nodiscard]] auto is_stream() const -> bool;
 
@@ -118,7 +124,8 @@
     std::shared_ptr<routing::upstream_state> upstream;
     routing::upstream_name upstream_name;
     time_point sent_at{};
-    time_point last_progress{};
+    time_point last_progress{};       ///< head or event of the response; single bytes do not count
+    time_point progress_checked_at{}; ///< no other upstream could take over then
     bool is_sent = false;
     bool prefill_counted = false;
     std::uint32_t prefill_tokens = 0;
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -4,6 +4,9 @@
 #include "traffic/exchange.hpp"
 #include "traffic/traffic_service.hpp"
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 namespace poplardrift::traffic
@@ -12,8 +15,19 @@
 namespace
 {
 
-/// Retry-After of refused requests: upstreams report and respond within this time.
-constexpr const char* retry_after_seconds = "0.15";
+using namespace std::chrono_literals;
+
+/// Callers wait for at most this part of the time that they have left, whatever they are told.
+constexpr int return_wait_divisor = 3;
+/// Retry-After of requests whose deadline is unknown, such as those refused before their route is.
+constexpr duration default_longest_wait = 1s;
+
+auto to_seconds_text(duration wait) -> std::string
+{
+    std::array<char, 32> text{};
+    const auto length = std::snprintf(text.data(), text.size(), "%.3f", to_seconds(wait));
+    return {text.data(), static_cast<std::size_t>(length)};
+}
 /// Unsent bytes for a slow caller beyond which reading from its upstream pauses.
 constexpr std::size_t max_unsent_bytes = 262'144;
 
@@ -30,6 +44,16 @@
         }
         this->forward_event(*event);
     }
+    if (!this->done && this->connection && this->events.is_oversized())
+    {
+        this->fail_malformed("event too large");
+        return;
+    }
+    this->pause_if_caller_is_slow();
+}
+
+auto exchange::pause_if_caller_is_slow() -> void
+{
     if (!this->done && this->connection && this->sink->bytes_waiting() > max_unsent_bytes)
     {
         this->paused = true;
@@ -52,7 +76,10 @@
         this->upstream->cache.on_prefilled(*this->metadata.prompt);
         this->service.on_prefill_complete(this->upstream_name, *this->metadata.prompt);
     }
-    this->last_progress = now;
+    if (event.sequence || !event.data.empty())
+    {
+        this->last_progress = now; // comments keep a connection open, they are no progress
+    }
     if (!this->head_committed)
     {
         this->first_output = now;
@@ -140,7 +167,13 @@
     head.fields.add("Content-Type", "text/plain");
     if (status == 503)
     {
-        head.fields.add("Retry-After", retry_after_seconds);
+        const auto time_left = this->deadline - boot_clock_now();
+        const auto longest_wait =
+            this->deadline == time_point{} ? default_longest_wait : time_left / return_wait_divisor;
+        const auto wait = this->service.return_schedule_of(this->target_service)
+                              .book(boot_clock_now(), std::max<duration>(longest_wait, 0ns),
+                                    hash_bytes_64(this->metadata.id));
+        head.fields.add("Retry-After", to_seconds_text(wait));
     }
     const std::string text = std::string(reason) + "\n";
     this->sink->begin_response(head, text.size());
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -1,6 +1,7 @@
 // The upstream side of an exchange: placement and sending.
 
 #include "net/clock.hpp"
+#include "overload/wait_policy.hpp"
 #include "traffic/exchange.hpp"
 #include "traffic/placement_request.hpp"
 #include "traffic/traffic_service.hpp"
@@ -18,8 +19,6 @@
 
 /// Time between placement attempts while no upstream is eligible.
 constexpr duration placement_retry_interval = 10ms;
-/// A request waits for an eligible upstream for at most the objective divided by this.
-constexpr int placement_wait_divisor = 8;
 /// Longest idle time of a connection for a request that must not be repeated: the upstream may
 /// close an older one at any moment.
 constexpr duration max_idle_non_repeatable = 1500ms;
@@ -53,9 +52,9 @@
 auto exchange::defer_placement(const routing::placement_failure& why) -> void
 {
     const auto now = boot_clock_now();
-    const auto limit = this->arrived + this->route->objective / placement_wait_divisor;
-    const auto can_wait = this->sends == 0 && now < limit;
-    if (!can_wait)
+    const overload::waiting_request request{now - this->arrived, this->route->objective,
+                                            this->deadline - now, this->sends};
+    if (!overload::may_wait(request, why))
     {
         this->service.get_log().write(event_code::request_refused,
                                       {{"request", this->metadata.id},
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -209,6 +209,12 @@
         .first->second;
 }
 
+auto traffic_service::may_retry(const std::string& service) -> bool
+{
+    return this->retry_budget_of(service).has_room(boot_clock_now(), this->view->bounds,
+                                                   this->view->hosts.count);
+}
+
 auto traffic_service::consume_retry(const std::string& service) -> bool
 {
     const auto allowed = this->retry_budget_of(service).try_consume(
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -3,6 +3,7 @@
 #include "http/listener.hpp"
 #include "http/message_reader.hpp"
 #include "observability/decision_log.hpp"
+#include "overload/return_schedule.hpp"
 #include "routing/host_retry_budget.hpp"
 #include "routing/upstream_state.hpp"
 #include "traffic/caller_session.hpp"
@@ -81,6 +82,12 @@
 
     [[nodiscard]] auto connect(const boost::asio::ip::tcp::endpoint& address) -> connection_ptr;
     [[nodiscard]] auto retry_budget_of(const std::string& service) -> routing::host_retry_budget&;
+    /// When refused callers of a service return.
+    [[nodiscard]] auto return_schedule_of(const std::string& service) -> overload::return_schedule&
+    {
+        return this->return_schedules[service];
+    }
+    [[nodiscard]] auto may_retry(const std::string& service) -> bool;
     /// Consumes one repeated send from a service's retry budget; false when the budget is used up.
     [[nodiscard]] auto consume_retry(const std::string& service) -> bool;
     auto on_upstream_fault(routing::upstream_state& state, const routing::upstream_name& name,
@@ -131,6 +138,7 @@
     absl::flat_hash_map<routing::upstream_key, std::size_t> positions; ///< indexes into upstreams
     absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> states;
     absl::flat_hash_map<std::string, routing::host_retry_budget> retry_budgets;
+    absl::flat_hash_map<std::string, overload::return_schedule> return_schedules;
     absl::flat_hash_set<std::shared_ptr<caller_session>> sessions;
     connection_pool pool;
     traffic_metrics metrics;
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -114,10 +114,11 @@
     return response;
 }
 
-auto peer_connection::send(const std::string& bytes) -> void
+auto peer_connection::send(const std::string& bytes) -> bool
 {
-    error_code ignored_error;
-    asio::write(this->socket, asio::buffer(bytes), ignored_error);
+    error_code error;
+    asio::write(this->socket, asio::buffer(bytes), error);
+    return !error;
 }
 
 auto peer_connection::close() -> void
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -47,7 +47,8 @@
         static_cast<void>(this->socket.remote_endpoint(error));
         return !error;
     }
-    auto send(const std::string& bytes) -> void;
+    /// False when the connection has ended.
+    auto send(const std::string& bytes) -> bool;
     auto close() -> void;
     /// Closes the connection with a TCP reset.
     auto reset() -> void;
