Speakers of a cell share the cached prefixes that they send

Cause: both speakers sent the same prefixes, half as many as the cell reports, so most were lost on the way. Change: each sends its part; repeats are dropped for 5 s instead of 2.

--- a/src/fleet/exchange_plan_test.cpp
+++ b/src/fleet/exchange_plan_test.cpp
@@ -86,7 +86,7 @@
     }
 }
 
-TEST_CASE("each receiver reads all prefixes once, and repeats are dropped for two seconds")
+TEST_CASE("each receiver reads all prefixes once, and repeats are dropped for a while")
 {
     const time_point start(1h);
     prefix_queue queue;
@@ -101,14 +101,18 @@
     CHECK(queue.read(slow, 4).size() == 4);
     CHECK(queue.read(slow, 100).size() == 6);
     CHECK(queue.read(slow, 100).empty());
-    queue.add({1, 3, 100}, start + 3s);
+    queue.add({1, 3, 100}, start + 6s);
     CHECK(queue.read(fast, 100).size() == 1);
     for (std::uint64_t chain = 100; chain < 1000; ++chain)
     {
-        queue.add({1, chain, 100}, start + 3s);
+        queue.add({1, chain, 100}, start + 6s);
     }
+    auto even = slow;
+    auto odd = slow;
     const auto left = queue.read(slow, 1000);
-    CHECK(left.size() == 256);
+    CHECK(left.size() == 512);
+    CHECK(queue.read(even, 1000, {0, 2}).size() == 256);
+    CHECK(queue.read(odd, 1000, {1, 2}).size() == 256);
     CHECK(left.back().chain_hash == 999);
 }
 
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -116,7 +116,8 @@
     auto on_identity(peer& other, const host_beacon& beacon, time_point now) -> void;
     auto send_beacon(const boost::asio::ip::address_v4& to, peer& other) -> void;
     auto send_summaries(time_point now) -> void;
-    auto send_summary(const zone_name& zone, remote_cell& cell, time_point now) -> void;
+    auto send_summary(const zone_name& zone, remote_cell& cell, std::size_t position,
+                      time_point now) -> void;
     auto relay(zone_summary summary, time_point now) -> void;
     auto send(const std::string& bytes, const boost::asio::ip::address_v4& to) -> void;
     auto update_plan() -> void;
--- a/src/fleet/peer_summaries.cpp
+++ b/src/fleet/peer_summaries.cpp
@@ -122,11 +122,12 @@
             continue;
         }
         remote.next_summary_at = now + this->plan.summary_interval();
-        this->send_summary(zone, remote, now);
+        this->send_summary(zone, remote, position, now);
     }
 }
 
-auto peer_link::send_summary(const zone_name& zone, remote_cell& cell, time_point now) -> void
+auto peer_link::send_summary(const zone_name& zone, remote_cell& cell, std::size_t position,
+                             time_point now) -> void
 {
     const auto receiver = this->find_receiver(zone, cell, now);
     if (!receiver)
@@ -137,8 +138,9 @@
     summary.zone = this->settings.zone.value();
     summary.loads = to_list(
         this->sum_peer_loads([&](const peer& other) { return this->is_in_own_zone(other); }, true));
-    summary.cached_prefixes =
-        this->prefixes_of_cell.read(cell.next_cached_prefix, max_prefixes_per_summary);
+    // Each speaker sends its part of the prefixes, so that none is sent twice.
+    summary.cached_prefixes = this->prefixes_of_cell.read(
+        cell.next_cached_prefix, max_prefixes_per_summary, {position, speaker_count});
     this->send(encode_summary(summary), *receiver);
     cell.last_receiver = *receiver;
 }
--- a/src/fleet/prefix_queue.cpp
+++ b/src/fleet/prefix_queue.cpp
@@ -12,10 +12,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t max_stored_prefixes = 256;
+constexpr std::size_t max_stored_prefixes = 512;
 /// A prompt that many requests share is prefilled again and again at the same engine; receivers
 /// need the repeats only to keep it among the recently used ones.
-constexpr duration repeat_interval = 2s;
+constexpr duration repeat_interval = 5s;
 
 } // namespace
 
@@ -36,7 +36,7 @@
     }
 }
 
-auto prefix_queue::read(std::uint64_t& cursor, std::size_t most) const
+auto prefix_queue::read(std::uint64_t& cursor, std::size_t most, part of) const
     -> std::vector<traffic::cached_prefix>
 {
     const auto oldest = this->end - this->prefixes.size();
@@ -44,7 +44,11 @@
     std::vector<traffic::cached_prefix> unread;
     while (cursor < this->end && unread.size() < most)
     {
-        unread.push_back(this->prefixes[cursor - oldest]);
+        const auto& prefix = this->prefixes[cursor - oldest];
+        if (prefix.chain_hash % of.count == of.index)
+        {
+            unread.push_back(prefix);
+        }
         ++cursor;
     }
     return unread;
--- a/src/fleet/prefix_queue.hpp
+++ b/src/fleet/prefix_queue.hpp
@@ -19,8 +19,16 @@
 public:
     /// Adds a prefix unless the same one has been added within the last seconds.
     auto add(const traffic::cached_prefix& prefix, time_point now) -> void;
-    /// Returns up to `most` prefixes that the receiver has not read and advances its `cursor`.
-    [[nodiscard]] auto read(std::uint64_t& cursor, std::size_t most) const
+    /// One of `count` disjoint parts of the prefixes.
+    struct part
+    {
+        std::size_t index = 0;
+        std::size_t count = 1;
+    };
+
+    /// Returns up to `most` prefixes of this part that the receiver has not read and advances its
+    /// `cursor`.
+    [[nodiscard]] auto read(std::uint64_t& cursor, std::size_t most, part of = {0, 1}) const
         -> std::vector<traffic::cached_prefix>;
 
 private:
