--- a/src/fleet/exchange_plan.cpp
+++ b/src/fleet/exchange_plan.cpp
@@ -1,7 +1,5 @@
 #include "fleet/exchange_plan.hpp"
 
-#include "poplardrift/base/ids.hpp"
-
 #include <algorithm>
 
 namespace poplardrift::fleet
@@ -68,15 +66,4 @@
     return std::max(1.0, peers / static_cast<double>(peers_at_min_interval));
 }
 
-auto speaker_position(const boost::asio::ip::address_v4& own,
-                      const std::vector<boost::asio::ip::address_v4>& cell, std::string_view zone)
-    -> std::size_t
-{
-    const auto key = hash_bytes_64(zone);
-    const auto own_score = hash_pair_64(key, own.to_uint());
-    const auto precedes = [&](const boost::asio::ip::address_v4& other)
-    { return hash_pair_64(key, other.to_uint()) > own_score; };
-    return static_cast<std::size_t>(std::count_if(cell.begin(), cell.end(), precedes));
-}
-
 } // namespace poplardrift::fleet
--- a/src/fleet/exchange_plan.hpp
+++ b/src/fleet/exchange_plan.hpp
@@ -2,12 +2,7 @@
 
 #include "poplardrift/base/time.hpp"
 
-#include <boost/asio/ip/address_v4.hpp>
-
 #include <cstddef>
-#include <cstdint>
-#include <string_view>
-#include <vector>
 
 namespace poplardrift::fleet
 {
@@ -48,15 +43,8 @@
     bool cells;
 };
 
-/// Position of this host among the hosts of its cell that send its sum to `zone`, starting at 0;
-/// hosts from position `speaker_count` on do not send. `cell` holds the addresses of the live hosts
-/// of the cell besides this one.
-[[nodiscard]] auto speaker_position(const boost::asio::ip::address_v4& own,
-                                    const std::vector<boost::asio::ip::address_v4>& cell,
-                                    std::string_view zone) -> std::size_t;
-
-/// Hosts that send the sum of a cell to each other one. Two, so that the loss of one leaves it
-/// updated, half as often.
+/// Hosts that send the sum of a cell to each other one: the first in the other zone's rendezvous
+/// order. Two, so that the loss of one leaves it updated, half as often.
 constexpr std::size_t speaker_count = 2;
 
 } // namespace poplardrift::fleet
--- a/src/fleet/exchange_plan_test.cpp
+++ b/src/fleet/exchange_plan_test.cpp
@@ -1,6 +1,8 @@
 #include "fleet/exchange_plan.hpp"
 #include "fleet/peer_messages.hpp"
 #include "fleet/prefix_queue.hpp"
+#include "poplardrift/base/ids.hpp"
+#include "routing/host_group.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,9 +15,9 @@
 
 constexpr std::size_t packet_limit_bytes = 1472; ///< of a datagram on common networks
 
-auto address_of(std::uint32_t number) -> boost::asio::ip::address_v4
+auto key_of(std::uint32_t number) -> routing::host_key
 {
-    return boost::asio::ip::address_v4(0x0a000000 + number);
+    return routing::host_key(0x0a000000 + number);
 }
 
 } // namespace
@@ -54,20 +56,19 @@
 
 TEST_CASE("the hosts of a cell agree on the speakers to each zone, also after the loss of one")
 {
-    std::vector<boost::asio::ip::address_v4> cell;
+    std::vector<routing::host_key> cell;
     for (std::uint32_t number = 1; number <= 20; ++number)
     {
-        cell.push_back(address_of(number));
+        cell.push_back(key_of(number));
     }
-    const auto speakers_of =
-        [](const std::vector<boost::asio::ip::address_v4>& hosts, std::string_view zone)
+    const auto speakers_of = [](const std::vector<routing::host_key>& hosts, std::string_view zone)
     {
-        std::vector<boost::asio::ip::address_v4> speakers;
+        std::vector<routing::host_key> speakers;
         for (const auto& own : hosts)
         {
             auto others = hosts;
             std::erase(others, own);
-            if (speaker_position(own, others, zone) < speaker_count)
+            if (routing::rendezvous_rank(own, others, hash_bytes_64(zone)) < speaker_count)
             {
                 speakers.push_back(own);
             }
--- a/src/fleet/peer_summaries.cpp
+++ b/src/fleet/peer_summaries.cpp
@@ -15,6 +15,11 @@
 
 constexpr std::size_t max_prefixes_per_summary = 24;
 
+auto key_of(const address_v4& address) -> routing::host_key
+{
+    return routing::host_key(address.to_uint());
+}
+
 using load_sums = std::map<routing::upstream_key, traffic::upstream_load>;
 
 auto add_loads(load_sums& sums, const std::vector<traffic::upstream_load>& loads) -> void
@@ -92,7 +97,7 @@
     {
         return;
     }
-    std::vector<address_v4> cell;
+    std::vector<routing::host_key> cell;
     for (const auto& [address, other] : this->peers)
     {
         if (other.host.empty())
@@ -105,12 +110,13 @@
         }
         else if (this->is_alive(other, now))
         {
-            cell.push_back(address);
+            cell.push_back(key_of(address));
         }
     }
     for (auto& [zone, remote] : this->remote_cells)
     {
-        const auto position = speaker_position(this->settings.address, cell, zone.value());
+        const auto position = routing::rendezvous_rank(key_of(this->settings.address), cell,
+                                                       hash_bytes_64(zone.value()));
         if (now < remote.next_summary_at)
         {
             continue;
--- a/src/routing/cold_allowance.cpp
+++ b/src/routing/cold_allowance.cpp
@@ -27,7 +27,8 @@
     {
         return fleet_rate / static_cast<double>(hosts.count);
     }
-    const auto holds_share = hosts.is_settled && rendezvous_rank(hosts, upstream) < most_holders;
+    const auto holds_share =
+        hosts.is_settled && rendezvous_rank(hosts.own, hosts.others, upstream) < most_holders;
     return holds_share ? fleet_rate / static_cast<double>(most_holders) : 0.0;
 }
 
--- a/src/routing/host_group.hpp
+++ b/src/routing/host_group.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace poplardrift::routing
@@ -27,8 +28,9 @@
     auto operator==(const host_group&) const -> bool = default;
 };
 
-/// Number of hosts of the group that precede this one in the rendezvous order of `key`. All hosts
-/// with the same group agree on the order without communication. Linear in the number of hosts.
-[[nodiscard]] auto rendezvous_rank(const host_group& hosts, std::uint64_t key) -> std::size_t;
+/// Number of the other hosts that precede `own` in the rendezvous order of `key`. Hosts that know
+/// the same hosts agree on the order without communication. Linear in the number of hosts.
+[[nodiscard]] auto rendezvous_rank(host_key own, std::span<const host_key> others,
+                                   std::uint64_t key) -> std::size_t;
 
 } // namespace poplardrift::routing
