--- a/src/overload/return_schedule.hpp
+++ b/src/overload/return_schedule.hpp
@@ -13,7 +13,7 @@
 /// the burst that they were refused in, and each other.
 ///
 /// Each refused caller books a place. Places free up at the rate at which requests complete, of
-/// which returning callers get a part and new ones the rest. A caller is told the time of its
+/// which returning callers get a part and new ones the rest. Each response names the time of its
 /// place, spread a little, so the first refused return first and none return together. Needs no
 /// clock and no network; callers pass the time. Not thread-safe.
 class return_schedule final
