Incident: sends that an upstream's end interrupts are logged and counted

Cause: a lost send did not say how much output it had, what its prompt held or how its upstream stood, so the three hypotheses of the incident could not be told apart. Change: event send-interrupted (508), the counter poplardrift_interrupted_sends_total, and an identifier for each prompt part that does not depend on the parts before it. No decision uses them yet.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -60,6 +60,7 @@
     request_invalid = 505,
     request_sent_again = 506,
     request_cancelled = 507,
+    send_interrupted = 508,
     transaction_claimed = 600,
     transaction_lost = 601,
     transaction_unknown = 602,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -83,6 +83,10 @@
          "A request goes to a second upstream; the detail says what became of the send before."},
         {request_cancelled, debug, "request-cancelled",
          "The caller left before its answer was whole; the upstream was told."},
+        {send_interrupted, info, "send-interrupted",
+         "The connection to an upstream ended before the answer was whole; the detail says how "
+         "much "
+         "output there was, what the prompt held and how the upstream stood."},
         {transaction_claimed, debug, "transaction-claimed",
          "This host may run a transaction: its claim is first in the log."},
         {transaction_lost, info, "transaction-lost", "Another claim for the key came first."},
--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -1,17 +1,24 @@
 #pragma once
 
+#include "poplardrift/base/strong_type.hpp"
+
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace poplardrift::routing
 {
 
+/// Identifies the content of one prompt part, whatever precedes it.
+using prompt_part_id = strong_type<struct prompt_part_id_tag, std::uint64_t>;
+
 /// One part of a prompt. Its hash covers all preceding parts, because an engine can reuse a cached
 /// part only if it also has every part before it.
 struct prompt_part
 {
     std::uint64_t chain_hash = 0; ///< hash of this part and all preceding parts
     std::uint32_t tokens = 0;
+    prompt_part_id id;
 };
 
 /// Prompt lengths and prefix hashes that a request carries in its headers.
@@ -20,6 +27,12 @@
     std::vector<prompt_part>
         parts; ///< in prompt order; only the last is specific to the request or session
     std::uint32_t input_tokens = 0;
+
+    /// All parts but the last: those that other requests share.
+    [[nodiscard]] auto shared_parts() const -> std::span<const prompt_part>
+    {
+        return std::span(this->parts).first(this->parts.empty() ? 0 : this->parts.size() - 1);
+    }
 };
 
 } // namespace poplardrift::routing
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -197,8 +197,10 @@
     {
         if (this->is_stream() && this->events.has_partial_event())
         {
+            constexpr const char* reason = "response ends within an event";
+            this->log_interruption(reason);
             this->record_fault(upstream_fault::broken);
-            this->finish_send(send_outcome::unknown, "response ends within an event");
+            this->finish_send(send_outcome::unknown, reason);
             return;
         }
         this->record_success();
@@ -234,9 +236,11 @@
         this->finish_send(send_outcome::not_sent, "not connected");
         return;
     }
+    const auto* const reason =
+        why == http::transport_failure::broken ? "connection broken" : "malformed";
+    this->log_interruption(reason);
     this->record_fault(upstream_fault::broken);
-    this->finish_send(send_outcome::unknown,
-                      why == http::transport_failure::broken ? "connection broken" : "malformed");
+    this->finish_send(send_outcome::unknown, reason);
 }
 
 auto exchange::record_success() -> void
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -80,6 +80,8 @@
     auto release_send() -> void;
     auto record_success() -> void;
     auto record_fault(routing::upstream_fault fault) -> void;
+    /// Logs a send whose connection ended before its response was complete.
+    auto log_interruption(const char* reason) -> void;
 
     auto forward_events() -> void;
     auto forward_event(const sse_event& event) -> void;
@@ -135,6 +137,8 @@
     http::response_head upstream_head;
     std::string buffered_body;
     sse_splitter events;
+    std::uint64_t events_received = 0; ///< of this send, including repeated ones
+    time_point first_event_at{};       ///< of this send
 
     // The response to the caller.
     http::response_head failure_head;
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -64,6 +64,10 @@
 auto exchange::forward_event(const sse_event& event) -> void
 {
     const auto now = boot_clock_now();
+    if (this->events_received++ == 0)
+    {
+        this->first_event_at = now;
+    }
     if (event.sequence && this->last_event && *event.sequence <= *this->last_event)
     {
         return; // already forwarded; a resumed stream may repeat it
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -106,6 +106,8 @@
     this->response = {};
     this->buffered_body.clear();
     this->events = sse_splitter();
+    this->events_received = 0;
+    this->first_event_at = {};
 
     auto& state = *this->upstream;
     // Counted before the connection is established: until then many requests may be placed.
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -35,6 +35,11 @@
                      .Name("poplardrift_ejections_total")
                      .Help("Upstreams left out after faults, by service")
                      .Register(this->registry)),
+      interruptions(&prometheus::BuildCounter()
+                         .Name("poplardrift_interrupted_sends_total")
+                         .Help("Connections that ended before the answer was whole, by service and "
+                               "whether there was output")
+                         .Register(this->registry)),
       peer_bytes(&prometheus::BuildCounter()
                       .Name("poplardrift_peer_bytes_total")
                       .Help("Bytes of beacons to other hosts, with the headers of their packets")
@@ -90,6 +95,12 @@
     this->ejections->Add({{"service", service}}).Increment();
 }
 
+auto traffic_metrics::count_interruption(const std::string& service, bool had_output) -> void
+{
+    this->interruptions->Add({{"service", service}, {"output", had_output ? "true" : "false"}})
+        .Increment();
+}
+
 auto traffic_metrics::count_peer_bytes(std::size_t bytes) -> void
 {
     this->peer_bytes->Increment(static_cast<double>(bytes));
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -335,6 +335,11 @@
     this->metrics.count_send(service, is_repeat);
 }
 
+auto traffic_service::count_interruption(const std::string& service, bool had_output) -> void
+{
+    this->metrics.count_interruption(service, had_output);
+}
+
 auto traffic_service::count_outcome(const std::string& route, const std::string& outcome,
                                     duration first_output) -> void
 {
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -97,6 +97,7 @@
     auto on_prefill_complete(const routing::upstream_name& name,
                              const routing::prompt_metadata& prompt) -> void;
     auto count_send(const std::string& service, bool is_repeat) -> void;
+    auto count_interruption(const std::string& service, bool had_output) -> void;
     auto count_outcome(const std::string& route, const std::string& outcome, duration first_output)
         -> void;
     auto on_session_ended(const std::shared_ptr<caller_session>& session) -> void;
