Evidence on prompt parts: an answer that begins well refutes all earlier marks, known or not

Cause: a copy kept twelve marks and dropped refuted ones first. Another host's older copy then brought a dropped mark back as open, so a part that most prompts share collected open marks although answers with it began all the time; and a decision rested on marks that the receiver knew as refuted. Change: a part has the time until which it is known as harmless, on this host's clock. Marks up to it are refuted whenever they arrive, and a decision of another host is taken over only if it stands on marks that are open here.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace poplardrift::quarantine
 {
@@ -16,34 +17,54 @@
 
 } // namespace
 
-auto part_evidence::add(const crash_mark& mark) -> bool
+auto part_evidence::add(crash_mark mark) -> bool
 {
     const auto known = std::find_if(this->marks.begin(), this->marks.end(),
                                     [&](const crash_mark& other) { return is_same(mark, other); });
     if (known != this->marks.end())
     {
-        const auto changes = mark.is_refuted && !known->is_refuted;
-        known->is_refuted = known->is_refuted || mark.is_refuted;
-        return changes;
+        if (!mark.is_refuted || known->is_refuted)
+        {
+            return false;
+        }
+        this->harmless_until = std::max(this->harmless_until, known->at);
+        this->apply_refutation();
+        return true;
+    }
+    if (mark.is_refuted)
+    {
+        const auto is_news = mark.at > this->harmless_until;
+        this->harmless_until = std::max(this->harmless_until, mark.at);
+        if (is_news)
+        {
+            this->marks.push_back(mark);
+            this->apply_refutation();
+        }
+        return is_news;
+    }
+    if (mark.at <= this->harmless_until)
+    {
+        return false;
     }
-    if (this->marks.size() == max_marks)
+    if (this->marks.size() >= max_marks)
     {
-        auto expendable = std::find_if(this->marks.begin(), this->marks.end(),
-                                       [](const crash_mark& other) { return other.is_refuted; });
-        if (expendable == this->marks.end())
+        if (!mark.is_own)
         {
-            if (!mark.is_own)
-            {
-                return false; // copies that drop different marks would never agree
-            }
-            expendable = this->marks.begin();
+            return false; // copies that drop different marks would never agree
         }
-        this->marks.erase(expendable);
+        this->marks.erase(this->marks.begin());
     }
     this->marks.push_back(mark);
     return true;
 }
 
+auto part_evidence::is_open_here(const crash_mark& mark) const -> bool
+{
+    return std::any_of(this->marks.begin(), this->marks.end(),
+                       [&](const crash_mark& own)
+                       { return is_same(mark, own) && !own.is_refuted; });
+}
+
 auto part_evidence::merge(const part_evidence& other) -> bool
 {
     auto changed = false;
@@ -56,36 +77,47 @@
         this->was_harmless = true;
         changed = true;
     }
-    if (other.is_quarantined() && other.level > this->level)
+    // The decision stands only on marks that this copy does not know as refuted.
+    const auto stands = other.is_quarantined() &&
+                        std::all_of(other.marks.begin(), other.marks.end(),
+                                    [&](const crash_mark& mark)
+                                    { return mark.is_refuted || this->is_open_here(mark); });
+    if (stands && other.level > this->level)
     {
         this->level = other.level;
         this->quarantined_until = other.quarantined_until;
         changed = true;
     }
-    if (!this->has_open_marks())
-    {
-        this->level = 0; // the copy that came did not know of a refutation yet
-    }
     return changed;
 }
 
-auto part_evidence::refute(time_point began_at) -> bool
+auto part_evidence::refute(time_point until) -> bool
 {
-    auto changed = !this->was_harmless;
-    this->was_harmless = true;
+    const auto had_open_marks = this->open_marks().size();
+    const auto changed = !std::exchange(this->was_harmless, true);
+    this->harmless_until = std::max(this->harmless_until, until);
+    this->apply_refutation();
+    return changed || this->open_marks().size() != had_open_marks;
+}
+
+auto part_evidence::apply_refutation() -> void
+{
+    const crash_mark* newest_refuted = nullptr;
     for (auto& mark : this->marks)
     {
-        if (!mark.is_refuted && mark.at < began_at)
+        mark.is_refuted = mark.is_refuted || mark.at <= this->harmless_until;
+        if (mark.is_refuted && (newest_refuted == nullptr || mark.at > newest_refuted->at))
         {
-            mark.is_refuted = true;
-            changed = true;
+            newest_refuted = &mark;
         }
     }
+    const auto kept = newest_refuted == nullptr ? crash_mark{} : *newest_refuted;
+    std::erase_if(this->marks,
+                  [&](const crash_mark& mark) { return mark.is_refuted && !is_same(mark, kept); });
     if (!this->has_open_marks())
     {
         this->level = 0;
     }
-    return changed;
 }
 
 auto part_evidence::has_open_marks() const -> bool
--- a/src/quarantine/part_evidence.hpp
+++ b/src/quarantine/part_evidence.hpp
@@ -29,23 +29,25 @@
 };
 
 /// What is known about one prompt part that was in an interrupted request. Copies on several hosts
-/// are merged in any order, any number of times: marks are told apart by upstream and request, and
-/// a mark that is refuted anywhere stays refuted. No decision depends on another host's clock.
+/// are merged in any order, any number of times. Marks are told apart by upstream and request. An
+/// answer that begins well refutes all earlier marks; a mark that comes refuted from another host
+/// therefore refutes those before it, too. Times are compared on this host's clock only.
 struct part_evidence
 {
     routing::prompt_part_id part;
-    std::vector<crash_mark> marks;  ///< at most max_marks
+    std::vector<crash_mark> marks;  ///< open ones, at most max_marks, and the newest refuted one
+    time_point harmless_until{};    ///< marks up to this time are refuted
     bool was_harmless = false;      ///< an answer to a prompt with the part has ever begun well
     int level = 0;                  ///< number of quarantines so far, without a release
     time_point quarantined_until{}; ///< end of the quarantine of this level
 
     /// Adds a mark unless the same one is known. False if nothing has changed.
-    auto add(const crash_mark& mark) -> bool;
+    auto add(crash_mark mark) -> bool;
     /// Adds what another copy knows. False if nothing has changed.
     auto merge(const part_evidence& other) -> bool;
-    /// Refutes the marks made before `began_at`, when an answer began well. False if nothing has
+    /// Refutes the marks made up to `until`, when an answer began well. False if nothing has
     /// changed.
-    auto refute(time_point began_at) -> bool;
+    auto refute(time_point until) -> bool;
 
     [[nodiscard]] auto has_open_marks() const -> bool;
     /// True from a quarantine until a harmless answer refutes its marks.
@@ -55,8 +57,12 @@
     }
     [[nodiscard]] auto open_marks() const -> std::vector<crash_mark>;
 
-    /// Marks kept for one part. Refuted marks go first.
     static constexpr std::size_t max_marks = 12;
+
+private:
+    [[nodiscard]] auto is_open_here(const crash_mark& mark) const -> bool;
+    /// Refutes marks up to harmless_until and drops the refuted ones but the newest.
+    auto apply_refutation() -> void;
 };
 
 /// Evidence that a host sends to the others.
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -31,8 +31,9 @@
 constexpr duration min_case_age = 300ms;
 constexpr std::size_t urgent_marks = 6;
 /// A part that has been harmless before may still be the cause, for example after an upgrade of the
-/// engines. In this time its other requests refute the marks if it is not.
+/// engines. It takes more, since in this time its other requests refute the marks if it is not.
 constexpr duration min_span_of_harmless_part = 1s;
+constexpr std::size_t min_marks_of_harmless_part = 5;
 /// Highest probability at which the marks count as chance.
 constexpr double max_chance = 1e-3;
 /// Interval over which the usual share of interrupted requests is taken.
@@ -338,7 +339,8 @@
     {
         return false;
     }
-    if (suspect.evidence.was_harmless && summary.span < min_span_of_harmless_part)
+    if (suspect.evidence.was_harmless &&
+        (summary.span < min_span_of_harmless_part || summary.marks < min_marks_of_harmless_part))
     {
         return false;
     }
@@ -395,7 +397,7 @@
                         [&](prompt_part_id part) { return explains(part, suspect.evidence); });
         if (is_explained)
         {
-            suspect.evidence.refute(time_point::max());
+            suspect.evidence.refute(now);
             this->on_changed(suspect, now);
             this->listener.on_released(suspect.evidence, true);
         }
