Parts in quarantine outlive the hosts that found them

Cause: evidence was held by the hosts alone. When all of them end, the next ones learn it anew, by three more engines. While the store is away the hosts' own messages serve; a host that is seen to have started gets the evidence with the next beacon.

--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -186,6 +186,7 @@
         // It may not know this host yet: send a beacon with the identity at once.
         other.next_beacon_at = {};
         other.next_identity_at = {};
+        other.next_evidence_at = {};
     }
     other.host = beacon.identity->host;
     other.zone = zone_name(beacon.identity->zone);
