Upstreams that say in their answers that they leave, or want a pause

Change: decoded once in platform/ (strictly: other values, dates, signs and exponents change nothing and are logged). routing/upstream_notices keeps them for one start of an upstream, against older registry entries and without the store. A leaving upstream is excluded at once; a paused one until the end of its pause (at most an hour), spread over hosts, then one request at a time until one succeeds. A pause is no fault. When pauses are all that stands against a request, it is refused at once with the earliest end in Retry-After, spread. Events 413 and 414, a counter, the status page and explain. Hosts do not tell each other: each gets its own answers, and the registry tells all of leaving.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -54,6 +54,8 @@
     upstream_misaddressed = 410,
     prompt_part_quarantined = 411,
     prompt_part_released = 412,
+    upstream_paused = 413,
+    upstream_notice_ignored = 414,
     request_done = 500,
     request_refused = 501,
     request_failed = 502,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -76,6 +76,11 @@
          "refused."},
         {prompt_part_released, info, "prompt-part-released",
          "A prompt part was not what ended engines; requests with it are served again."},
+        {upstream_paused, info, "upstream-paused",
+         "An upstream turned a request away and asked this host for a pause; it gets nothing until "
+         "the end of it."},
+        {upstream_notice_ignored, warning, "upstream-notice-ignored",
+         "What an upstream said about leaving or a pause cannot be read and changes nothing."},
         {request_done, debug, "request-done", "A request was answered whole."},
         {request_refused, info, "request-refused", "A request was refused and did not run."},
         {request_failed, warning, "request-failed", "A request failed after it may have run."},
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -101,7 +101,7 @@
     int count = 0;
     for (const auto& candidate : upstreams)
     {
-        if (candidate.service != query.service || candidate.known.entry.leaving)
+        if (candidate.service != query.service || candidate.is_leaving())
         {
             continue;
         }
@@ -122,8 +122,9 @@
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
         const auto& candidate = upstreams[position];
-        if (candidate.service != query.service || candidate.known.entry.leaving ||
-            candidate.zone_out || candidate.state->health.is_ejected(query.now))
+        if (candidate.service != query.service || candidate.is_leaving() || candidate.zone_out ||
+            candidate.state->health.is_ejected(query.now) ||
+            candidate.state->notices.is_paused(query.now))
         {
             continue;
         }
@@ -172,7 +173,7 @@
             continue;
         }
         const auto tokens = std::min(shared, candidate.state->cache.cached_tokens(*query.prompt));
-        const auto may_serve = !candidate.known.entry.leaving && !candidate.zone_out;
+        const auto may_serve = !candidate.is_leaving() && !candidate.zone_out;
         const auto better = !best || tokens > best->tokens ||
                             (tokens == best->tokens && may_serve && !best->may_serve);
         if (tokens > 0 && better)
@@ -314,9 +315,10 @@
 
 auto to_text(exclusion_reason why) -> std::string_view
 {
-    static constexpr std::array<std::string_view, 13> names = {
-        "none",    "other_service",  "leaving", "zone_out",   "lapsed",     "misaddressed", "tried",
-        "ejected", "probation_full", "silent",  "cold_limit", "load_bound", "unreachable"};
+    static constexpr std::array<std::string_view, exclusion_reason_count> names = {
+        "none",         "other_service", "leaving",     "zone_out",       "lapsed",
+        "misaddressed", "tried",         "ejected",     "probation_full", "silent",
+        "cold_limit",   "load_bound",    "unreachable", "paused"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -328,7 +330,7 @@
     {
         return exclusion_reason::other_service;
     }
-    if (candidate.known.entry.leaving)
+    if (candidate.is_leaving())
     {
         return exclusion_reason::leaving;
     }
@@ -344,6 +346,10 @@
     {
         return exclusion_reason::misaddressed;
     }
+    if (state.notices.is_paused(query.now))
+    {
+        return exclusion_reason::paused;
+    }
     if (is_tried(query, candidate.state.get()))
     {
         return exclusion_reason::tried;
@@ -373,7 +379,8 @@
     {
         return exclusion_reason::ejected;
     }
-    if (state.health.is_on_probation() && state.in_flight >= max_probes_in_flight)
+    if ((state.health.is_on_probation() || state.notices.is_resuming()) &&
+        state.in_flight >= max_probes_in_flight)
     {
         return exclusion_reason::probation_full;
     }
@@ -389,7 +396,7 @@
                      placement_failure& failure) -> std::optional<placement_choice>
 {
     const auto context = make_context(upstreams, query);
-    std::array<int, 13> exclusion_counts{};
+    std::array<int, exclusion_reason_count> exclusion_counts{};
     std::optional<placement_choice> best;
     int candidates = 0;
     for (std::size_t position = 0; position < upstreams.size(); ++position)
@@ -399,6 +406,11 @@
         if (!choice)
         {
             ++exclusion_counts[static_cast<std::size_t>(excluded_by)];
+            if (excluded_by == exclusion_reason::paused)
+            {
+                const auto end = upstreams[position].state->notices.get_paused_until();
+                failure.pause_ends_at = std::min(failure.pause_ends_at.value_or(end), end);
+            }
             continue;
         }
         ++candidates;
@@ -425,6 +437,10 @@
     { return exclusion_counts[static_cast<std::size_t>(reason)]; };
     failure.may_clear_soon =
         count_of(exclusion_reason::cold_limit) + count_of(exclusion_reason::load_bound) > 0;
+    if (failure.may_clear_soon || count_of(exclusion_reason::tried) > 0)
+    {
+        failure.pause_ends_at.reset();
+    }
     return std::nullopt;
 }
 
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -27,7 +27,10 @@
     cold_limit,
     load_bound,
     unreachable,
+    paused,
 };
+/// Number of exclusion reasons.
+constexpr std::size_t exclusion_reason_count = 14;
 
 [[nodiscard]] auto to_text(exclusion_reason why) -> std::string_view;
 
@@ -68,6 +71,8 @@
     int considered = 0;
     /// An upstream is excluded only by a limit or state that changes within tens of ms.
     bool may_clear_soon = false;
+    /// Earliest end of a pause, if pauses are all that keeps the request from being sent.
+    std::optional<time_point> pause_ends_at;
 };
 
 /// Load over all upstreams of a service.
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -5,6 +5,7 @@
 #include "routing/sliding_counter.hpp"
 #include "routing/upstream_health.hpp"
 #include "routing/upstream_key.hpp"
+#include "routing/upstream_notices.hpp"
 
 #include <memory>
 
@@ -19,6 +20,7 @@
     std::uint32_t instance = 0; ///< hash of the upstream's name and start number
 
     upstream_health health;
+    upstream_notices notices;
     prompt_cache_model cache;
     sliding_counter cold_sends{std::chrono::seconds(1)};
     int in_flight = 0;           ///< requests from this host
@@ -78,6 +80,12 @@
     bool zone_silent = false;
     /// zone_silent, and a connection to an upstream of the zone has failed.
     bool zone_unreachable = false;
+
+    /// True if the upstream leaves, by its entry or by its own responses.
+    [[nodiscard]] auto is_leaving() const -> bool
+    {
+        return this->known.entry.leaving || this->state->notices.is_leaving();
+    }
 };
 
 } // namespace poplardrift::routing
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -144,6 +144,7 @@
             event_code::upstream_misaddressed,
             {{"upstream", this->upstream_name.value()}, {"request", this->metadata.id}});
     }
+    this->apply_notices();
     if (this->response.success && !this->response.trusted)
     {
         const auto self = this->shared_from_this();
@@ -151,6 +152,25 @@
     }
 }
 
+auto exchange::apply_notices() -> void
+{
+    if (this->response.leaving)
+    {
+        this->service.on_upstream_leaving(*this->upstream, this->upstream_name);
+    }
+    if (this->response.pause)
+    {
+        this->service.on_upstream_paused(*this->upstream, this->upstream_name, this->target_service,
+                                         *this->response.pause);
+    }
+    if (this->response.has_malformed_notice)
+    {
+        this->service.get_log().write(
+            event_code::upstream_notice_ignored,
+            {{"upstream", this->upstream_name.value()}, {"request", this->metadata.id}});
+    }
+}
+
 auto exchange::on_response_body(std::string bytes) -> void
 {
     const auto self = this->shared_from_this();
@@ -236,7 +256,10 @@
                                               : next_step::forward_failure);
         return;
     }
-    this->record_fault(upstream_fault::failed);
+    if (!this->response.pause)
+    {
+        this->record_fault(upstream_fault::failed);
+    }
     this->finish_send(this->response.trusted ? send_outcome::failed : send_outcome::unknown,
                       "error response");
 }
@@ -264,6 +287,7 @@
 {
     this->service.return_schedule_of(this->target_service).on_completion(boot_clock_now());
     this->upstream->health.on_success(boot_clock_now());
+    this->upstream->notices.on_success();
     if (this->response.success)
     {
         const auto now = boot_clock_now();
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -81,6 +81,8 @@
     auto fail_malformed(const char* reason) -> void;
     auto pause_if_caller_is_slow() -> void;
     auto release_send() -> void;
+    /// Applies what the upstream has said about itself in its response head.
+    auto apply_notices() -> void;
     auto record_success() -> void;
     auto record_fault(routing::upstream_fault fault) -> void;
     /// The connection of the current send has ended before its response was complete.
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -25,6 +25,10 @@
 /// The same for all other requests. The pool's idle limits also apply.
 constexpr duration max_idle_repeatable = 60s;
 
+/// Callers that are refused during a pause return within this time after its end.
+constexpr duration max_return_spread = 500ms;
+constexpr std::uint64_t spread_steps = 64;
+
 } // namespace
 
 auto exchange::place() -> void
@@ -70,6 +74,12 @@
                                        {"most_common", routing::to_text(why.most_common_exclusion)},
                                        {"considered", why.considered},
                                        {"sends", this->sends}});
+        if (why.pause_ends_at)
+        {
+            const auto spread = max_return_spread *
+                                (hash_bytes_64(this->metadata.id) % spread_steps) / spread_steps;
+            this->retry_after = *why.pause_ends_at - now + spread;
+        }
         this->apply_step(routing::final_step(routing::send_outcome::not_sent, this->worst_outcome));
         return;
     }
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -40,6 +40,11 @@
                          .Help("Connections that ended before the answer was whole, by service and "
                                "whether there was output")
                          .Register(this->registry)),
+      pauses(
+          &prometheus::BuildCounter()
+               .Name("poplardrift_upstream_pauses_total")
+               .Help("Responses by which an upstream asked for no requests for a time, by service")
+               .Register(this->registry)),
       quarantines(&prometheus::BuildCounter()
                        .Name("poplardrift_prompt_quarantines_total")
                        .Help("Prompt parts quarantined, by this host's decision or another's")
@@ -111,6 +116,11 @@
     this->quarantines->Increment();
 }
 
+auto traffic_metrics::count_pause(const std::string& service) -> void
+{
+    this->pauses->Add({{"service", service}}).Increment();
+}
+
 auto traffic_metrics::count_peer_bytes(std::size_t bytes) -> void
 {
     this->peer_bytes->Increment(static_cast<double>(bytes));
--- a/src/traffic/traffic_metrics.hpp
+++ b/src/traffic/traffic_metrics.hpp
@@ -28,6 +28,7 @@
     auto count_ejection(const std::string& service) -> void;
     auto count_interruption(const std::string& service, bool had_output) -> void;
     auto count_quarantine() -> void;
+    auto count_pause(const std::string& service) -> void;
     auto count_peer_bytes(std::size_t bytes) -> void;
     auto set_sessions(std::size_t count) -> void;
     [[nodiscard]] auto to_text() const -> std::string;
@@ -40,6 +41,7 @@
     prometheus::Family<prometheus::Counter>* denied_retries;
     prometheus::Family<prometheus::Counter>* ejections;
     prometheus::Family<prometheus::Counter>* interruptions;
+    prometheus::Family<prometheus::Counter>* pauses;
     prometheus::Counter* quarantines;
     prometheus::Counter* peer_bytes;
     prometheus::Gauge* sessions;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -31,6 +31,11 @@
 /// service divided by this, but at least one.
 constexpr int ejection_divisor = 3;
 
+/// After a pause hosts return to an upstream within a part of its length, each at its own time.
+constexpr int pause_spread_divisor = 4;
+constexpr duration max_pause_spread = 1s;
+constexpr std::uint64_t spread_steps = 64;
+
 constexpr const char* json_type = "application/json";
 
 /// Identifies one start of an upstream: a restarted one gets a new state.
@@ -263,7 +268,7 @@
     int count = 0;
     for (const auto& upstream : this->upstreams)
     {
-        if (upstream.known.entry.service == service && !upstream.known.entry.leaving)
+        if (upstream.known.entry.service == service && !upstream.is_leaving())
         {
             ejected += upstream.state->health.is_ejected(now) ? 1 : 0;
             ++count;
@@ -332,6 +337,36 @@
     }
 }
 
+auto traffic_service::on_upstream_leaving(routing::upstream_state& state,
+                                          const routing::upstream_name& name) -> void
+{
+    if (!state.notices.is_leaving())
+    {
+        state.notices.on_leaving();
+        this->log.write(event_code::upstream_leaving,
+                        {{"upstream", name.value()}, {"by", "its response"}});
+    }
+}
+
+auto traffic_service::on_upstream_paused(routing::upstream_state& state,
+                                         const routing::upstream_name& name,
+                                         const std::string& service, duration length) -> void
+{
+    const auto now = boot_clock_now();
+    const auto longest_spread = std::min<duration>(length / pause_spread_divisor, max_pause_spread);
+    // The same for each pause of this upstream, different on each host.
+    const auto share = hash_pair_64(this->view->hosts.own.value(), state.instance) % spread_steps;
+    const auto spread = longest_spread * share / spread_steps;
+    state.notices.on_pause(now, length, spread);
+    this->metrics.count_pause(service);
+    this->log.write(event_code::upstream_paused,
+                    {{"upstream", name.value()},
+                     {"service", service},
+                     {"asked_ms", to_milliseconds(length)},
+                     {"paused_ms", to_milliseconds(state.notices.get_paused_until() - now)},
+                     {"in_flight", state.in_flight}});
+}
+
 auto traffic_service::on_prefill_complete(const routing::upstream_name& name,
                                           const routing::prompt_metadata& prompt) -> void
 {
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -101,6 +101,12 @@
     [[nodiscard]] auto consume_retry(const std::string& service) -> bool;
     auto on_upstream_fault(routing::upstream_state& state, const routing::upstream_name& name,
                            const std::string& service, routing::upstream_fault fault) -> void;
+    /// The upstream has said in a response that it leaves.
+    auto on_upstream_leaving(routing::upstream_state& state, const routing::upstream_name& name)
+        -> void;
+    /// The upstream has turned a request away and wants none from this host for `length`.
+    auto on_upstream_paused(routing::upstream_state& state, const routing::upstream_name& name,
+                            const std::string& service, duration length) -> void;
     /// Reports the shared prefix of a prompt, whose prefill an upstream has completed, to other
     /// hosts.
     auto on_prefill_complete(const routing::upstream_name& name,
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -42,6 +42,10 @@
     bool misaddressed = false; ///< declined because the request addressed another upstream
     bool success = false;
     bool trusted = false; ///< has the upstream's seal header field and no content coding
+    bool leaving = false; ///< the upstream will stop and accepts no new requests
+    /// The upstream has turned the request away and wants no others from this host for so long.
+    std::optional<duration> pause;
+    bool has_malformed_notice = false; ///< a field about leaving or a pause cannot be read
 };
 
 /// Translates between HTTP messages and the router's types. Stateless; any thread.
