A part is judged only after the hosts that know it as harmless could say so

What callers saw: on the large deployment, requests with a sound part that the fatal prompts share with others were refused for 9.5 s. Cause: with 117 hosts evidence takes longer to go round than the 300 ms that a case had to be old, so hosts that had not heard of the part's sound answers judged it. Its release had to wait until all its crashes were among the twelve marks kept for the cause. Change: the time is taken from the number of hosts (none for a single one, up to 1 s), and there is no exception for many marks. A case notes up to 128 upstreams that ended, also those of dropped marks, to explain other parts' marks. Result: a test in which another host speaks for the part in time.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -26,10 +26,6 @@
 /// ends several upstreams at once.
 constexpr duration episode_window = 100ms;
 constexpr std::uint64_t min_answers_between_episodes = 3;
-/// Other hosts that know the part as harmless have said so by this age of a case. With many marks
-/// there is no time for that.
-constexpr duration min_case_age = 300ms;
-constexpr std::size_t urgent_marks = 6;
 /// A part that has been harmless before may still be the cause, for example after an upgrade of the
 /// engines. It takes more, since in this time its other requests refute the marks if it is not.
 constexpr duration min_span_of_harmless_part = 1s;
@@ -49,6 +45,7 @@
 constexpr duration open_case_lifetime = 600s;
 constexpr duration refuted_case_lifetime = 30s;
 constexpr std::size_t max_cases = 512;
+constexpr std::size_t max_upstreams_noted = 128;
 constexpr std::size_t max_harmless_parts = 4096;
 
 auto quarantine_time(int level) -> duration
@@ -61,13 +58,6 @@
     return std::min<duration>(time, max_quarantine);
 }
 
-auto contains_upstream(const part_evidence& evidence, upstream_instance upstream) -> bool
-{
-    return std::any_of(evidence.marks.begin(), evidence.marks.end(),
-                       [&](const crash_mark& mark)
-                       { return !mark.is_refuted && mark.upstream == upstream; });
-}
-
 /// Open marks of a part by what distinguishes them.
 struct mark_summary
 {
@@ -161,6 +151,16 @@
     }
 }
 
+auto prompt_quarantine::note_upstream(part_case& suspect, upstream_instance upstream) -> void
+{
+    auto& noted = suspect.upstreams;
+    if (noted.size() < max_upstreams_noted &&
+        std::find(noted.begin(), noted.end(), upstream) == noted.end())
+    {
+        noted.push_back(upstream);
+    }
+}
+
 auto prompt_quarantine::on_interrupted(std::span<const prompt_part> shared_parts,
                                        upstream_instance upstream, request_key request,
                                        time_point now) -> void
@@ -170,7 +170,12 @@
     {
         auto* const suspect = this->find_or_open(shared_parts[depth].id, now);
         const crash_mark mark{upstream, request, now, false, true, this->begun_in_all};
-        if (suspect == nullptr || !suspect->evidence.add(mark))
+        if (suspect == nullptr)
+        {
+            continue;
+        }
+        note_upstream(*suspect, upstream);
+        if (!suspect->evidence.add(mark))
         {
             continue;
         }
@@ -222,6 +227,7 @@
         for (auto& mark : received.marks)
         {
             mark.begun_before = this->begun_in_all;
+            note_upstream(*known, mark.upstream);
         }
         const auto former_level = known->evidence.is_quarantined() ? known->evidence.level : 0;
         if (!known->evidence.merge(received))
@@ -318,9 +324,11 @@
                                      upstream_instance upstream) const -> bool
 {
     return std::any_of(this->quarantined.begin(), this->quarantined.end(),
-                       [&](prompt_part_id part) {
+                       [&](prompt_part_id part)
+                       {
+                           const auto& noted = this->cases.at(part).upstreams;
                            return part != evidence.part &&
-                                  contains_upstream(this->cases.at(part).evidence, upstream);
+                                  std::find(noted.begin(), noted.end(), upstream) != noted.end();
                        });
 }
 
@@ -335,7 +343,7 @@
     {
         return false;
     }
-    if (now - suspect.opened_at < min_case_age && summary.marks < urgent_marks)
+    if (now - suspect.opened_at < this->settling_time)
     {
         return false;
     }
@@ -380,13 +388,15 @@
 
 auto prompt_quarantine::release_explained(time_point now) -> void
 {
-    const auto explains = [&](prompt_part_id part, const part_evidence& evidence)
+    const auto explains = [&](prompt_part_id part, const part_case& suspect)
     {
-        const auto& other = this->cases.at(part).evidence;
-        return part != evidence.part && other.open_marks().size() > evidence.open_marks().size() &&
-               std::all_of(evidence.marks.begin(), evidence.marks.end(),
-                           [&](const crash_mark& mark)
-                           { return mark.is_refuted || contains_upstream(other, mark.upstream); });
+        const auto& noted = this->cases.at(part).upstreams;
+        return part != suspect.evidence.part && noted.size() > suspect.upstreams.size() &&
+               std::all_of(suspect.evidence.marks.begin(), suspect.evidence.marks.end(),
+                           [&](const crash_mark& mark) {
+                               return mark.is_refuted || std::find(noted.begin(), noted.end(),
+                                                                   mark.upstream) != noted.end();
+                           });
     };
     const auto candidates = this->quarantined;
     for (const auto candidate : candidates)
@@ -394,7 +404,7 @@
         auto& suspect = this->cases.at(candidate);
         const auto is_explained =
             std::any_of(this->quarantined.begin(), this->quarantined.end(),
-                        [&](prompt_part_id part) { return explains(part, suspect.evidence); });
+                        [&](prompt_part_id part) { return explains(part, suspect); });
         if (is_explained)
         {
             suspect.evidence.refute(now);
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -57,6 +57,8 @@
 public:
     explicit prompt_quarantine(quarantine_listener& listener);
 
+    /// Sets the time after which other hosts that know a part as harmless have said so.
+    auto set_settling_time(duration time) -> void { this->settling_time = time; }
     /// The connection to `upstream` ended before the request had any output that proves it
     /// harmless.
     auto on_interrupted(std::span<const routing::prompt_part> shared_parts,
@@ -93,6 +95,8 @@
         time_point opened_at{};
         time_point changed_at{};
         std::size_t depth = 0; ///< position among the prompt's parts
+        /// Upstreams that ended, the first ones, including those of marks that were dropped.
+        std::vector<upstream_instance> upstreams;
         /// Level of the quarantine and number of the trial period in which this host sent one.
         std::pair<int, std::uint64_t> last_trial;
     };
@@ -100,6 +104,7 @@
 
     auto find_or_open(routing::prompt_part_id part, time_point now) -> part_case*;
     auto on_changed(part_case& changed, time_point now) -> void;
+    static auto note_upstream(part_case& suspect, upstream_instance upstream) -> void;
     auto evaluate(time_point now) -> void;
     [[nodiscard]] auto find_most_suspect(time_point now) -> part_case*;
     [[nodiscard]] auto is_beyond_chance(const part_case& suspect, time_point now) -> bool;
@@ -116,6 +121,7 @@
     quarantine_listener& listener;
     case_map cases;
     harmless_parts harmless;
+    duration settling_time = std::chrono::milliseconds(300);
     routing::sliding_counter interrupted;
     routing::sliding_counter begun;
     std::uint64_t begun_in_all = 0;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -402,3 +402,23 @@
     stale.merge(current);
     CHECK_FALSE(stale.has_open_marks());
 }
+
+TEST_CASE("a part is judged only after hosts that know it as harmless had time to say so")
+{
+    one_host host;
+    one_host other;
+    host.decisions.set_settling_time(1s);
+    other.answer({common, session});
+    for (std::uint32_t number = 1; number <= 3; ++number)
+    {
+        host.interrupt({common, session}, number, number);
+        host.pass(200ms);
+        other.pass(200ms);
+    }
+    CHECK_FALSE(host.is_refused({common, session}));
+    other.merge_from(host);
+    host.merge_from(other);
+    host.pass(400ms);
+    host.interrupt({common, session}, 4, 4);
+    CHECK_FALSE(host.is_refused({common, session}));
+}
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -45,6 +45,17 @@
            entry.address.address().to_string() + ":" + std::to_string(entry.address.port());
 }
 
+/// Time for evidence to reach all hosts and their answer to come back. A single host has none to
+/// wait for; beyond a mesh the hosts of other cells are reached through several of one's own.
+auto evidence_settling_time(std::size_t hosts) -> duration
+{
+    constexpr duration base_time = 250ms;
+    constexpr duration time_per_host = 10ms;
+    constexpr duration max_time = 1s;
+    return hosts <= 1 ? duration(0)
+                      : std::min<duration>(base_time + time_per_host * hosts, max_time);
+}
+
 auto to_json(const std::vector<quarantine::crash_mark>& marks, time_point now) -> nlohmann::json
 {
     auto rows = nlohmann::json::array();
@@ -115,6 +126,7 @@
     {
         budget.set_window(this->view->bounds.retry_window, boot_clock_now());
     }
+    this->prompts_in_quarantine.set_settling_time(evidence_settling_time(this->view->hosts.count));
     absl::flat_hash_map<std::string, std::shared_ptr<routing::upstream_state>> kept;
     std::vector<routing::live_upstream> rebuilt;
     if (this->view->configuration)
