A fetch of records that ends as its time is up no longer leaves a timer behind

Cause: the timer of batch_fetch held a plain pointer to it. When the answer and the expiry are ready in the same pass of the event loop, as after a pause of the process, the answer ends and frees the fetch, and the expiry that is already queued writes through the pointer. Evidence: "a fetch whose answer comes as its time is up ends once", its test file and peer_fetch.cpp built with the address sanitizer: heap-use-after-free in that timer's handler before, no report after. Change: the handler holds a weak pointer.

--- a/src/fleet/peer_fetch.cpp
+++ b/src/fleet/peer_fetch.cpp
@@ -36,7 +36,8 @@
 
 /// An HTTP request for missing records to one peer. Responses other than 200, failures and timeouts
 /// are dropped; a later tick starts another fetch.
-class peer_link::batch_fetch final : public http::response_receiver
+class peer_link::batch_fetch final : public http::response_receiver,
+                                     public std::enable_shared_from_this<batch_fetch>
 {
 public:
     batch_fetch(peer_link& owner, const address_v4& address)
@@ -58,12 +59,14 @@
                        std::to_string(state.mirror_of(record_stream::upstreams).end().value()) +
                        "/ HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
         this->timer.expires_after(fetch_timeout);
+        // An expiry that is already queued runs even if the response ends this fetch before it.
         this->timer.async_wait(
-            [this](const error_code& error)
+            [weak = this->weak_from_this()](const error_code& error)
             {
-                if (!error)
+                const auto self = weak.lock();
+                if (!error && self)
                 {
-                    this->owner.fetch = nullptr;
+                    self->owner.fetch = nullptr;
                 }
             });
         this->connection->send(std::move(request), this);
--- a/src/fleet/peer_link_test.cpp
+++ b/src/fleet/peer_link_test.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <thread>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -219,3 +220,39 @@
     CHECK(run_until(io, {&first},
                     [&] { return first.link->hosts_at(boot_clock_now()).others.size() == 1; }));
 }
+
+TEST_CASE("a fetch whose answer comes as its time is up ends once")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    test_host second(io, 2, 20);
+    REQUIRE(run_until(io, {&first, &second}, [&] { return first.has_logged("h2", "alive"); }));
+    std::uint64_t position = 0;
+    // Each round stops the loop somewhere between the fetch's start and its end for longer than its
+    // timeout, so that the answer and the timer are both ready when the loop goes on.
+    for (int steps = 2; steps <= 24; steps += 2)
+    {
+        ++position;
+        const published_record record{"k", record_position(position), "v"};
+        second.state->on_records(record_stream::operators, {record}, record_position(position + 1),
+                                 boot_clock_now());
+        second.link->tick(boot_clock_now());
+        io.restart();
+        io.run_for(180ms);
+        first.link->tick(boot_clock_now());
+        for (int step = 0; step < steps; ++step)
+        {
+            io.restart();
+            io.poll_one();
+        }
+        std::this_thread::sleep_for(520ms);
+        io.restart();
+        io.run_for(20ms);
+    }
+    CHECK(run_until(io, {&first, &second},
+                    [&]
+                    {
+                        return first.state->mirror_of(record_stream::operators).end() ==
+                               second.state->mirror_of(record_stream::operators).end();
+                    }));
+}
