Soak: prompts that end upstreams, upstreams that leave or want a pause, a block of addresses for each run

Change: a kind of fault in which a part of some prompts ends the upstream that begins to answer, with the users' bound; leaving upstreams say so in their answers, some 503 ask for a pause, and both are checked by host. Each soak claims a free block.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -37,7 +37,8 @@
         {"store-link", &fault_schedule::disturb_store_link},
         {"upstream-link", &fault_schedule::disturb_upstream_link},
         {"drain", &fault_schedule::drain_upstream},
-        {"zone", &fault_schedule::evacuate_zone}};
+        {"zone", &fault_schedule::evacuate_zone},
+        {"fatal-prompts", &fault_schedule::begin_fatal_prompts}};
     return kinds;
 }
 
@@ -331,4 +332,21 @@
                             });
 }
 
+auto fault_schedule::begin_fatal_prompts() -> void
+{
+    if (std::exchange(this->has_fatal_prompts, true))
+    {
+        return;
+    }
+    this->log_event("prompts that end upstreams begin");
+    this->fleet.set_fatal_part(true);
+    this->schedule_recovery(this->draw_time(3000, 12'000),
+                            [this]
+                            {
+                                this->log_event("prompts that end upstreams are over");
+                                this->fleet.set_fatal_part(false);
+                                this->has_fatal_prompts = false;
+                            });
+}
+
 } // namespace poplardrift::soak
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -55,6 +55,7 @@
     auto disturb_upstream_link() -> void;
     auto drain_upstream() -> void;
     auto evacuate_zone() -> void;
+    auto begin_fatal_prompts() -> void;
 
     auto schedule_recovery(std::chrono::milliseconds delay, recovery recover) -> void;
     auto run_due_recoveries(clock::time_point now) -> void;
@@ -79,6 +80,7 @@
     std::set<std::size_t> draining_upstreams;
     bool zone_is_evacuated = false;
     bool store_is_down = false;
+    bool has_fatal_prompts = false;
     std::vector<std::string> event_log;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -119,8 +119,8 @@
     app.add_option("--faults", options.kinds, "kinds of fault; by default each seed selects them")
         ->delimiter(',')
         ->check(CLI::IsMember(fault_schedule::kind_names()));
-    app.add_option("--network", options.fleet.network,
-                   "second byte of the hosts' loopback addresses");
+    app.add_option("--network", options.fleet.first_network,
+                   "second byte of the hosts' loopback addresses; the first free one from it on");
     app.add_flag("--story", options.prints_event_log,
                  "print the injected faults even if there are no findings");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -16,6 +16,8 @@
 constexpr int disconnect_percent = 3;
 constexpr int close_percent = 5;
 constexpr int revoked_key_percent = 2;
+constexpr int fatal_percent = 5; ///< of the streams, while a part is fatal
+constexpr std::size_t session_count = 8;
 
 auto format_duration(std::chrono::milliseconds time) -> std::string
 {
@@ -93,10 +95,10 @@
     const auto key = this->uses_permanent_key ? std::string(soak_fleet::permanent_key)
                                               : this->fleet.newest_applied_key();
     const auto started_at = clock::now();
-    connection->peer.send("POST /" + path_segment(kind) + "/" + id +
-                          " HTTP/1.1\r\nHost: " + std::string(soak_fleet::host_name) +
-                          "\r\nPoplardrift-Attempt-Id: " + id + "\r\nX-Api-Key: " + key +
-                          "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id);
+    connection->peer.send("POST /" + path_segment(kind) + "/" + id + " HTTP/1.1\r\nHost: " +
+                          std::string(soak_fleet::host_name) + "\r\nPoplardrift-Attempt-Id: " + id +
+                          "\r\nX-Api-Key: " + key + "\r\n" + this->prompt_fields(kind, id) +
+                          "Content-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id);
     if (this->draw(100) < disconnect_percent)
     {
         std::this_thread::sleep_for(disconnect_delay);
@@ -117,6 +119,23 @@
     }
 }
 
+auto soak_caller::prompt_fields(request_kind kind, const std::string& id) -> std::string
+{
+    if (!is_stream(kind))
+    {
+        return {};
+    }
+    auto parts = "c1:800,5" + std::to_string(this->draw(session_count)) + ":400";
+    const auto fatal_part = this->fleet.get_fatal_part();
+    if (!fatal_part.empty() && this->draw(100) < fatal_percent)
+    {
+        parts += "," + fatal_part;
+    }
+    return "Poplardrift-Model: m\r\nPoplardrift-Token-Usage: 1300,80\r\n"
+           "Poplardrift-Prompt-Prefix: " +
+           parts + "," + std::to_string(std::hash<std::string>{}(id) % 1'000'000) + ":10\r\n";
+}
+
 auto soak_caller::send_with_revoked_key(std::size_t host, tests::peer_connection& connection)
     -> void
 {
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -34,6 +34,8 @@
     };
 
     [[nodiscard]] auto connection_to(std::size_t host) -> persistent_connection*;
+    /// Fields that describe the prompt of a request of this kind.
+    [[nodiscard]] auto prompt_fields(request_kind kind, const std::string& id) -> std::string;
     /// Sends a request with a key that the configuration revoked some time ago.
     auto send_with_revoked_key(std::size_t host, tests::peer_connection& connection) -> void;
     auto check_response(const std::string& id, const tests::received_response& response,
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -18,7 +18,6 @@
 constexpr auto probe_interval = 100ms;
 constexpr int caller_port = 8080;
 constexpr int readiness_port = 8081;
-constexpr std::size_t first_host_byte = 10;
 constexpr std::string_view service_name = "s";
 const std::string operator_topic = "keyed.op";
 const std::string upstream_topic = "keyed.servers";
@@ -28,11 +27,6 @@
     return "key-" + std::to_string(version);
 }
 
-auto address_of(int network, std::size_t host) -> std::string
-{
-    return "127." + std::to_string(network) + ".0." + std::to_string(first_host_byte + host);
-}
-
 auto route_of(request_kind kind) -> json
 {
     const auto* const route_kind = is_stream(kind)                        ? "streaming"
@@ -52,7 +46,8 @@
 
 } // namespace
 
-soak_fleet::soak_fleet(const fleet_settings& settings) : work_guard(this->io.get_executor())
+soak_fleet::soak_fleet(const fleet_settings& settings)
+    : addresses(settings.first_network), work_guard(this->io.get_executor())
 {
     std::filesystem::create_directories(settings.folder);
     for (std::size_t number = 0; number < settings.upstreams; ++number)
@@ -60,7 +55,13 @@
         this->states.push_back(std::make_unique<upstream_state>());
         this->upstreams.push_back(std::make_unique<soak_upstream>(
             this->io, this->tracker, number, settings.seed * 1000 + number,
-            [this](const std::string& id, std::size_t upstream) { this->on_run(id, upstream); }));
+            upstream_events{
+                [this](const std::string& id, std::size_t upstream) { this->on_run(id, upstream); },
+                [this](const std::string& id, std::size_t upstream)
+                { this->on_fatal_request(id, upstream); },
+                [this](std::size_t upstream) { return this->states[upstream]->draining.load(); },
+                [this] { return this->get_fatal_part(); }},
+            this->notices));
     }
     const boost::asio::ip::tcp::endpoint store_address(boost::asio::ip::address_v4::loopback(),
                                                        this->store.port());
@@ -70,9 +71,8 @@
         this->hosts.push_back(std::make_unique<router_host>(
             settings.program, settings.folder, "h" + std::to_string(number),
             boost::asio::ip::tcp::endpoint(
-                boost::asio::ip::make_address_v4(address_of(settings.network, number)),
-                caller_port)));
-        this->hosts.back()->write_settings(this->settings_text(settings.network, number));
+                boost::asio::ip::make_address_v4(this->addresses.address(number)), caller_port)));
+        this->hosts.back()->write_settings(this->settings_text(number));
     }
     this->proxy_thread = std::thread([this] { this->io.run(); });
     this->rotate_key();
@@ -95,15 +95,15 @@
     this->proxy_thread.join();
 }
 
-auto soak_fleet::settings_text(int network, std::size_t host) const -> std::string
+auto soak_fleet::settings_text(std::size_t host) const -> std::string
 {
-    const auto address = address_of(network, host);
+    const auto address = this->addresses.address(host);
     const auto store = this->store_links[host]->address();
     return "node_name=h" + std::to_string(host) + "\nip=" + address +
            "\nzone=" + (host % 2 == 0 ? "z-a" : "z-b") + "\nlisten.frontend=" + address + ":" +
            std::to_string(caller_port) + "\nlisten.ready=" + address + ":" +
            std::to_string(readiness_port) +
-           "\nport_range=7340,7355\nseeds=" + address_of(network, 0) +
+           "\nport_range=7340,7355\nseeds=" + this->addresses.address(0) +
            ":7340\nplatform.address=" + store.address().to_string() + ":" +
            std::to_string(store.port()) +
            "\nbounds.retry_ratio=0.3\nbounds.retry_slack=20\nbounds.drain_ms=" +
@@ -189,6 +189,7 @@
     if (!is_draining)
     {
         ++state.incarnation; // returns as a new process under the same name
+        this->notices.on_upstream_started(number);
     }
     state.drain_started_at = clock::time_point::max();
     state.draining = is_draining;
@@ -240,9 +241,67 @@
            this->hosts[host]->was_undisturbed_since(since);
 }
 
+auto soak_fleet::set_fatal_part(bool is_fatal) -> void
+{
+    const std::lock_guard lock(this->fatal_mutex);
+    this->has_fatal_part = is_fatal;
+    this->fatal_parts += is_fatal ? 1 : 0;
+    this->crashes = 0;
+    this->late_fatal_requests = 0;
+}
+
+auto soak_fleet::get_fatal_part() const -> std::string
+{
+    const std::lock_guard lock(this->fatal_mutex);
+    return this->has_fatal_part ? "fa7a" + std::to_string(this->fatal_parts) + ":60" : "";
+}
+
+auto soak_fleet::restart_upstream(std::size_t number) -> void
+{
+    // Interrupts all requests there, as a disturbance of the links would.
+    this->change_link_faults(1);
+    this->upstreams[number]->get_link().reset_all();
+    ++this->states[number]->incarnation;
+    this->notices.on_upstream_started(number);
+    this->advertise(number);
+    this->change_link_faults(-1);
+}
+
+auto soak_fleet::on_fatal_request(const std::string& id, std::size_t number) -> void
+{
+    const auto record = this->tracker.find(id);
+    this->tracker.count("fatal");
+    {
+        const std::lock_guard lock(this->fatal_mutex);
+        const auto now = clock::now();
+        if (++this->crashes <= crashes_before_limit)
+        {
+            this->last_free_crash_at = now;
+        }
+        const auto in_touch_since = now - contact_time;
+        const auto is_late =
+            this->crashes > crashes_before_limit && in_touch_since > this->last_free_crash_at &&
+            this->was_store_undisturbed_since(in_touch_since) && this->link_faults == 0 &&
+            this->hosts[record.host]->was_undisturbed_since(in_touch_since);
+        if (is_late && ++this->late_fatal_requests > max_late_fatal_requests)
+        {
+            this->tracker.add_finding(id +
+                                      " with a part that crashes upstreams reached one, sent by " +
+                                      this->hosts[record.host]->get_name());
+        }
+    }
+    this->restart_upstream(number);
+}
+
 auto soak_fleet::on_run(const std::string& id, std::size_t number) -> void
 {
     const auto record = this->tracker.on_run(id);
+    this->notices.on_request(number, id, record,
+                             [&](clock::time_point moment)
+                             {
+                                 return this->were_links_undisturbed_since(moment) &&
+                                        this->hosts[record.host]->was_undisturbed_since(moment);
+                             });
     if (!this->were_links_undisturbed_since(record.sent_at - resync_time))
     {
         return;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "address_block.hpp"
+#include "notice_monitor.hpp"
 #include "request_tracker.hpp"
 #include "router_host.hpp"
 #include "soak_upstream.hpp"
@@ -26,7 +28,7 @@
     std::uint64_t seed = 1;
     std::size_t hosts = 3;
     std::size_t upstreams = 5;
-    int network = 60; ///< second byte of the hosts' loopback addresses
+    int first_network = 60; ///< second byte of the hosts' loopback addresses, or above
 };
 
 /// Hosts, upstreams and the store of one seed, with the times at which they were disturbed. The
@@ -46,6 +48,11 @@
     static constexpr std::chrono::milliseconds startup_time{2000};
     static constexpr std::chrono::milliseconds recovery_limit{12'000};
     static constexpr int max_attempts = 3;
+    static constexpr std::chrono::milliseconds contact_time{3000};
+    /// Requests with a fatal part that may reach upstreams later than contact_time after the fifth
+    /// end.
+    static constexpr int crashes_before_limit = 5;
+    static constexpr int max_late_fatal_requests = 3;
 
     explicit soak_fleet(const fleet_settings& settings);
     ~soak_fleet();
@@ -78,6 +85,11 @@
     /// A key whose revocation hosts in sync with the store have applied by now, if any.
     [[nodiscard]] auto revoked_key() const -> std::optional<std::string>;
     auto set_draining(std::size_t upstream, bool is_draining) -> void;
+    /// While a part is fatal, some callers send prompts with it, and each upstream that begins to
+    /// answer one ends.
+    auto set_fatal_part(bool is_fatal) -> void;
+    /// The part in the callers' notation; empty if there is none.
+    [[nodiscard]] auto get_fatal_part() const -> std::string;
     auto set_zone_evacuated(const std::string& zone, bool is_evacuated) -> void;
 
     /// Counts active faults: +1 when one starts, -1 when it ends.
@@ -100,14 +112,18 @@
         std::atomic<std::uint64_t> incarnation{1};
     };
 
-    [[nodiscard]] auto settings_text(int network, std::size_t host) const -> std::string;
+    [[nodiscard]] auto settings_text(std::size_t host) const -> std::string;
     [[nodiscard]] static auto configuration_text(std::uint64_t version) -> std::string;
     auto advertise(std::size_t upstream) -> void;
     auto run_advertiser() -> void;
     auto on_run(const std::string& id, std::size_t upstream) -> void;
+    auto on_fatal_request(const std::string& id, std::size_t upstream) -> void;
+    auto restart_upstream(std::size_t upstream) -> void;
     [[nodiscard]] auto is_serving(std::size_t host) -> bool;
 
+    address_block addresses;
     request_tracker tracker;
+    notice_monitor notices{this->tracker};
     tests::store_stand_in store;
     boost::asio::io_context io{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_guard;
@@ -122,6 +138,12 @@
 
     std::atomic<std::uint64_t> version{0};
     std::atomic<clock::time_point> version_published_at{};
+    mutable std::mutex fatal_mutex;
+    int fatal_parts = 0; ///< number of parts so far
+    bool has_fatal_part = false;
+    int crashes = 0; ///< under the current part
+    clock::time_point last_free_crash_at{};
+    int late_fatal_requests = 0;
     std::mutex zone_mutex;
     std::map<std::string, clock::time_point> evacuated_zones;
     std::atomic<int> store_faults{0};
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -60,8 +60,9 @@
 }
 
 soak_upstream::soak_upstream(boost::asio::io_context& io, request_tracker& tracker,
-                             std::size_t number, std::uint64_t seed, run_handler on_run)
-    : tracker(tracker), number(number), on_run(std::move(on_run)), random(seed),
+                             std::size_t number, std::uint64_t seed, upstream_events events,
+                             notice_monitor& notices)
+    : tracker(tracker), number(number), events(std::move(events)), notices(notices), random(seed),
       server([this](tests::peer_connection& peer) { this->serve(peer); }),
       link(io, this->server.address())
 {
@@ -95,6 +96,7 @@
            : point < 11 ? response_mode::decline
            : point < 14 ? response_mode::break_off
            : point < 15 ? response_mode::hang
+           : point < 17 ? response_mode::pause
                         : response_mode::answer;
 }
 
@@ -103,6 +105,7 @@
     request received;
     received.id = find_field(text, "Poplardrift-Attempt-Id");
     received.expected_upstream = find_field(text, "Poplardrift-Expect-Runner");
+    received.prompt = find_field(text, "Poplardrift-Prompt-Prefix");
     const auto path = text.find(' ') + 1;
     received.path = text.substr(path, text.find(' ', path) - path);
     const auto resume = find_field(text, "Last-Event-Id");
@@ -122,10 +125,9 @@
             continue;
         }
         const auto mode = this->draw_response_mode();
-        if (mode == response_mode::decline)
+        if (mode == response_mode::decline || mode == response_mode::pause)
         {
-            peer.send(make_response("503 Service Unavailable",
-                                    echo + "Poplardrift-Not-Executed: 1\r\n", ""));
+            this->decline(peer, received, mode == response_mode::pause);
             continue;
         }
         if (!this->run(peer, received, mode))
@@ -135,6 +137,30 @@
     }
 }
 
+auto soak_upstream::decline(tests::peer_connection& peer, const request& received, bool wants_pause)
+    -> void
+{
+    auto fields = attempt_id_field(received.id) + "Poplardrift-Not-Executed: 1\r\n";
+    if (wants_pause)
+    {
+        const auto seconds = 1 + this->draw(2);
+        fields += "Retry-After: " + std::to_string(seconds) + "\r\n";
+        this->notices.on_pause_sent(this->number, this->tracker.find(received.id).host,
+                                    std::chrono::seconds(seconds));
+    }
+    peer.send(make_response("503 Service Unavailable", fields, ""));
+}
+
+auto soak_upstream::leaving_field(const request& received) -> std::string
+{
+    if (!this->events.is_leaving(this->number))
+    {
+        return {};
+    }
+    this->notices.on_leaving_sent(this->number, this->tracker.find(received.id).host);
+    return "Server-Leaving: 1\r\n";
+}
+
 auto soak_upstream::delay_response(const request& received, response_mode mode) -> void
 {
     if (mode == response_mode::hang)
@@ -151,13 +177,20 @@
 auto soak_upstream::run(tests::peer_connection& peer, const request& received, response_mode mode)
     -> bool
 {
-    this->on_run(received.id, this->number);
+    this->events.on_run(received.id, this->number);
+    const auto fatal_part = this->events.get_fatal_part();
+    if (!fatal_part.empty() && received.prompt.find(fatal_part) != std::string::npos)
+    {
+        this->tracker.on_upstream_failed(received.id);
+        this->events.on_fatal_request(received.id, this->number);
+        return false;
+    }
     this->delay_response(received, mode);
     if (mode == response_mode::fail || mode == response_mode::break_off)
     {
         this->tracker.on_upstream_failed(received.id);
     }
-    const auto fields = seal_field + attempt_id_field(received.id);
+    const auto fields = seal_field + attempt_id_field(received.id) + this->leaving_field(received);
     if (mode == response_mode::fail)
     {
         peer.send(make_response("500 Internal Server Error", fields, "oops"));
--- a/tests/soak/soak_upstream.hpp
+++ b/tests/soak/soak_upstream.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "loopback_proxy.hpp"
+#include "notice_monitor.hpp"
 #include "request_tracker.hpp"
 #include "scripted_peers.hpp"
 
@@ -14,17 +15,25 @@
 namespace poplardrift::soak
 {
 
+/// What an upstream asks and tells the fleet. All may be called from any thread.
+struct upstream_events
+{
+    /// A request runs; its identifier and the upstream's number.
+    std::function<void(const std::string& id, std::size_t number)> on_run;
+    /// A request whose prompt ends the upstream begins its answer.
+    std::function<void(const std::string& id, std::size_t number)> on_fatal_request;
+    std::function<bool(std::size_t number)> is_leaving;
+    std::function<std::string()> get_fatal_part; ///< empty if there is none
+};
+
 /// An upstream behind its own proxy. For a seeded share of requests it responds slowly, fails,
 /// declines, breaks off or hangs. Reports each run to the handler and each injected failure to the
 /// tracker. Uses one thread per connection.
 class soak_upstream final
 {
 public:
-    /// Called for each run with the request's identifier and the upstream's number.
-    using run_handler = std::function<void(const std::string& id, std::size_t number)>;
-
     soak_upstream(boost::asio::io_context& io, request_tracker& tracker, std::size_t number,
-                  std::uint64_t seed, run_handler on_run);
+                  std::uint64_t seed, upstream_events events, notice_monitor& notices);
 
     [[nodiscard]] auto name() const -> std::string;
     /// The proxy's address, which is advertised to the hosts.
@@ -45,6 +54,7 @@
         slow,
         fail,
         decline,
+        pause,
         break_off,
         hang,
     };
@@ -53,10 +63,14 @@
         std::string id;
         std::string path;
         std::string expected_upstream;
+        std::string prompt;
         int resume_after = 0;
     };
 
     auto serve(tests::peer_connection& peer) -> void;
+    auto decline(tests::peer_connection& peer, const request& received, bool wants_pause) -> void;
+    /// Field by which a leaving upstream says so; empty otherwise.
+    [[nodiscard]] auto leaving_field(const request& received) -> std::string;
     /// Sends the response; false if the connection was reset.
     auto run(tests::peer_connection& peer, const request& received, response_mode mode) -> bool;
     auto delay_response(const request& received, response_mode mode) -> void;
@@ -70,7 +84,8 @@
 
     request_tracker& tracker;
     std::size_t number;
-    run_handler on_run;
+    upstream_events events;
+    notice_monitor& notices;
     std::mutex random_mutex;
     std::mt19937_64 random;
     std::atomic<bool> misbehaving{true};
