Of parts that were always together the deeper one is judged first, at every host

Cause: both parts had the same marks. A host that got the evidence on the sound one first judged it, as the other's case was not old enough yet, and only hosts that had sent such a request knew which part was deeper. With equal marks neither verdict explained the other. Change: a part's place in the prompt is part of the evidence. A part waits while a deeper one that may be the cause has two thirds of its marks, and a verdict on equal marks yields to one on a deeper part. Result: "of two parts that were always together the deeper one is judged" fails on the code before and passes now.

--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -229,8 +229,9 @@
 
 /// Upstream, request, age in ms, refuted.
 using mark_row = std::tuple<std::uint32_t, std::uint32_t, std::int64_t, bool>;
-/// Part, harmless before, level, time left in ms, marks.
-using evidence_row = std::tuple<std::uint64_t, bool, int, std::int64_t, std::vector<mark_row>>;
+/// Part, depth, harmless before, level, time left in ms, marks.
+using evidence_row =
+    std::tuple<std::uint64_t, std::uint32_t, bool, int, std::int64_t, std::vector<mark_row>>;
 using evidence_body = std::tuple<std::uint32_t, std::vector<evidence_row>>;
 
 /// Bounds on what a malformed report can do.
@@ -246,17 +247,22 @@
         marks.emplace_back(mark.upstream.value(), mark.request.value(),
                            to_milliseconds(now - mark.at), mark.is_refuted);
     }
-    return {evidence.part.value(), evidence.was_harmless, evidence.level,
-            to_milliseconds(evidence.quarantined_until - now), std::move(marks)};
+    return {evidence.part.value(),
+            static_cast<std::uint32_t>(evidence.depth),
+            evidence.was_harmless,
+            evidence.level,
+            to_milliseconds(evidence.quarantined_until - now),
+            std::move(marks)};
 }
 
 auto from_evidence_row(const evidence_row& row, time_point now) -> quarantine::part_evidence
 {
-    const auto& [part, was_harmless, level, left_ms, marks] = row;
+    const auto& [part, depth, was_harmless, level, left_ms, marks] = row;
     const auto in_ms = [](std::int64_t value, std::int64_t lowest)
     { return std::chrono::milliseconds(std::clamp(value, lowest, max_age_ms)); };
     quarantine::part_evidence evidence;
     evidence.part = routing::prompt_part_id(part);
+    evidence.depth = depth;
     evidence.was_harmless = was_harmless;
     evidence.level = std::clamp(level, 0, max_quarantine_level);
     evidence.quarantined_until = now + in_ms(left_ms, -max_age_ms);
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -72,6 +72,11 @@
     {
         changed = this->add(mark) || changed;
     }
+    if (other.depth > this->depth)
+    {
+        this->depth = other.depth;
+        changed = true;
+    }
     if (other.was_harmless && !this->was_harmless)
     {
         this->was_harmless = true;
--- a/src/quarantine/part_evidence.hpp
+++ b/src/quarantine/part_evidence.hpp
@@ -37,6 +37,7 @@
     routing::prompt_part_id part;
     std::vector<crash_mark> marks;  ///< open ones, at most max_marks, and the newest refuted one
     time_point harmless_until{};    ///< marks up to this time are refuted
+    std::size_t depth = 0;          ///< its place in the prompt, 0 for the first part
     bool was_harmless = false;      ///< an answer to a prompt with the part has ever begun well
     int level = 0;                  ///< number of quarantines so far, without a release
     time_point quarantined_until{}; ///< end of the quarantine of this level
@@ -56,11 +57,12 @@
         return this->level > 0 && this->has_open_marks();
     }
     [[nodiscard]] auto open_marks() const -> std::vector<crash_mark>;
+    /// True if this request at this upstream has left an open mark.
+    [[nodiscard]] auto is_open_here(const crash_mark& mark) const -> bool;
 
     static constexpr std::size_t max_marks = 12;
 
 private:
-    [[nodiscard]] auto is_open_here(const crash_mark& mark) const -> bool;
     /// Refutes marks up to harmless_until and drops the refuted ones but the newest.
     auto apply_refutation() -> void;
 };
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -179,7 +179,7 @@
         {
             continue;
         }
-        suspect->depth = std::max(suspect->depth, depth);
+        suspect->evidence.depth = std::max(suspect->evidence.depth, depth);
         this->on_changed(*suspect, now);
         if (suspect->evidence.is_quarantined() && now >= suspect->evidence.quarantined_until)
         {
@@ -332,6 +332,26 @@
                        });
 }
 
+auto prompt_quarantine::has_deeper_rival(const part_case& suspect) const -> bool
+{
+    const auto marks = suspect.evidence.open_marks();
+    return std::any_of(this->cases.begin(), this->cases.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& rival = item.second.evidence;
+                           if (rival.depth <= suspect.evidence.depth ||
+                               rival.was_harmless != suspect.evidence.was_harmless ||
+                               rival.is_quarantined())
+                           {
+                               return false;
+                           }
+                           const auto common = std::count_if(marks.begin(), marks.end(),
+                                                             [&](const crash_mark& mark)
+                                                             { return rival.is_open_here(mark); });
+                           return 3 * common >= 2 * static_cast<std::ptrdiff_t>(marks.size());
+                       });
+}
+
 auto prompt_quarantine::is_beyond_chance(const part_case& suspect, time_point now) -> bool
 {
     auto marks = suspect.evidence.open_marks();
@@ -343,7 +363,7 @@
     {
         return false;
     }
-    if (now - suspect.opened_at < this->settling_time)
+    if (now - suspect.opened_at < this->settling_time || this->has_deeper_rival(suspect))
     {
         return false;
     }
@@ -358,11 +378,10 @@
 
 auto prompt_quarantine::find_most_suspect(time_point now) -> part_case*
 {
-    // Between parts that were always together, the deeper one is in fewer other prompts.
     const auto rank = [](const part_case& suspect)
     {
         return std::tuple(!suspect.evidence.was_harmless, suspect.evidence.open_marks().size(),
-                          suspect.depth);
+                          suspect.evidence.depth);
     };
     part_case* most = nullptr;
     for (auto& [part, suspect] : this->cases)
@@ -391,7 +410,9 @@
     const auto explains = [&](prompt_part_id part, const part_case& suspect)
     {
         const auto& noted = this->cases.at(part).upstreams;
-        return part != suspect.evidence.part && noted.size() > suspect.upstreams.size() &&
+        const auto rank_of = [](const part_case& it)
+        { return std::pair(it.upstreams.size(), it.evidence.depth); };
+        return part != suspect.evidence.part && rank_of(this->cases.at(part)) > rank_of(suspect) &&
                std::all_of(suspect.evidence.marks.begin(), suspect.evidence.marks.end(),
                            [&](const crash_mark& mark) {
                                return mark.is_refuted || std::find(noted.begin(), noted.end(),
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -94,7 +94,6 @@
         part_evidence evidence;
         time_point opened_at{};
         time_point changed_at{};
-        std::size_t depth = 0; ///< position among the prompt's parts
         /// Upstreams that ended, the first ones, including those of marks that were dropped.
         std::vector<upstream_instance> upstreams;
         /// Level of the quarantine and number of the trial period in which this host sent one.
@@ -108,6 +107,9 @@
     auto evaluate(time_point now) -> void;
     [[nodiscard]] auto find_most_suspect(time_point now) -> part_case*;
     [[nodiscard]] auto is_beyond_chance(const part_case& suspect, time_point now) -> bool;
+    /// True if a deeper part that may be the cause has most of the suspect's marks. It is in fewer
+    /// other prompts, so it is judged first.
+    [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
     /// True if a part in quarantine was at this upstream's end, which explains it.
     [[nodiscard]] auto is_explained(const part_evidence& evidence, upstream_instance upstream) const
         -> bool;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -422,3 +422,37 @@
     host.interrupt({common, session}, 4, 4);
     CHECK_FALSE(host.is_refused({common, session}));
 }
+
+TEST_CASE(
+    "of two parts that were always together the deeper one is judged, also by a host that got "
+    "the evidence on the other first")
+{
+    one_host witness;
+    one_host host;
+    host.decisions.set_settling_time(500ms);
+    witness.decisions.set_settling_time(500ms);
+    for (std::uint32_t number = 1; number <= 4; ++number)
+    {
+        witness.interrupt({common, session, fatal}, number, number);
+        witness.pass(100ms);
+        witness.answer({common, 500U + number});
+    }
+    auto evidence = witness.decisions.evidence_to_share(witness.now).parts;
+    const auto is_about = [](std::uint64_t id) {
+        return [id](const part_evidence& item) { return item.part == routing::prompt_part_id(id); };
+    };
+    const auto on_fatal = std::find_if(evidence.begin(), evidence.end(), is_about(fatal));
+    const auto on_session = std::find_if(evidence.begin(), evidence.end(), is_about(session));
+    REQUIRE(on_fatal != evidence.end());
+    REQUIRE(on_session != evidence.end());
+    host.decisions.merge({*on_session}, host.now);
+    host.pass(300ms);
+    host.decisions.merge({*on_fatal}, host.now);
+    host.pass(300ms);
+    host.decisions.merge({}, host.now);
+    CHECK_FALSE(host.is_refused({session}));
+    host.pass(300ms);
+    host.decisions.merge({}, host.now);
+    CHECK(host.is_refused({fatal}));
+    CHECK_FALSE(host.is_refused({common, session}));
+}
