A pause that a new start of an upstream asks for outlasts the registry's news of that start

Cause: an upstream that starts again under its name and address may ask for a pause before this host knows the new start. The pause was kept for the former start and was lost when the registry showed the new one. Result: "a pause that a new start asks for before the registry shows it holds afterwards" fails without the line and passes.

--- a/src/routing/upstream_notices.hpp
+++ b/src/routing/upstream_notices.hpp
@@ -18,6 +18,9 @@
     /// counts. `spread` delays the return, so that hosts do not all return at once.
     auto on_pause(time_point now, duration length, duration spread) -> void;
     auto on_success() -> void { this->resuming = false; }
+    /// Takes over a pause that the former start of the upstream seems to have asked for lately: the
+    /// registry shows a new start only after a while, so the new one may have asked for it.
+    auto take_recent_pause(const upstream_notices& former, time_point now) -> void;
 
     [[nodiscard]] auto is_leaving() const -> bool { return this->leaving; }
     [[nodiscard]] auto is_paused(time_point now) const -> bool { return now < this->paused_until; }
@@ -30,6 +33,7 @@
     static constexpr duration max_pause = std::chrono::hours(1);
 
 private:
+    time_point paused_at{}; ///< when the last pause was asked for
     time_point paused_until{};
     bool leaving = false;
     bool resuming = false;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -193,6 +193,7 @@
     {
         // The new process may already have received some of the last second's requests.
         upstream.state->cold_sends = former->state->cold_sends;
+        upstream.state->notices.take_recent_pause(former->state->notices, boot_clock_now());
     }
     return upstream;
 }
--- a/tests/upstream_notices_test.cpp
+++ b/tests/upstream_notices_test.cpp
@@ -159,3 +159,23 @@
     CHECK(page.find("\"ejected\":true") == std::string::npos);
     CHECK(page.find("\"failure_share\":0.1") == std::string::npos);
 }
+
+TEST_CASE("a pause that a new start asks for before the registry shows it holds afterwards")
+{
+    counted_upstream paused(pause_response("1"));
+    counted_upstream sound(ok_response("ok"));
+    router host({paused.server.address(), sound.server.address()});
+    while (paused.requests == 0)
+    {
+        CHECK(status_line_of(host.fetch("/once/x")) == "HTTP/1.1 200");
+    }
+    host.service.set_view(router::make_view({paused.server.address(), sound.server.address()},
+                                            [](auto&, routing::fleet_view& view)
+                                            { view.upstreams[0].entry.start_number = 9; }));
+    const auto begin = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - begin < 700ms)
+    {
+        CHECK(status_line_of(host.fetch("/once/x")) == "HTTP/1.1 200");
+    }
+    CHECK(paused.requests == 1);
+}
