--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -372,7 +372,7 @@
                 host->interrupt({common, 100U + random() % 8}, step / 20 + random() % 3, ++request);
             }
         }
-        // Each host hears of another one now and then, so that copies are of different age.
+        // Copies are merged now and then, so they are of different age.
         hosts[random() % 3]->merge_from(*hosts[random() % 3]);
         for (const auto& host : hosts)
         {
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -121,6 +121,10 @@
     auto on_quarantined(const quarantine::part_evidence& evidence, bool is_own) -> void override;
     auto on_released(const quarantine::part_evidence& evidence, bool is_own) -> void override;
     auto sync_evidence(time_point now) -> void;
+    /// Time for evidence to reach all hosts and their answer to come back. A single host has none
+    /// to wait for; beyond a mesh the hosts of other cells are reached through several of one's
+    /// own.
+    [[nodiscard]] static auto evidence_settling_time(std::size_t hosts) -> duration;
     auto apply_view(std::shared_ptr<const routing::fleet_view> next) -> void;
     auto make_upstream(const routing::known_upstream& known, std::size_t service)
         -> routing::live_upstream;
