Soak: notices that a host may not have read, or of a former start, bind nobody

In the first the answer with the pause may be one that its host never read: a caller that leaves closes the upstream's connection. In the second an answer that was being written as the upstream came back was booked on the new start. Change: a notice is dropped if the caller of its answer left, or if another start has begun.

--- a/tests/soak/request_tracker.cpp
+++ b/tests/soak/request_tracker.cpp
@@ -58,6 +58,12 @@
     this->records[id].reported_not_run = true;
 }
 
+auto request_tracker::on_caller_left(const std::string& id) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->records[id].caller_left = true;
+}
+
 auto request_tracker::find(const std::string& id) const -> request_record
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/soak/request_tracker.hpp
+++ b/tests/soak/request_tracker.hpp
@@ -38,6 +38,7 @@
     int runs = 0;
     bool upstream_failed = false; ///< an upstream failed, broke off or hung on purpose
     bool reported_not_run = false;
+    bool caller_left = false; ///< its host may have closed the upstream's connection unread
 };
 
 /// Records all requests of a seed, the findings and the outcome counts. Thread-safe.
@@ -51,6 +52,7 @@
     [[nodiscard]] auto on_run(const std::string& id) -> request_record;
     auto on_upstream_failed(const std::string& id) -> void;
     auto on_reported_not_run(const std::string& id) -> void;
+    auto on_caller_left(const std::string& id) -> void;
     [[nodiscard]] auto find(const std::string& id) const -> request_record;
 
     auto add_finding(const std::string& text) -> void;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -103,6 +103,7 @@
     {
         std::this_thread::sleep_for(disconnect_delay);
         this->connections.erase(host);
+        this->fleet.get_tracker().on_caller_left(id);
         this->fleet.get_tracker().count("left");
         return;
     }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -110,6 +110,7 @@
         std::atomic<bool> draining{false};
         std::atomic<clock::time_point> drain_started_at{};
         std::atomic<std::uint64_t> incarnation{1};
+        std::atomic<std::uint64_t> leaving_start{0}; ///< incarnation that leaves; 0 if none does
     };
 
     [[nodiscard]] auto settings_text(std::size_t host) const -> std::string;
