Evidence on more interrupted parts than are kept: the least suspect makes room

Cause: found by reading. The table of cases took no new part once 512 were open, which last ten minutes each; a fatal part that came after them was never judged. Change: the case with the fewest open marks, of these the oldest, makes room. Parts in quarantine stay. Result: "a part is found among more interrupted parts than are remembered" fails without it and passes.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -125,7 +125,7 @@
     {
         return &found->second;
     }
-    if (this->cases.size() >= max_cases)
+    if (this->cases.size() >= max_cases && !this->drop_least_suspect())
     {
         return nullptr;
     }
@@ -136,6 +136,27 @@
     return &opened;
 }
 
+auto prompt_quarantine::drop_least_suspect() -> bool
+{
+    const auto rank = [](const part_case& it)
+    { return std::pair(it.evidence.open_marks().size(), it.changed_at); };
+    auto least = this->cases.end();
+    for (auto item = this->cases.begin(); item != this->cases.end(); ++item)
+    {
+        if (!item->second.evidence.is_quarantined() &&
+            (least == this->cases.end() || rank(item->second) < rank(least->second)))
+        {
+            least = item;
+        }
+    }
+    if (least == this->cases.end())
+    {
+        return false;
+    }
+    this->cases.erase(least);
+    return true;
+}
+
 auto prompt_quarantine::on_changed(part_case& changed, time_point now) -> void
 {
     changed.changed_at = now;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -456,3 +456,24 @@
     CHECK(host.is_refused({fatal}));
     CHECK_FALSE(host.is_refused({common, session}));
 }
+
+TEST_CASE("a part is found among more interrupted parts than are remembered")
+{
+    one_host host;
+    for (std::uint32_t number = 1; number <= 2000; ++number)
+    {
+        host.answer({common, 500'000U + number});
+        host.interrupt({common, 10'000U + number}, number, number);
+        host.pass(5ms);
+        if (number > 1000 && number % 200 == 0)
+        {
+            host.interrupt({common, fatal}, 100'000U + number, 100'000U + number);
+        }
+        for (int answer = 0; answer < 8; ++answer)
+        {
+            host.answer({common, 600'000U});
+        }
+    }
+    CHECK(host.is_refused({fatal}));
+    CHECK_FALSE(host.is_refused({common}));
+}
