--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,6 +3,7 @@
 #include "../stand_in/stand_in.hpp"
 
 #include <cstdio>
+#include <cstdlib>
 
 using namespace review;
 
@@ -42,11 +43,27 @@
     return peer.send("0\r\n\r\n");
 }
 
+/// Line feeds, or for a comparison what BYTES says: comments (an empty comment line as an event) or
+/// random.
+auto bytes_without_end() -> std::string
+{
+    const auto* const wanted = std::getenv("BYTES");
+    const std::string kind = wanted == nullptr ? "lines" : wanted;
+    std::string bytes;
+    while (bytes.size() < 16'383)
+    {
+        bytes += kind == "comments" ? ":\n\n"
+                 : kind == "random" ? std::string(1, static_cast<char>(std::rand() % 256))
+                                    : "\n";
+    }
+    return bytes;
+}
+
 /// Until the caller closes the connection.
 auto send_empty_lines(connection& peer, const message& request, recorder& record) -> void
 {
     const auto begun = now_s();
-    const auto lines = chunk(std::string(16'384, '\n'));
+    const auto lines = chunk(bytes_without_end());
     std::size_t bytes = 0;
     if (peer.send("HTTP/1.1 200 OK\r\n" + answer_fields(request) +
                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
--- a/review/stand_in/stand_in.cpp
+++ b/review/stand_in/stand_in.cpp
@@ -131,6 +131,20 @@
     return text;
 }
 
+/// A key as a JSON string. Bytes that are not ASCII become the replacement character.
+auto to_json_text(const std::string& key) -> std::string
+{
+    std::string text;
+    for (const auto letter : key)
+    {
+        const auto byte = static_cast<unsigned char>(letter);
+        text += byte >= 0x80 || byte < 0x20       ? "\\ufffd"
+                : letter == '"' || letter == '\\' ? std::string("\\") + letter
+                                                  : std::string(1, letter);
+    }
+    return "\"" + text + "\"";
+}
+
 auto to_base64(const std::string& bytes) -> std::string
 {
     static const char* const digits =
@@ -518,8 +532,8 @@
     auto next = after.empty() ? target.newest.begin() : target.newest.upper_bound(after);
     for (; next != target.newest.end() && count < page_size; ++next, ++count)
     {
-        items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + next->first +
-                 "\",\"value\":\"" + to_base64(next->second.value) +
+        items += (items.empty() ? "" : ",") + std::string("{\"key\":") + to_json_text(next->first) +
+                 ",\"value\":\"" + to_base64(next->second.value) +
                  "\",\"offset\":" + std::to_string(next->second.offset) + "}";
     }
     return make_response("200 OK", "Content-Type: application/json\r\n",
