--- a/review/stand_in/stand_in.cpp
+++ b/review/stand_in/stand_in.cpp
@@ -589,7 +589,8 @@
         << "listen.control=" << address{this->ip, own_ports.control}.text() << "\n"
         << "port_range=" << own_ports.range << "," << own_ports.range + 15 << "\n"
         << "seeds=" << seed_list << "\nbootstrap=true\nfault_counted=false\n"
-        << "limits.cpu_share=0.75\nlimits.cores=1\nlimits.memory_mb=780\nlimits.max_fds=12300\n"
+        << "limits.cpu_share=0.75\nlimits.cores=1\nlimits.memory_mb=" << this->memory_mb
+        << "\nlimits.max_fds=" << this->descriptors << "\n"
         << "limits.link_mbps=3000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n"
         << "heartbeat_ms=1200\n"
         << "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform\n"
@@ -646,6 +647,15 @@
     }
 }
 
+auto router::used_mb() const -> int
+{
+    std::ifstream file("/proc/" + std::to_string(this->process) + "/statm");
+    long all = 0;
+    long resident = 0;
+    file >> all >> resident;
+    return static_cast<int>(resident * ::sysconf(_SC_PAGESIZE) / 1'000'000);
+}
+
 auto router::kill() -> void
 {
     if (this->process > 0)
--- a/review/stand_in/stand_in.hpp
+++ b/review/stand_in/stand_in.hpp
@@ -188,6 +188,11 @@
         int control = 0;
         int range = 0;
     };
+    /// Of the settings: what the platform lets the process have.
+    int memory_mb = 780;
+    int descriptors = 12'300;
+    /// Resident memory in MB; 0 if the process has ended.
+    [[nodiscard]] auto used_mb() const -> int;
     auto write_settings(const ports& on, const address& store_address,
                         const std::vector<std::string>& seeds) -> void;
     auto start() -> void;
