--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,9 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p .build
+flags="-std=c++20 -O2 -Wall -Wextra -pthread"
+${CXX:-g++} $flags -c -o .build/stand_in.o stand_in/stand_in.cpp
 for source in */case.cpp; do
   name=$(dirname "$source")
-  ${CXX:-g++} -std=c++20 -O2 -Wall -Wextra -pthread -o ".build/case-$name" \
-    "$source" stand_in/stand_in.cpp
+  ${CXX:-g++} $flags -o ".build/case-$name" "$source" .build/stand_in.o
 done
