An event stream is split in one pass over its bytes

On this machine the process answered nothing for 20.6 s: no request of any route, no stream event, no readiness probe; 195 of 200 requests that were unanswered at their timeout had no answer half a second later.

Cause: sse_splitter::next searched the buffered bytes for "\n\n" and then once more for "\n\r\n" up to their end. With a blank line every two bytes, a read of 64 KiB has 32,768 events, and the second search ran to the end for each. Ruled out: the parser of chunks (the same bytes without chunks, in the unit test, take as long) and the forwarding (no upstream or caller in it).

Fix: the search stops at the first line feed that a blank line follows, and goes on there after the event, so each byte is searched once. The result is the same by a property test against the definition.

Before, the test "one read of an answer without end ..." failed: 9.07 s of processor time for one read of 64 KiB of line feeds, where 120 ms are allowed, the lag that callers accept of an event. After: it passes for six kinds of lines.

--- a/include/poplardrift/streams/sse_splitter.hpp
+++ b/include/poplardrift/streams/sse_splitter.hpp
@@ -15,6 +15,12 @@
     std::string_view raw;                  ///< all bytes, including the blank line at the end
     std::string_view data;                 ///< value of its first data line
     std::optional<std::uint64_t> sequence; ///< number in its id line, if present
+
+    /// False for blank lines and comments, which only keep a connection open.
+    [[nodiscard]] auto has_content() const -> bool
+    {
+        return this->sequence.has_value() || !this->data.empty();
+    }
 };
 
 /// Splits a byte stream into server-sent events (the WHATWG text/event-stream format). Returned
@@ -22,8 +28,11 @@
 class sse_splitter final
 {
 public:
+    static constexpr std::size_t default_max_event_bytes = 1 << 20;
+
     /// `max_event_bytes` is the size above which is_oversized reports an incomplete event.
-    explicit sse_splitter(std::size_t max_event_bytes = 1 << 20) : max_event_bytes(max_event_bytes)
+    explicit sse_splitter(std::size_t max_event_bytes = default_max_event_bytes)
+        : max_event_bytes(max_event_bytes)
     {
     }
 
@@ -42,10 +51,13 @@
     }
 
 private:
+    /// Position after the blank line that ends the next event; npos when it has not arrived.
+    auto find_event_end() -> std::size_t;
+
     std::size_t max_event_bytes;
     std::string buffer;
     std::size_t start = 0;    ///< first byte not yet returned in an event
-    std::size_t searched = 0; ///< no event ends between `start` and here
+    std::size_t searched = 0; ///< where the search goes on: no event ends between `start` and here
 };
 
 /// True for the final event of a chat completion stream.
--- a/src/streams/sse_splitter.cpp
+++ b/src/streams/sse_splitter.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-constexpr std::string_view event_delimiter = "\n\n";
-
 /// Value of a field line such as `data: x`; nullopt when the line has another field.
 auto field_value(std::string_view line, std::string_view name) -> std::optional<std::string_view>
 {
@@ -69,28 +67,43 @@
     this->buffer.append(bytes);
 }
 
-auto sse_splitter::next() -> std::optional<sse_event>
+auto sse_splitter::find_event_end() -> std::size_t
 {
+    constexpr auto npos = std::string_view::npos;
     const std::string_view all(this->buffer);
-    auto from = std::max(this->searched, this->start);
-    // The delimiter may begin in bytes searched before. Lines may end with CR LF.
-    from = from > this->start + 3 ? from - 3 : this->start;
-    auto end = all.find(event_delimiter, from);
-    std::size_t delimiter_size = event_delimiter.size();
-    const auto crlf_end = all.find("\n\r\n", from);
-    if (crlf_end != std::string_view::npos && (end == std::string_view::npos || crlf_end < end))
+    // Stops at the first blank line and goes on there, so that each byte is searched once.
+    auto line_end = all.find('\n', this->searched);
+    while (line_end != npos)
     {
-        end = crlf_end;
-        delimiter_size = 3;
+        const auto after = all.substr(line_end + 1);
+        if (after.starts_with('\n'))
+        {
+            return line_end + 2;
+        }
+        if (after.starts_with("\r\n"))
+        {
+            return line_end + 3;
+        }
+        if (after.empty() || after == "\r")
+        {
+            break; // the next line may turn out to be blank
+        }
+        line_end = all.find('\n', line_end + 1);
     }
+    this->searched = line_end == npos ? all.size() : line_end;
+    return npos;
+}
+
+auto sse_splitter::next() -> std::optional<sse_event>
+{
+    const auto end = this->find_event_end();
     if (end == std::string_view::npos)
     {
-        this->searched = all.size();
         return std::nullopt;
     }
-    const auto raw = all.substr(this->start, end + delimiter_size - this->start);
-    this->start = end + delimiter_size;
-    this->searched = this->start;
+    const auto raw = std::string_view(this->buffer).substr(this->start, end - this->start);
+    this->start = end;
+    this->searched = end;
     return parse_event(raw);
 }
 
--- a/src/streams/streams_test.cpp
+++ b/src/streams/streams_test.cpp
@@ -1,7 +1,12 @@
 #include "poplardrift/streams/event_sequencer.hpp"
 
+#include "thread_cpu_time.hpp"
+
 #include <catch2/catch.hpp>
 
+#include <random>
+#include <vector>
+
 using namespace poplardrift;
 
 namespace
@@ -34,6 +39,26 @@
     return result;
 }
 
+/// Events of a text by the definition: each ends with a line feed after which a blank line follows.
+auto split_by_definition(std::string_view text) -> std::vector<std::string>
+{
+    std::vector<std::string> events;
+    std::size_t begin = 0;
+    for (std::size_t at = 0; at < text.size(); ++at)
+    {
+        for (const std::string_view delimiter : {"\n\n", "\n\r\n"})
+        {
+            if (at >= begin && text.substr(at).starts_with(delimiter))
+            {
+                const auto end = at + delimiter.size();
+                events.emplace_back(text.substr(begin, end - begin));
+                begin = end;
+            }
+        }
+    }
+    return events;
+}
+
 } // namespace
 
 TEST_CASE("events are split correctly for any size of the received pieces")
@@ -84,3 +109,54 @@
     CHECK(sequencer.last() == 1);
     CHECK(sequencer.has_lost_event());
 }
+
+TEST_CASE("events are split by their definition, whatever the bytes and the pieces")
+{
+    const auto seed = GENERATE(range(1U, 200U));
+    std::mt19937 random(seed);
+    std::string text;
+    for (std::size_t count = random() % 60; count > 0; --count)
+    {
+        text.push_back("\n\n\r:a"[random() % 5]);
+    }
+    sse_splitter splitter;
+    std::vector<std::string> events;
+    for (std::size_t at = 0; at < text.size();)
+    {
+        const auto piece = std::min<std::size_t>(text.size() - at, 1 + random() % 5);
+        splitter.feed(std::string_view(text).substr(at, piece));
+        at += piece;
+        while (const auto event = splitter.next())
+        {
+            events.emplace_back(event->raw);
+        }
+    }
+    CHECK(events == split_by_definition(text));
+}
+
+TEST_CASE("one read of an answer without end is split within the lag that callers accept")
+{
+    // Guards against work that grows with the square of the events in one read.
+    const std::string line = GENERATE("\n", "\r\n", "\n\r\n", ":\n\n", "data:x\n\n", "a\n");
+    constexpr std::size_t read_bytes = 65'536;
+    std::string bytes;
+    while (bytes.size() < read_bytes)
+    {
+        bytes += line;
+    }
+    sse_splitter splitter;
+    std::size_t events = 0;
+    const auto split_read = [&]
+    {
+        splitter.feed(bytes);
+        while (splitter.next())
+        {
+            ++events;
+        }
+    };
+    for (int reads = 0; reads < 2; ++reads)
+    {
+        CAPTURE(line, reads, events);
+        CHECK(tests::cpu_time_of(split_read) <= tests::max_time_for_one_read);
+    }
+}
