Comments and blank lines are no output of a stream, and have a limit

What callers saw: an upstream that sent comments without end kept its request, its connection and the caller's until the deadline, at the speed of the link; one that sent a comment and then failed had its status 200 passed on before there was any event, so that the request could not be failed truthfully or moved.

Cause: forward_event treated every blank-line-terminated block as an event. It committed the head, counted as received output (and so as proof that the prompt is harmless) and only left out the progress time.

Fix: a block without data and id is a comment. What precedes the first event is held and sent with it, unchanged; comments between two events may take as many bytes as one event (1 MiB), after which the response is malformed.

Before, "comments before the first event are no output of a stream" failed (200, not 502).

--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -96,6 +96,7 @@
 
     auto forward_events() -> void;
     auto forward_event(const sse_event& event) -> void;
+    auto forward_comment(const sse_event& comment) -> void;
     auto commit_head() -> void;
     auto finish_response() -> void;
     auto forward_failure() -> void;
@@ -149,8 +150,9 @@
     routing::placement_choice placement;
     response_metadata response;
     http::response_head upstream_head;
-    std::string buffered_body;
+    std::string buffered_body; ///< of a plain response; of a stream, what precedes its first event
     sse_splitter events;
+    std::size_t comment_bytes = 0;     ///< since the last event of this send
     std::uint64_t events_received = 0; ///< of this send, including repeated ones
     time_point first_event_at{};       ///< of this send
     bool is_proved_harmless = false;   ///< by output of this send
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -30,6 +30,8 @@
 }
 /// Unsent bytes for a slow caller beyond which reading from its upstream pauses.
 constexpr std::size_t max_unsent_bytes = 262'144;
+/// Comments between two events may take as many bytes as one event.
+constexpr std::size_t max_comment_bytes = sse_splitter::default_max_event_bytes;
 
 } // namespace
 
@@ -42,9 +44,18 @@
         {
             break;
         }
-        this->forward_event(*event);
+        if (event->has_content())
+        {
+            this->comment_bytes = 0;
+            this->forward_event(*event);
+        }
+        else
+        {
+            this->forward_comment(*event);
+        }
     }
-    if (!this->done && this->connection && this->events.is_oversized())
+    if (!this->done && this->connection &&
+        (this->events.is_oversized() || this->comment_bytes > max_comment_bytes))
     {
         this->fail_malformed("event too large");
         return;
@@ -52,6 +63,18 @@
     this->pause_if_caller_is_slow();
 }
 
+auto exchange::forward_comment(const sse_event& comment) -> void
+{
+    this->comment_bytes += comment.raw.size();
+    if (this->head_committed)
+    {
+        this->sink->write_body(comment.raw);
+        return;
+    }
+    // Sent with the first event: until then another upstream can still take over.
+    this->buffered_body.append(comment.raw);
+}
+
 auto exchange::pause_if_caller_is_slow() -> void
 {
     if (!this->done && this->connection && this->sink->bytes_waiting() > max_unsent_bytes)
@@ -81,10 +104,7 @@
         this->upstream->cache.on_prefilled(*this->metadata.prompt);
         this->service.on_prefill_complete(this->upstream_name, *this->metadata.prompt);
     }
-    if (event.sequence || !event.data.empty())
-    {
-        this->last_progress = now; // comments keep a connection open, they are no progress
-    }
+    this->last_progress = now;
     if (!this->head_committed)
     {
         this->first_output = now;
@@ -103,6 +123,7 @@
     this->caller_head = this->upstream_head;
     this->head_committed = true;
     this->sink->begin_response(this->caller_head, std::nullopt);
+    this->sink->write_body(std::exchange(this->buffered_body, {}));
 }
 
 auto exchange::finish_response() -> void
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -123,6 +123,7 @@
     this->response = {};
     this->buffered_body.clear();
     this->events = sse_splitter();
+    this->comment_bytes = 0;
     this->events_received = 0;
     this->first_event_at = {};
     this->is_proved_harmless = false;
