Reading many small messages takes time linear in their bytes

Pipelined requests and interim responses (status 100 to 199) are such messages, and interim responses could go on without end.

Fix: consumed bytes are dropped when they are at least half of the buffer. Interim responses before one response may take together as many bytes as a head, 64 KiB.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -98,16 +98,40 @@
 /// Most bytes of one element between body bytes, such as a chunk's header with extensions.
 constexpr std::size_t max_element_bytes = 65'536;
 
+/// Bytes that wait to be parsed. Consuming moves the rest to the front only when it is no longer
+/// than what has been consumed, so the cost of many small messages is linear in their bytes.
+class pending_bytes final
+{
+public:
+    auto append(std::string_view more) -> void { this->bytes.append(more); }
+    auto consume(std::size_t count) -> void
+    {
+        this->consumed += count;
+        if (this->consumed >= this->size())
+        {
+            this->bytes.erase(0, this->consumed);
+            this->consumed = 0;
+        }
+    }
+    [[nodiscard]] auto data() const -> const char* { return this->bytes.data() + this->consumed; }
+    [[nodiscard]] auto size() const -> std::size_t { return this->bytes.size() - this->consumed; }
+    [[nodiscard]] auto empty() const -> bool { return this->size() == 0; }
+
+private:
+    std::string bytes;
+    std::size_t consumed = 0;
+};
+
 /// Feeds pending bytes to a parser. Bytes it does not consume stay pending.
 template <class Parser>
-auto advance(Parser& parser, std::string& pending) -> read_error
+auto advance(Parser& parser, pending_bytes& pending) -> read_error
 {
     while (!pending.empty() && !parser.is_done())
     {
         beast::error_code code;
         const auto consumed =
             parser.put(boost::asio::const_buffer(pending.data(), pending.size()), code);
-        pending.erase(0, consumed);
+        pending.consume(consumed);
         if (code == beast::http::error::need_more)
         {
             return pending.size() <= max_element_bytes ? read_error::none : read_error::malformed;
@@ -193,7 +217,7 @@
     }
 
     std::optional<request_parser> parser;
-    std::string pending;
+    pending_bytes pending;
     read_error failure = read_error::none;
     bool checked = false;
 };
@@ -267,6 +291,7 @@
     {
         while (this->failure == read_error::none)
         {
+            const auto pending_before = this->pending.size();
             this->failure = advance(*this->parser, this->pending);
             if (this->failure != read_error::none || !this->parser->head_done)
             {
@@ -274,7 +299,11 @@
             }
             if (this->parser->head.status / 100 == 1)
             {
+                this->interim_bytes += pending_before - this->pending.size();
                 this->restart();
+                this->failure = this->interim_bytes > max_response_head_bytes
+                                    ? read_error::head_too_large
+                                    : read_error::none;
                 continue;
             }
             if (!this->checked)
@@ -306,7 +335,8 @@
     }
 
     std::optional<response_parser> parser;
-    std::string pending;
+    pending_bytes pending;
+    std::size_t interim_bytes = 0; ///< of the interim responses that were skipped
     read_error failure = read_error::none;
     bool checked = false;
     bool to_head_request = false;
@@ -322,6 +352,7 @@
 auto response_reader::next(bool to_head_request) -> void
 {
     this->self->to_head_request = to_head_request;
+    this->self->interim_bytes = 0;
     this->self->restart();
     this->self->advance_parser();
 }
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -59,7 +59,8 @@
     std::unique_ptr<implementation> self;
 };
 
-/// Incremental parser for HTTP/1.x responses. Interim responses (1xx) are skipped. Not thread-safe.
+/// Incremental parser for HTTP/1.x responses. Interim responses (1xx) are skipped, as long as they
+/// are together no larger than one head may be. Not thread-safe.
 class response_reader final
 {
 public:
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -1,5 +1,7 @@
 #include "http/message_reader.hpp"
 
+#include "thread_cpu_time.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -231,3 +233,64 @@
         }
     }
 }
+
+TEST_CASE("many small requests in one buffer take time linear in their bytes")
+{
+    // Guards against moving all buffered bytes for each message that is read.
+    const auto time_to_read = [](std::size_t bytes)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        std::string text;
+        while (text.size() < bytes)
+        {
+            text += request;
+        }
+        return poplardrift::tests::cpu_time_of(
+            [&]
+            {
+                request_reader reader(limits);
+                reader.feed(text);
+                std::size_t messages = 0;
+                while (reader.is_complete())
+                {
+                    ++messages;
+                    reader.next(limits);
+                }
+                CHECK(messages == text.size() / request.size());
+            });
+    };
+    const auto small = time_to_read(262'144);
+    const auto large = time_to_read(8 * 262'144);
+    CAPTURE(small.count(), large.count());
+    CHECK(large <= 2 * 8 * small);
+}
+
+TEST_CASE("interim responses without end are not read without end")
+{
+    response_reader reader;
+    reader.next(false);
+    std::string bytes;
+    while (bytes.size() < 65'536)
+    {
+        bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    constexpr int max_reads = 2; // a response head has at most 64 KiB
+    int reads = 0;
+    while (reader.error() == read_error::none && reads <= max_reads)
+    {
+        reader.feed(bytes);
+        ++reads;
+    }
+    CHECK(reader.error() != read_error::none);
+}
+
+TEST_CASE("a response after a few interim ones is read")
+{
+    response_reader reader;
+    reader.next(false);
+    reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(reader.is_complete());
+    CHECK(reader.head().status == 200);
+    CHECK(reader.take_body() == "ok");
+}
