Hop-by-hop fields named by Connection are looked up, not searched for

A head of 64 KiB, which an upstream may send, with 6,000 names and 6,000 fields took 407 ms of the traffic thread (120 ms allowed by the test).

Fix: hop_by_hop_fields sorts the names once for a message. All Connection fields count now, not only the first one.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -28,6 +28,34 @@
     return text;
 }
 
+auto is_name_before(std::string_view left, std::string_view right) -> bool
+{
+    return std::lexicographical_compare(left.begin(), left.end(), right.begin(), right.end(),
+                                        [](char a, char b) { return to_lower(a) < to_lower(b); });
+}
+
+auto is_always_hop_by_hop(std::string_view name) -> bool
+{
+    static constexpr std::array<std::string_view, 10> names = {
+        "Connection", "Keep-Alive",    "Proxy-Connection",  "Proxy-Authenticate",
+        "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
+        "Expect",     "Content-Length"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view known) { return equal_names(known, name); });
+}
+
+/// Calls `visit` for each element of a comma-separated value.
+template <class Visitor>
+auto for_each_token(std::string_view value, const Visitor& visit) -> void
+{
+    while (!value.empty())
+    {
+        const auto element = value.substr(0, value.find(','));
+        visit(trimmed(element));
+        value.remove_prefix(std::min(element.size() + 1, value.size()));
+    }
+}
+
 } // namespace
 
 auto equal_names(std::string_view left, std::string_view right) -> bool
@@ -60,24 +88,6 @@
                                                   { return equal_names(field.name, name); }));
 }
 
-auto has_token(std::string_view value, std::string_view token) -> bool
-{
-    while (!value.empty())
-    {
-        const auto comma = value.find(',');
-        if (equal_names(trimmed(value.substr(0, comma)), token))
-        {
-            return true;
-        }
-        if (comma == std::string_view::npos)
-        {
-            return false;
-        }
-        value.remove_prefix(comma + 1);
-    }
-    return false;
-}
-
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
 {
     std::uint64_t number = 0;
@@ -90,15 +100,31 @@
     return number;
 }
 
-auto is_hop_by_hop_field(std::string_view name, std::string_view connection) -> bool
+hop_by_hop_fields::hop_by_hop_fields(const header_list& fields)
 {
-    static constexpr std::array<std::string_view, 10> names = {
-        "Connection", "Keep-Alive",    "Proxy-Connection",  "Proxy-Authenticate",
-        "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
-        "Expect",     "Content-Length"};
-    return std::any_of(names.begin(), names.end(),
-                       [&](std::string_view known) { return equal_names(known, name); }) ||
-           has_token(connection, name);
+    for (const auto& field : fields)
+    {
+        if (!equal_names(field.name, "Connection"))
+        {
+            continue;
+        }
+        for_each_token(field.value,
+                       [&](std::string_view token)
+                       {
+                           // The usual tokens need no entry, so most messages allocate nothing.
+                           if (!equal_names(token, "close") && !is_always_hop_by_hop(token))
+                           {
+                               this->named.push_back(token);
+                           }
+                       });
+    }
+    std::sort(this->named.begin(), this->named.end(), is_name_before);
+}
+
+auto hop_by_hop_fields::contains(std::string_view name) const -> bool
+{
+    return is_always_hop_by_hop(name) ||
+           std::binary_search(this->named.begin(), this->named.end(), name, is_name_before);
 }
 
 auto reason_phrase(int status) -> std::string_view
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -34,9 +34,6 @@
     std::vector<header_field> fields;
 };
 
-/// True when a comma-separated header value contains this token, ignoring case.
-[[nodiscard]] auto has_token(std::string_view value, std::string_view token) -> bool;
-
 /// Parses a non-negative decimal number without sign or whitespace; nullopt for any other text.
 [[nodiscard]] auto parse_number(std::string_view text) -> std::optional<std::uint64_t>;
 
@@ -72,9 +69,19 @@
     bool keep_alive = true;
 };
 
-/// True for hop-by-hop fields (RFC 9110, section 7.6.1) and for framing fields, which the router
-/// sets separately on each side. `connection` is the value of the Connection field.
-[[nodiscard]] auto is_hop_by_hop_field(std::string_view name, std::string_view connection) -> bool;
+/// The fields of one message that are not forwarded: hop-by-hop fields (RFC 9110, section 7.6.1),
+/// those that its Connection fields name, and framing fields, which the router sets separately on
+/// each side. Refers to the fields it was made from. A look-up takes logarithmic time in the number
+/// of names in the Connection fields.
+class hop_by_hop_fields final
+{
+public:
+    explicit hop_by_hop_fields(const header_list& fields);
+    [[nodiscard]] auto contains(std::string_view name) const -> bool;
+
+private:
+    std::vector<std::string_view> named; ///< by the Connection fields, sorted, ignoring case
+};
 
 /// Reason phrase of a status code; "Unknown" for codes that the router does not use.
 [[nodiscard]] auto reason_phrase(int status) -> std::string_view;
--- a/src/traffic/caller_session.cpp
+++ b/src/traffic/caller_session.cpp
@@ -164,10 +164,10 @@
     out.push_back(' ');
     out.append(head.reason.empty() ? http::reason_phrase(head.status) : head.reason);
     out.append("\r\n");
-    const auto connection = head.fields.find("Connection").value_or("");
+    const http::hop_by_hop_fields dropped(head.fields);
     for (const auto& field : head.fields)
     {
-        if (!http::is_hop_by_hop_field(field.name, connection))
+        if (!dropped.contains(field.name))
         {
             http::append_field(out, field.name, field.value);
         }
