--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -2,6 +2,7 @@
 
 #include "poplardrift/base/strong_type.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -25,11 +26,15 @@
     prompt_part_id id;
 };
 
+/// Most parts by which a prompt is judged. The choice of an upstream takes time in proportion to
+/// the parts times the upstreams.
+inline constexpr std::size_t max_prompt_parts = 128;
+
 /// Prompt lengths and prefix hashes that a request carries in its headers.
 struct prompt_metadata
 {
-    std::vector<prompt_part>
-        parts; ///< in prompt order; only the last is specific to the request or session
+    std::vector<prompt_part> parts; ///< in prompt order, at most max_prompt_parts; only the last is
+                                    ///< specific to the request or session
     std::uint32_t input_tokens = 0;
 
     /// All parts but the last: those that other requests share.
