--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -63,6 +63,10 @@
     auto close_after_writing(duration linger) -> void;
 
     [[nodiscard]] auto is_open() const -> bool { return this->socket.is_open(); }
+    [[nodiscard]] auto get_executor() -> boost::asio::any_io_executor
+    {
+        return this->socket.get_executor();
+    }
     /// Bytes not yet passed to the kernel.
     [[nodiscard]] auto bytes_waiting() const -> std::size_t
     {
--- a/tests/bounded_work_test.cpp
+++ b/tests/bounded_work_test.cpp
@@ -100,3 +100,29 @@
     router host({upstream.address()});
     CHECK(status_line_of(host.fetch("/stream-once/x")) == "HTTP/1.1 502");
 }
+
+TEST_CASE("very many status requests on one connection hold up no caller")
+{
+    scripted_server upstream(respond_always(ok_response("done")));
+    const std::vector upstreams(400, upstream.address());
+    router host(upstreams);
+    auto operators = connect_to(host.status_address);
+    std::string questions;
+    constexpr int count = 2000;
+    for (int number = 0; number < count; ++number)
+    {
+        questions += "GET /status HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    std::atomic<bool> done{false};
+    auto asking = std::async(std::launch::async,
+                             [&]
+                             {
+                                 operators.send(questions);
+                                 std::this_thread::sleep_for(1s);
+                                 done = true;
+                             });
+    const auto longest = longest_answer_until(host, done);
+    operators.close();
+    CAPTURE(longest.count());
+    CHECK(longest <= 500ms);
+}
