--- a/src/fleet/peer_fetch.cpp
+++ b/src/fleet/peer_fetch.cpp
@@ -1,6 +1,7 @@
 // Records between hosts: fetching those that a peer has, and serving those that peers lack.
 
 #include "fleet/peer_link.hpp"
+#include "http/limited_body.hpp"
 #include "net/clock.hpp"
 
 #include <utility>
@@ -19,6 +20,8 @@
 /// two of a reader's intervals.
 constexpr duration configuration_delivery_delay = 150ms;
 constexpr duration fetch_timeout = 500ms;
+/// Several times the records of the largest fleet.
+constexpr std::size_t max_batch_bytes = 16U << 20U;
 constexpr std::string_view fetch_path = "/records/";
 
 auto parse_number_after(std::string_view target, std::string_view label) -> std::uint64_t
@@ -78,13 +81,20 @@
     {
         this->accepted = head.status == 200;
     }
-    auto on_response_body(std::string bytes) -> void override { this->body.append(bytes); }
+    auto on_response_body(std::string bytes) -> void override
+    {
+        if (!this->body.append(bytes))
+        {
+            const auto self = std::exchange(this->owner.fetch, nullptr);
+            this->connection->abandon();
+        }
+    }
     auto on_response_end() -> void override
     {
         const auto self = std::exchange(this->owner.fetch, nullptr);
         if (this->accepted)
         {
-            this->owner.on_batch(this->body);
+            this->owner.on_batch(this->body.take());
         }
     }
     auto on_response_failed(http::transport_failure) -> void override
@@ -95,7 +105,7 @@
     peer_link& owner;
     boost::asio::steady_timer timer;
     std::shared_ptr<http::upstream_connection> connection;
-    std::string body;
+    http::limited_body body{max_batch_bytes};
     bool accepted = false;
 };
 
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet/keyed_mirror.hpp"
 #include "platform/host_directory.hpp"
 #include "platform/topic_follower.hpp"
+#include "scripted_peers.hpp"
 #include "store_stand_in.hpp"
 
 #include <catch2/catch.hpp>
@@ -210,3 +211,37 @@
     CHECK(seen_by_second ==
           std::vector<boost::asio::ip::address_v4>{first_address, second_address});
 }
+
+TEST_CASE("a response of the store without end fails its call and is not held in memory")
+{
+    std::atomic<std::size_t> bytes_sent{0};
+    scripted_server endless(
+        [&](peer_connection& peer)
+        {
+            static_cast<void>(peer.read_request());
+            const std::string bytes(65'536, 'x');
+            std::string part;
+            http::append_chunk(part, bytes);
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (peer.send(part))
+            {
+                bytes_sent += bytes.size();
+            }
+        });
+    boost::asio::io_context io{1};
+    store_connection connection(io, endless.address());
+    std::optional<bool> has_response;
+    connection.call("GET", "/x", "", 10s,
+                    [&](const std::optional<store_response>& response)
+                    { has_response = response.has_value(); });
+    // A page of records has at most 1 MiB; this leaves room for its encoding and the sockets.
+    constexpr std::size_t max_bytes = 32U << 20U;
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!has_response && bytes_sent < max_bytes && std::chrono::steady_clock::now() < end)
+    {
+        io.run_for(10ms);
+        io.restart();
+    }
+    CHECK(has_response == false);
+    CHECK(bytes_sent < max_bytes);
+}
