An engine's end with many prompt parts is taken in without walks over all cases

For each part beyond the 512 that are kept, all of them were ranked to drop one, with a copy of the marks of each; and each interruption compared all cases with all.

Fix: 64 cases are dropped in one walk; cases with fewer marks than are needed are not looked at; suspects are judged in the order of their rank until one is found, and the comparison with deeper parts comes last. The order no longer depends on the hash map.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -131,6 +131,13 @@
                        [](const crash_mark& mark) { return !mark.is_refuted; });
 }
 
+auto part_evidence::count_open_marks() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(this->marks.begin(), this->marks.end(),
+                                                  [](const crash_mark& mark)
+                                                  { return !mark.is_refuted; }));
+}
+
 auto part_evidence::open_marks() const -> std::vector<crash_mark>
 {
     std::vector<crash_mark> open;
--- a/src/quarantine/part_evidence.hpp
+++ b/src/quarantine/part_evidence.hpp
@@ -57,6 +57,7 @@
         return this->level > 0 && this->has_open_marks();
     }
     [[nodiscard]] auto open_marks() const -> std::vector<crash_mark>;
+    [[nodiscard]] auto count_open_marks() const -> std::size_t;
     /// True if this request at this upstream has left an open mark.
     [[nodiscard]] auto is_open_here(const crash_mark& mark) const -> bool;
 
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -45,6 +46,7 @@
 constexpr duration open_case_lifetime = 600s;
 constexpr duration refuted_case_lifetime = 30s;
 constexpr std::size_t max_cases = 512;
+constexpr std::size_t cases_dropped_at_once = 64;
 constexpr std::size_t max_upstreams_noted = 128;
 constexpr std::size_t max_harmless_parts = 4096;
 
@@ -138,23 +140,23 @@
 
 auto prompt_quarantine::drop_least_suspect() -> bool
 {
-    const auto rank = [](const part_case& it)
-    { return std::pair(it.evidence.open_marks().size(), it.changed_at); };
-    auto least = this->cases.end();
-    for (auto item = this->cases.begin(); item != this->cases.end(); ++item)
+    using ranked_part = std::tuple<std::size_t, time_point, prompt_part_id>;
+    std::vector<ranked_part> parts;
+    parts.reserve(this->cases.size());
+    for (const auto& [part, it] : this->cases)
     {
-        if (!item->second.evidence.is_quarantined() &&
-            (least == this->cases.end() || rank(item->second) < rank(least->second)))
+        if (!it.evidence.is_quarantined())
         {
-            least = item;
+            parts.emplace_back(it.evidence.count_open_marks(), it.changed_at, part);
         }
     }
-    if (least == this->cases.end())
-    {
-        return false;
-    }
-    this->cases.erase(least);
-    return true;
+    // Several at a time: a walk over all cases for each part of an interrupted prompt takes long.
+    const auto dropped =
+        parts.begin() + static_cast<std::ptrdiff_t>(std::min(parts.size(), cases_dropped_at_once));
+    std::nth_element(parts.begin(), dropped, parts.end());
+    std::for_each(parts.begin(), dropped,
+                  [&](const ranked_part& it) { this->cases.erase(std::get<2>(it)); });
+    return dropped != parts.begin();
 }
 
 auto prompt_quarantine::on_changed(part_case& changed, time_point now) -> void
@@ -375,6 +377,10 @@
 
 auto prompt_quarantine::is_beyond_chance(const part_case& suspect, time_point now) -> bool
 {
+    if (suspect.evidence.marks.size() < min_upstreams)
+    {
+        return false;
+    }
     auto marks = suspect.evidence.open_marks();
     std::erase_if(marks, [&](const crash_mark& mark)
                   { return this->is_explained(suspect.evidence, mark.upstream); });
@@ -384,7 +390,7 @@
     {
         return false;
     }
-    if (now - suspect.opened_at < this->settling_time || this->has_deeper_rival(suspect))
+    if (now - suspect.opened_at < this->settling_time)
     {
         return false;
     }
@@ -394,26 +400,27 @@
         return false;
     }
     return std::pow(this->chance_of_interruption(suspect.evidence, now),
-                    static_cast<double>(summary.marks)) <= max_chance;
+                    static_cast<double>(summary.marks)) <= max_chance &&
+           !this->has_deeper_rival(suspect);
 }
 
 auto prompt_quarantine::find_most_suspect(time_point now) -> part_case*
 {
-    const auto rank = [](const part_case& suspect)
-    {
-        return std::tuple(!suspect.evidence.was_harmless, suspect.evidence.open_marks().size(),
-                          suspect.evidence.depth);
-    };
-    part_case* most = nullptr;
+    using ranked_case = std::tuple<bool, std::size_t, std::size_t, prompt_part_id, part_case*>;
+    std::vector<ranked_case> ranked;
     for (auto& [part, suspect] : this->cases)
     {
-        if (!suspect.evidence.is_quarantined() && this->is_beyond_chance(suspect, now) &&
-            (most == nullptr || rank(suspect) > rank(*most)))
+        if (!suspect.evidence.is_quarantined() && suspect.evidence.marks.size() >= min_upstreams)
         {
-            most = &suspect;
+            ranked.emplace_back(!suspect.evidence.was_harmless, suspect.evidence.count_open_marks(),
+                                suspect.evidence.depth, part, &suspect);
         }
     }
-    return most;
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    const auto found = std::find_if(ranked.begin(), ranked.end(),
+                                    [&](const ranked_case& it)
+                                    { return this->is_beyond_chance(*std::get<4>(it), now); });
+    return found == ranked.end() ? nullptr : std::get<4>(*found);
 }
 
 auto prompt_quarantine::evaluate(time_point now) -> void
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -102,7 +102,7 @@
     using case_map = absl::flat_hash_map<routing::prompt_part_id, part_case>;
 
     auto find_or_open(routing::prompt_part_id part, time_point now) -> part_case*;
-    /// Makes room for a new case; false if all parts are in quarantine.
+    /// Makes room for new cases; false if all parts are in quarantine.
     auto drop_least_suspect() -> bool;
     auto on_changed(part_case& changed, time_point now) -> void;
     static auto note_upstream(part_case& suspect, upstream_instance upstream) -> void;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/prompt_quarantine.hpp"
 
+#include "thread_cpu_time.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -477,3 +479,39 @@
     CHECK(host.is_refused({fatal}));
     CHECK_FALSE(host.is_refused({common}));
 }
+
+TEST_CASE("the end of an engine that ran many prompts of many parts is taken in within the lag "
+          "that callers accept")
+{
+    // Guards against a walk over all known parts for each part of each interrupted request.
+    one_host host;
+    const auto are_parts_shared = GENERATE(false, true);
+    constexpr std::uint64_t requests = 64;
+    constexpr std::uint64_t parts_each = 700;
+    for (std::uint32_t upstream = 1; upstream <= 4; ++upstream)
+    {
+        std::vector<part_list> prompts;
+        for (std::uint64_t request = 0; request < requests; ++request)
+        {
+            part_list parts;
+            for (std::uint64_t number = 0; number < parts_each; ++number)
+            {
+                const auto id = are_parts_shared ? number : request * parts_each + number;
+                parts.push_back({id, 10, routing::prompt_part_id(10'000 + id)});
+            }
+            prompts.push_back(std::move(parts));
+        }
+        const auto take_in = [&]
+        {
+            for (std::uint32_t request = 0; request < requests; ++request)
+            {
+                host.decisions.on_interrupted(prompts[request], upstream_instance(upstream),
+                                              request_key(1000 * upstream + request), host.now);
+            }
+        };
+        CAPTURE(upstream, are_parts_shared);
+        CHECK(tests::cpu_time_of(take_in) <= tests::max_time_for_one_read);
+        host.pass(300ms);
+        host.answer({common, 500U});
+    }
+}
