Copies of the evidence on a prompt part agree when they are full, too

Cause: a copy keeps 12 marks. The router whose trial was interrupted dropped its oldest mark for the new one; full copies refused that mark, and then the longer quarantine, since it "stands only on marks" that they hold.

Fix: all copies keep the same 12 marks, by a hash of upstream and request, whatever the order in which they come; a decision stands unless one of its marks is known as refuted; a refuted mark that comes open is kept as the newest refuted one; refutations are merged first.

--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -268,7 +268,8 @@
     evidence.quarantined_until = now + in_ms(left_ms, -max_age_ms);
     for (const auto& [upstream, request, age_ms, is_refuted] : marks)
     {
-        if (evidence.marks.size() < quarantine::part_evidence::max_marks)
+        // The open ones and the newest refuted one.
+        if (evidence.marks.size() <= quarantine::part_evidence::max_marks)
         {
             evidence.marks.push_back({quarantine::upstream_instance(upstream),
                                       quarantine::request_key(request), now - in_ms(age_ms, 0),
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/part_evidence.hpp"
 
+#include "poplardrift/base/ids.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -15,6 +17,12 @@
     return left.upstream == right.upstream && left.request == right.request;
 }
 
+/// An order of marks that is the same at all hosts.
+auto rank_of(const crash_mark& mark) -> std::uint64_t
+{
+    return hash_pair_64(mark.upstream.value(), mark.request.value());
+}
+
 } // namespace
 
 auto part_evidence::add(crash_mark mark) -> bool
@@ -44,18 +52,35 @@
     }
     if (mark.at <= this->harmless_until)
     {
-        return false;
+        // Kept as the newest refuted one, if it is, so that the copy it came from learns of it.
+        mark.is_refuted = true;
+        this->marks.push_back(mark);
+        this->apply_refutation();
+        return std::any_of(this->marks.begin(), this->marks.end(),
+                           [&](const crash_mark& kept) { return is_same(kept, mark); });
     }
-    if (this->marks.size() >= max_marks)
+    this->marks.push_back(mark);
+    const auto dropped = this->drop_excess();
+    return !dropped || !is_same(*dropped, mark);
+}
+
+auto part_evidence::drop_excess() -> std::optional<crash_mark>
+{
+    if (this->count_open_marks() <= max_marks)
     {
-        if (!mark.is_own)
-        {
-            return false; // copies that drop different marks would never agree
-        }
-        this->marks.erase(this->marks.begin());
+        return std::nullopt;
     }
-    this->marks.push_back(mark);
-    return true;
+    // The same ones at all hosts, whatever the order in which they came: copies that drop different
+    // marks would never agree.
+    const auto highest = std::max_element(this->marks.begin(), this->marks.end(),
+                                          [](const crash_mark& left, const crash_mark& right)
+                                          {
+                                              return std::pair(!left.is_refuted, rank_of(left)) <
+                                                     std::pair(!right.is_refuted, rank_of(right));
+                                          });
+    const auto dropped = *highest;
+    this->marks.erase(highest);
+    return dropped;
 }
 
 auto part_evidence::is_open_here(const crash_mark& mark) const -> bool
@@ -68,9 +93,13 @@
 auto part_evidence::merge(const part_evidence& other) -> bool
 {
     auto changed = false;
-    for (const auto& mark : other.marks)
+    // Refutations first: a level does not outlast the marks that it was decided on.
+    for (const auto is_refuted : {true, false})
     {
-        changed = this->add(mark) || changed;
+        for (const auto& mark : other.marks)
+        {
+            changed = (mark.is_refuted == is_refuted && this->add(mark)) || changed;
+        }
     }
     if (other.depth > this->depth)
     {
@@ -82,11 +111,14 @@
         this->was_harmless = true;
         changed = true;
     }
-    // The decision stands only on marks that this copy does not know as refuted.
+    // The decision stands only on marks that this copy does not know as refuted. It need not hold
+    // them: a copy that is full has others.
     const auto stands = other.is_quarantined() &&
                         std::all_of(other.marks.begin(), other.marks.end(),
-                                    [&](const crash_mark& mark)
-                                    { return mark.is_refuted || this->is_open_here(mark); });
+                                    [&](const crash_mark& mark) {
+                                        return mark.is_refuted || this->is_open_here(mark) ||
+                                               mark.at > this->harmless_until;
+                                    });
     if (stands && other.level > this->level)
     {
         this->level = other.level;
--- a/src/quarantine/part_evidence.hpp
+++ b/src/quarantine/part_evidence.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace poplardrift::quarantine
@@ -13,7 +14,9 @@
 
 /// Identifies one start of an upstream: a hash of its name and start number.
 using upstream_instance = strong_type<struct upstream_instance_tag, std::uint32_t>;
-/// Identifies a request: a hash of the caller's id for this attempt.
+/// Identifies a request: in the evidence on a shared part, a hash of its whole prompt, the same
+/// whenever its caller repeats it; in the evidence on a whole request, and without a prompt of its
+/// own, a hash of the caller's id for this attempt.
 using request_key = strong_type<struct request_key_tag, std::uint32_t>;
 
 /// An upstream ended while a request with the part waited there for the first output.
@@ -61,9 +64,18 @@
     /// True if this request at this upstream has left an open mark.
     [[nodiscard]] auto is_open_here(const crash_mark& mark) const -> bool;
 
+    /// True for the evidence on one request as a whole, which is the same work whenever its caller
+    /// repeats it, and not on a part that several requests share.
+    [[nodiscard]] auto is_on_request() const -> bool { return this->depth == request_depth; }
+
+    /// Most open marks.
     static constexpr std::size_t max_marks = 12;
+    /// Depth of a whole request, deeper than any part.
+    static constexpr std::size_t request_depth = 65'536;
 
 private:
+    /// Drops one open mark if there are too many, and returns it.
+    auto drop_excess() -> std::optional<crash_mark>;
     /// Refutes marks up to harmless_until and drops the refuted ones but the newest.
     auto apply_refutation() -> void;
 };
