A request that has ended three engines is refused at all hosts

Beside it a part that sound requests share was quarantined for a minute.

Cause: marks were kept for the parts that prompts share only, so nothing was held against the request itself, and what it did counted against its parts. The log could not tell one request from another; a trial with a fingerprint of the whole prompt in send-interrupted showed eight interrupted sends of one prompt under four ids.

Fix: the whole prompt, which is the same when the caller repeats the request, is judged like a part that no other request has, with a looser bound on chance (0.05), since an error costs one caller. Attempts of one request count once against the parts that it shares, and the ends that it explains do not count against them. send-interrupted has the fingerprint. A failed trial lengthens the quarantine also when its mark isn't kept. The verdict has a file of its own.

Before, "a request that crashes engines and is repeated by its caller ends three of them at most" (sockets) failed with all 12 engines ended. Of the tests of decisions ("a request that has ended three engines ...", "a request is refused when ...", "hosts whose copies ...") the first two need the new interface, and none was run on the old code.

--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "quarantine/harmless_parts.hpp"
+#include "quarantine/mark_summary.hpp"
 #include "quarantine/part_evidence.hpp"
 #include "routing/host_group.hpp"
 #include "routing/sliding_counter.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +40,9 @@
     duration retry_after{};
 };
 
+/// Length of a quarantine of this level; level 1 is the first one.
+[[nodiscard]] auto quarantine_time(int level) -> duration;
+
 /// Keeps requests that end the process of each engine that runs them away from the engines.
 ///
 /// An engine's end interrupts all requests that it runs, and the connection does not say which of
@@ -47,6 +52,9 @@
 /// quarantined: requests with it are refused, at all hosts, since the evidence is exchanged between
 /// them.
 ///
+/// A request as a whole is judged like a part that no other request has, so that repeats by its
+/// caller, at any host, are refused once it has ended several engines.
+///
 /// After a time that doubles with each quarantine, one request at one host at a time may try; if it
 /// begins well the part is released.
 ///
@@ -61,24 +69,23 @@
     auto set_settling_time(duration time) -> void { this->settling_time = time; }
     /// The connection to `upstream` ended before the request had any output that proves it
     /// harmless.
-    auto on_interrupted(std::span<const routing::prompt_part> shared_parts,
-                        upstream_instance upstream, request_key request, time_point now) -> void;
+    auto on_interrupted(const routing::judged_prompt& prompt, upstream_instance upstream,
+                        request_key request, time_point now) -> void;
     /// An answer has begun at `began_at` and has proved its prompt harmless by `now`.
-    auto on_harmless(std::span<const routing::prompt_part> shared_parts, time_point began_at,
-                     time_point now) -> void;
+    auto on_harmless(const routing::judged_prompt& prompt, time_point began_at, time_point now)
+        -> void;
     /// Takes in what another host, or the platform's store, knows.
     auto merge(const std::vector<part_evidence>& evidence, time_point now) -> void;
 
     /// Why a request with these parts may not be sent; empty if it may.
-    [[nodiscard]] auto find_refusal(std::span<const routing::prompt_part> shared_parts,
-                                    time_point now) const -> std::optional<quarantine_refusal>;
-    /// As find_refusal, but admits this host's trial request when one is due.
-    [[nodiscard]] auto admit(std::span<const routing::prompt_part> shared_parts,
-                             const routing::host_group& hosts, time_point now)
+    [[nodiscard]] auto find_refusal(const routing::judged_prompt& prompt, time_point now) const
         -> std::optional<quarantine_refusal>;
+    /// As find_refusal, but admits this host's trial request when one is due.
+    [[nodiscard]] auto admit(const routing::judged_prompt& prompt, const routing::host_group& hosts,
+                             time_point now) -> std::optional<quarantine_refusal>;
     /// True if one of the parts may have ended several engines, so that a request that was
     /// interrupted should not be sent to another one.
-    [[nodiscard]] auto is_suspect(std::span<const routing::prompt_part> shared_parts) const -> bool;
+    [[nodiscard]] auto is_suspect(const routing::judged_prompt& prompt) const -> bool;
 
     /// Evidence for the other hosts: on parts with changes within the last seconds, those most
     /// suspect first, and then on the others in quarantine.
@@ -89,6 +96,9 @@
     auto forget_old(time_point now) -> void;
 
 private:
+    /// Interval over which the usual share of interrupted requests is taken.
+    static constexpr duration chance_window = std::chrono::seconds(10);
+
     struct part_case
     {
         part_evidence evidence;
@@ -96,35 +106,55 @@
         time_point changed_at{};
         /// Upstreams that ended, the first ones, including those of marks that were dropped.
         std::vector<upstream_instance> upstreams;
+        /// This host's interrupted requests with the part.
+        routing::sliding_counter interrupted{chance_window};
         /// Level of the quarantine and number of the trial period in which this host sent one.
         std::pair<int, std::uint64_t> last_trial;
     };
     using case_map = absl::flat_hash_map<routing::prompt_part_id, part_case>;
 
     auto find_or_open(routing::prompt_part_id part, time_point now) -> part_case*;
+    auto add_mark(routing::prompt_part_id part, std::size_t depth, const crash_mark& mark) -> void;
+    auto refute(routing::prompt_part_id part, time_point began_at, time_point now) -> void;
     /// Makes room for new cases; false if all parts are in quarantine.
     auto drop_least_suspect() -> bool;
     auto on_changed(part_case& changed, time_point now) -> void;
+    /// Calls `visit` with the evidence on each part of the prompt, and on the whole, that is in
+    /// quarantine.
+    template <class Visitor>
+    auto for_each_quarantined(const routing::judged_prompt& prompt, const Visitor& visit) const
+        -> void;
+    /// True if this host is the one to try a request with the part now.
+    [[nodiscard]] auto is_trial_due(const part_evidence& evidence, const routing::host_group& hosts,
+                                    time_point now) const -> bool;
     static auto note_upstream(part_case& suspect, upstream_instance upstream) -> void;
     auto evaluate(time_point now) -> void;
     [[nodiscard]] auto find_most_suspect(time_point now) -> part_case*;
-    [[nodiscard]] auto is_beyond_chance(const part_case& suspect, time_point now) -> bool;
+    /// Open marks that no part in quarantine explains; empty if they are too few, or too new, to
+    /// judge the part.
+    [[nodiscard]] auto judgeable_marks(const part_case& suspect, time_point now) const
+        -> std::optional<mark_summary>;
+    [[nodiscard]] auto is_beyond_chance(part_case& suspect, time_point now) -> bool;
     /// True if a deeper part that may be the cause has most of the suspect's marks. It is in fewer
     /// other prompts, so it is judged first.
     [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
-    /// True if a part in quarantine was at this upstream's end, which explains it.
-    [[nodiscard]] auto is_explained(const part_evidence& evidence, upstream_instance upstream) const
-        -> bool;
-    /// Releases parts whose marks another part in quarantine explains better.
+    /// Notes the ends of upstreams at which something in quarantine was, which explains them.
+    auto update_explained() -> void;
+    /// True if another part in quarantine was at all ends at which the suspect was, and at more.
+    [[nodiscard]] auto is_explained_by_part(const part_case& suspect) const -> bool;
+    /// True if requests in quarantine were at all ends at which the suspect was.
+    [[nodiscard]] auto is_explained_by_requests(const part_case& suspect) const -> bool;
+    /// Releases parts whose marks something else in quarantine explains better.
     auto release_explained(time_point now) -> void;
-    auto quarantine(part_case& found, time_point now) -> void;
+    auto quarantine(part_case& found, duration time, time_point now) -> void;
     /// Usual share of requests that are interrupted without the part being the cause.
-    [[nodiscard]] auto chance_of_interruption(const part_evidence& without, time_point now)
-        -> double;
+    [[nodiscard]] auto chance_of_interruption(part_case& without, time_point now) -> double;
 
     quarantine_listener& listener;
     case_map cases;
     harmless_parts harmless;
+    absl::flat_hash_set<upstream_instance> explained_by_part;
+    absl::flat_hash_set<upstream_instance> explained_by_request;
     duration settling_time = std::chrono::milliseconds(300);
     routing::sliding_counter interrupted;
     routing::sliding_counter begun;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -65,17 +65,32 @@
     auto pass(duration time) -> void { this->now += time; }
     auto answer(std::initializer_list<std::uint64_t> ids) -> void
     {
-        this->decisions.on_harmless(parts_of(ids), this->now, this->now);
+        this->decisions.on_harmless({parts_of(ids), std::nullopt}, this->now, this->now);
     }
     auto interrupt(std::initializer_list<std::uint64_t> ids, std::uint32_t upstream,
                    std::uint32_t request) -> void
     {
-        this->decisions.on_interrupted(parts_of(ids), upstream_instance(upstream),
+        this->decisions.on_interrupted({parts_of(ids), std::nullopt}, upstream_instance(upstream),
                                        request_key(request), this->now);
     }
+    /// The same for a request that its caller may repeat.
+    auto interrupt_request(std::initializer_list<std::uint64_t> ids, std::uint64_t whole,
+                           std::uint32_t upstream) -> void
+    {
+        this->decisions.on_interrupted({parts_of(ids), routing::prompt_part_id(whole)},
+                                       upstream_instance(upstream), request_key(++this->attempts),
+                                       this->now);
+    }
+    [[nodiscard]] auto is_request_refused(std::initializer_list<std::uint64_t> ids,
+                                          std::uint64_t whole) const -> bool
+    {
+        return this->decisions
+            .find_refusal({parts_of(ids), routing::prompt_part_id(whole)}, this->now)
+            .has_value();
+    }
     [[nodiscard]] auto is_refused(std::initializer_list<std::uint64_t> ids) const -> bool
     {
-        return this->decisions.find_refusal(parts_of(ids), this->now).has_value();
+        return this->decisions.find_refusal({parts_of(ids), std::nullopt}, this->now).has_value();
     }
     auto merge_from(const one_host& other) -> void
     {
@@ -93,6 +108,7 @@
     }
 
     time_point now{1000s};
+    std::uint32_t attempts = 1'000'000;
     recorded_decisions recorded;
     prompt_quarantine decisions{this->recorded};
 };
@@ -230,17 +246,17 @@
     host.quarantine_fatal_part();
     const auto parts = parts_of({common, session, fatal});
     host.pass(59s);
-    CHECK(host.decisions.admit(parts, single_host, host.now));
+    CHECK(host.decisions.admit({parts, std::nullopt}, single_host, host.now));
     host.pass(2s);
-    CHECK_FALSE(host.decisions.admit(parts, single_host, host.now));
-    CHECK(host.decisions.admit(parts, single_host, host.now)); // one only
+    CHECK_FALSE(host.decisions.admit({parts, std::nullopt}, single_host, host.now));
+    CHECK(host.decisions.admit({parts, std::nullopt}, single_host, host.now)); // one only
     SECTION("interrupted: twice as long")
     {
         host.interrupt({common, session, fatal}, 9, 9);
         host.pass(100s);
-        CHECK(host.decisions.admit(parts, single_host, host.now));
+        CHECK(host.decisions.admit({parts, std::nullopt}, single_host, host.now));
         host.pass(25s);
-        CHECK_FALSE(host.decisions.admit(parts, single_host, host.now));
+        CHECK_FALSE(host.decisions.admit({parts, std::nullopt}, single_host, host.now));
     }
     SECTION("answered: released")
     {
@@ -271,7 +287,8 @@
                 group.others.push_back(routing::host_key(peer));
             }
         }
-        admitted += other.decisions.admit(parts_of({fatal}), group, host.now) ? 0 : 1;
+        admitted +=
+            other.decisions.admit({parts_of({fatal}), std::nullopt}, group, host.now) ? 0 : 1;
     }
     CHECK(admitted == 1);
 }
@@ -480,6 +497,77 @@
     CHECK_FALSE(host.is_refused({common}));
 }
 
+TEST_CASE("hosts whose copies of the evidence are full take over a longer quarantine")
+{
+    // Guards against each host trying a part in quarantine anew.
+    one_host first;
+    one_host second;
+    for (std::uint32_t number = 1; number <= 20; ++number)
+    {
+        first.interrupt({common, fatal}, number, number);
+        second.interrupt({common, fatal}, 100 + number, 100 + number);
+        for (auto* const host : {&first, &second})
+        {
+            host->pass(50ms);
+            host->answer({common, 500U + number});
+        }
+    }
+    first.merge_from(second);
+    second.merge_from(first);
+    REQUIRE(first.is_refused({fatal}));
+    REQUIRE(second.is_refused({fatal}));
+    first.pass(62s);
+    second.pass(62s);
+    first.interrupt({common, fatal}, 900, 900); // a trial request
+    second.merge_from(first);
+    second.pass(100s);
+    CHECK(second.decisions.admit({parts_of({fatal}), std::nullopt}, single_host, second.now));
+}
+
+TEST_CASE("a request that has ended three engines is refused at each host, what it shares is not")
+{
+    one_host first;
+    one_host second;
+    constexpr std::uint64_t whole = 77;
+    first.answer({common, session});
+    first.interrupt_request({common, session}, whole, 1);
+    first.interrupt_request({common, session}, 81, 1); // sound, beside it
+    first.pass(200ms);
+    first.interrupt_request({common, session}, whole, 2);
+    first.interrupt_request({common, session}, 82, 2);
+    second.pass(200ms);
+    second.merge_from(first);
+    second.pass(300ms);
+    second.interrupt_request({common, session}, whole, 3); // the caller's repeat
+    second.interrupt_request({common, session}, 83, 3);
+    CHECK(second.is_request_refused({common, session}, whole));
+    CHECK_FALSE(second.is_request_refused({common, session}, 81));
+    first.pass(300ms);
+    first.merge_from(second);
+    CHECK(first.is_request_refused({common, session}, whole));
+    CHECK_FALSE(first.is_request_refused({common, session}, 81));
+}
+
+TEST_CASE("a request is refused when it has ended three engines, though many beside it are "
+          "interrupted")
+{
+    one_host host;
+    constexpr std::uint64_t whole = 77;
+    host.answer({common, session});
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream)
+    {
+        host.interrupt_request({common, session}, whole, upstream);
+        for (std::uint64_t beside = 0; beside < 8; ++beside)
+        {
+            host.interrupt_request({common, session}, 100 * upstream + beside, upstream);
+        }
+        host.pass(600ms);
+    }
+    host.interrupt_request({common, session}, 500, 3);
+    CHECK(host.is_request_refused({common, session}, whole));
+    CHECK_FALSE(host.is_request_refused({common, session}, 101));
+}
+
 TEST_CASE("the end of an engine that ran many prompts of many parts is taken in within the lag "
           "that callers accept")
 {
@@ -505,7 +593,8 @@
         {
             for (std::uint32_t request = 0; request < requests; ++request)
             {
-                host.decisions.on_interrupted(prompts[request], upstream_instance(upstream),
+                host.decisions.on_interrupted({prompts[request], std::nullopt},
+                                              upstream_instance(upstream),
                                               request_key(1000 * upstream + request), host.now);
             }
         };
--- /dev/null
+++ b/src/quarantine/prompt_verdict.cpp
@@ -0,0 +1,203 @@
+// When a part counts as the cause of the ends of upstreams.
+
+#include "quarantine/mark_summary.hpp"
+#include "quarantine/prompt_quarantine.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace poplardrift::quarantine
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using routing::prompt_part_id;
+
+/// Upstreams that must have ended, requests that must have been there, and episodes. A single
+/// request may be interrupted at several upstreams by chance, as may several requests at one.
+constexpr std::size_t min_upstreams = 3;
+constexpr std::size_t min_requests = 2;
+constexpr std::size_t min_episodes = 2;
+/// A part that has been harmless before may still be the cause, for example after an upgrade of the
+/// engines. It takes more, since in this time its other requests refute the marks if it is not.
+constexpr duration min_span_of_harmless_part = 1s;
+constexpr std::size_t min_marks_of_harmless_part = 5;
+/// Highest probability at which the marks count as chance.
+constexpr double max_chance = 1e-3;
+/// The same for a request as a whole: an error costs one caller, not all that share a part.
+constexpr double max_chance_of_request = 0.05;
+
+} // namespace
+
+auto prompt_quarantine::chance_of_interruption(part_case& without, time_point now) -> double
+{
+    const auto lost = std::max(0.0, static_cast<double>(this->interrupted.total(now)) -
+                                        static_cast<double>(without.interrupted.total(now)));
+    const auto begun_well = static_cast<double>(this->begun.total(now));
+    // With few samples the chance is taken as high (rule of succession).
+    return (lost + 1.0) / (lost + begun_well + 2.0);
+}
+
+auto prompt_quarantine::update_explained() -> void
+{
+    this->explained_by_part.clear();
+    this->explained_by_request.clear();
+    for (const auto part : this->quarantined)
+    {
+        const auto& cause = this->cases.at(part);
+        auto& explained =
+            cause.evidence.is_on_request() ? this->explained_by_request : this->explained_by_part;
+        explained.insert(cause.upstreams.begin(), cause.upstreams.end());
+    }
+}
+
+auto prompt_quarantine::has_deeper_rival(const part_case& suspect) const -> bool
+{
+    const auto marks = suspect.evidence.open_marks();
+    return std::any_of(
+        this->cases.begin(), this->cases.end(),
+        [&](const auto& item)
+        {
+            const auto& rival = item.second.evidence;
+            if (rival.depth <= suspect.evidence.depth || rival.is_quarantined() ||
+                (rival.was_harmless && !suspect.evidence.was_harmless))
+            {
+                return false;
+            }
+            const auto common =
+                std::count_if(marks.begin(), marks.end(),
+                              [&](const crash_mark& mark) { return rival.is_open_here(mark); });
+            // Each request has all marks of its own; it is a rival once it could be the cause.
+            const auto is_possible =
+                !rival.is_on_request() || common >= static_cast<std::ptrdiff_t>(min_upstreams);
+            return is_possible && 3 * common >= 2 * static_cast<std::ptrdiff_t>(marks.size());
+        });
+}
+
+auto prompt_quarantine::judgeable_marks(const part_case& suspect, time_point now) const
+    -> std::optional<mark_summary>
+{
+    const auto& evidence = suspect.evidence;
+    if (evidence.marks.size() < min_upstreams)
+    {
+        return std::nullopt;
+    }
+    auto marks = evidence.open_marks();
+    std::erase_if(marks, [&](const crash_mark& mark)
+                  { return this->explained_by_part.contains(mark.upstream); });
+    auto unexplained = marks;
+    std::erase_if(unexplained, [&](const crash_mark& mark)
+                  { return this->explained_by_request.contains(mark.upstream); });
+    // A request in quarantine may have ended its upstreams by a part that others have, too. Only a
+    // part that has never been harmless is suspected of that, and only after a further end.
+    if (evidence.was_harmless || unexplained.empty())
+    {
+        marks = std::move(unexplained);
+    }
+    const auto summary = summarize(std::move(marks));
+    // An upstream that the registry has not yet shown as restarted may end under a request twice.
+    const auto ends = evidence.is_on_request() ? summary.marks : summary.upstreams;
+    const auto is_enough = ends >= min_upstreams && summary.requests >= min_requests &&
+                           summary.episodes >= min_episodes;
+    const auto is_too_soon =
+        now - suspect.opened_at < this->settling_time ||
+        (evidence.was_harmless &&
+         (summary.span < min_span_of_harmless_part || summary.marks < min_marks_of_harmless_part));
+    return is_enough && !is_too_soon ? std::optional(summary) : std::nullopt;
+}
+
+auto prompt_quarantine::is_beyond_chance(part_case& suspect, time_point now) -> bool
+{
+    const auto summary = this->judgeable_marks(suspect, now);
+    const auto limit = suspect.evidence.is_on_request() ? max_chance_of_request : max_chance;
+    return summary &&
+           std::pow(this->chance_of_interruption(suspect, now),
+                    static_cast<double>(summary->marks)) <= limit &&
+           !this->has_deeper_rival(suspect);
+}
+
+auto prompt_quarantine::find_most_suspect(time_point now) -> part_case*
+{
+    using ranked_case = std::tuple<bool, std::size_t, std::size_t, prompt_part_id, part_case*>;
+    std::vector<ranked_case> ranked;
+    for (auto& [part, suspect] : this->cases)
+    {
+        if (!suspect.evidence.is_quarantined() && suspect.evidence.marks.size() >= min_upstreams)
+        {
+            ranked.emplace_back(!suspect.evidence.was_harmless, suspect.evidence.count_open_marks(),
+                                suspect.evidence.depth, part, &suspect);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    const auto found =
+        std::find_if(ranked.begin(), ranked.end(),
+                     [&](const ranked_case& it)
+                     { return this->is_beyond_chance(*std::get<part_case*>(it), now); });
+    return found == ranked.end() ? nullptr : std::get<part_case*>(*found);
+}
+
+auto prompt_quarantine::evaluate(time_point now) -> void
+{
+    this->update_explained();
+    // One at a time: a part in quarantine explains the marks of those that were with it.
+    while (auto* const found = this->find_most_suspect(now))
+    {
+        this->quarantine(*found, quarantine_time(found->evidence.level + 1), now);
+        this->update_explained();
+    }
+    this->release_explained(now);
+}
+
+auto prompt_quarantine::is_explained_by_part(const part_case& suspect) const -> bool
+{
+    const auto rank_of = [](const part_case& it)
+    { return std::pair(it.upstreams.size(), it.evidence.depth); };
+    const auto marks = suspect.evidence.open_marks();
+    return std::any_of(this->quarantined.begin(), this->quarantined.end(),
+                       [&](prompt_part_id part)
+                       {
+                           const auto& other = this->cases.at(part);
+                           const auto& noted = other.upstreams;
+                           return part != suspect.evidence.part &&
+                                  !other.evidence.is_on_request() &&
+                                  rank_of(other) > rank_of(suspect) &&
+                                  std::all_of(marks.begin(), marks.end(),
+                                              [&](const crash_mark& mark) {
+                                                  return std::find(noted.begin(), noted.end(),
+                                                                   mark.upstream) != noted.end();
+                                              });
+                       });
+}
+
+auto prompt_quarantine::is_explained_by_requests(const part_case& suspect) const -> bool
+{
+    const auto marks = suspect.evidence.open_marks();
+    return std::all_of(marks.begin(), marks.end(),
+                       [&](const crash_mark& mark)
+                       { return this->explained_by_request.contains(mark.upstream); });
+}
+
+auto prompt_quarantine::release_explained(time_point now) -> void
+{
+    this->update_explained();
+    const auto candidates = this->quarantined;
+    for (const auto candidate : candidates)
+    {
+        auto& suspect = this->cases.at(candidate);
+        // A request stays: refusing it costs one caller, and the part may be the wrong one.
+        if (!suspect.evidence.is_on_request() &&
+            (this->is_explained_by_part(suspect) || this->is_explained_by_requests(suspect)))
+        {
+            suspect.evidence.refute(now);
+            this->on_changed(suspect, now);
+            this->listener.on_released(suspect.evidence, true);
+        }
+    }
+}
+
+} // namespace poplardrift::quarantine
--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -26,6 +27,14 @@
     prompt_part_id id;
 };
 
+/// What a prompt is judged by when an upstream has ended under it.
+struct judged_prompt
+{
+    std::span<const prompt_part> shared; ///< parts that other prompts have too, in prompt order
+    /// Identifies the whole prompt: the same when its caller repeats the request.
+    std::optional<prompt_part_id> whole;
+};
+
 /// Most parts by which a prompt is judged. The choice of an upstream takes time in proportion to
 /// the parts times the upstreams.
 inline constexpr std::size_t max_prompt_parts = 128;
@@ -42,6 +51,12 @@
     {
         return std::span(this->parts).first(this->parts.empty() ? 0 : this->parts.size() - 1);
     }
+    [[nodiscard]] auto judged() const -> judged_prompt
+    {
+        return {this->shared_parts(),
+                this->parts.empty() ? std::nullopt
+                                    : std::optional(prompt_part_id(this->parts.back().chain_hash))};
+    }
 };
 
 } // namespace poplardrift::routing
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -84,7 +84,7 @@
     }
     auto& prompts = this->service.get_quarantine();
     const auto now = boot_clock_now();
-    const auto parts = this->shared_parts();
+    const auto parts = this->judged_prompt();
     this->is_quarantine_trial = prompts.find_refusal(parts, now).has_value();
     if (this->refuse_quarantined(prompts.admit(parts, this->service.get_view().hosts, now)))
     {
@@ -353,7 +353,7 @@
     context.last = outcome;
     context.worst = this->worst_outcome;
     context.interruptions = this->interruptions;
-    context.is_suspect = this->service.get_quarantine().is_suspect(this->shared_parts());
+    context.is_suspect = this->service.get_quarantine().is_suspect(this->judged_prompt());
     context.time_left = overload::has_time_for_send(this->deadline - now) &&
                         this->connect_failures < max_connect_failures &&
                         (!this->head_committed || this->is_stream());
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -92,7 +92,7 @@
     auto mark_harmless(time_point began_at, time_point now) -> void;
     /// True, after the answer to the caller, if the prompt is in quarantine.
     auto refuse_quarantined(const std::optional<quarantine::quarantine_refusal>& refusal) -> bool;
-    [[nodiscard]] auto shared_parts() const -> std::span<const routing::prompt_part>;
+    [[nodiscard]] auto judged_prompt() const -> routing::judged_prompt;
 
     auto forward_events() -> void;
     auto forward_event(const sse_event& event) -> void;
--- a/src/traffic/exchange_interruption.cpp
+++ b/src/traffic/exchange_interruption.cpp
@@ -33,16 +33,16 @@
 
 } // namespace
 
-auto exchange::shared_parts() const -> std::span<const routing::prompt_part>
+auto exchange::judged_prompt() const -> routing::judged_prompt
 {
-    return this->metadata.prompt ? this->metadata.prompt->shared_parts()
-                                 : std::span<const routing::prompt_part>();
+    return this->metadata.prompt ? this->metadata.prompt->judged() : routing::judged_prompt{};
 }
 
 auto exchange::record_interruption(const char* reason, bool upstream_ended) -> void
 {
     const auto now = boot_clock_now();
     const auto& state = *this->upstream;
+    const auto prompt = this->judged_prompt();
     const auto output_age =
         this->events_received == 0 ? 0 : to_milliseconds(now - this->first_event_at);
     this->service.get_log().write(event_code::send_interrupted,
@@ -55,18 +55,25 @@
                                    {"sent_ms_ago", to_milliseconds(now - this->sent_at)},
                                    {"events", this->events_received},
                                    {"output_ms", output_age},
-                                   {"shared_parts", join(this->shared_parts())},
+                                   {"shared_parts", join(prompt.shared)},
+                                   {"prompt", prompt.whole ? to_text(*prompt.whole) : ""},
                                    {"in_flight", state.in_flight},
                                    {"in_flight_elsewhere", state.in_flight_elsewhere},
                                    {"restart_suspected", state.is_restart_suspected(now)}});
     this->service.count_interruption(this->target_service, this->events_received > 0);
-    if (!upstream_ended || !this->is_sent || this->is_proved_harmless || !this->metadata.prompt)
+    if (!upstream_ended || !this->is_sent || !this->metadata.prompt)
+    {
+        return;
+    }
+    auto& quarantine = this->service.get_quarantine();
+    const quarantine::upstream_instance instance(state.instance);
+    if (this->is_proved_harmless)
     {
         return;
     }
     ++this->interruptions;
-    this->service.get_quarantine().on_interrupted(
-        this->shared_parts(), quarantine::upstream_instance(state.instance),
+    quarantine.on_interrupted(
+        prompt, instance,
         quarantine::request_key(static_cast<std::uint32_t>(hash_bytes_64(this->metadata.id))), now);
 }
 
@@ -82,7 +89,7 @@
 {
     if (!std::exchange(this->is_proved_harmless, true) && this->metadata.prompt)
     {
-        this->service.get_quarantine().on_harmless(this->shared_parts(), began_at, now);
+        this->service.get_quarantine().on_harmless(this->judged_prompt(), began_at, now);
     }
 }
 
@@ -113,7 +120,7 @@
         return;
     }
     const auto refusal =
-        this->service.get_quarantine().find_refusal(this->shared_parts(), boot_clock_now());
+        this->service.get_quarantine().find_refusal(this->judged_prompt(), boot_clock_now());
     if (!refusal)
     {
         return;
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -36,7 +36,7 @@
     const auto now = boot_clock_now();
     if (!this->is_quarantine_trial &&
         this->refuse_quarantined(
-            this->service.get_quarantine().find_refusal(this->shared_parts(), now)))
+            this->service.get_quarantine().find_refusal(this->judged_prompt(), now)))
     {
         return;
     }
--- a/src/traffic/traffic_findings.cpp
+++ b/src/traffic/traffic_findings.cpp
@@ -93,9 +93,10 @@
                      {"level", evidence.level},
                      {"for_ms", to_milliseconds(evidence.quarantined_until - now)},
                      {"was_harmless", evidence.was_harmless},
+                     {"whole_request", evidence.is_on_request()},
                      {"marks", to_json(evidence.open_marks(), now)}});
     this->metrics.count_quarantine();
-    if (is_own)
+    if (is_own && !evidence.is_on_request())
     {
         this->mailbox.add_decided_part(evidence);
     }
@@ -115,7 +116,7 @@
 {
     this->log.write(event_code::prompt_part_released,
                     {{"part", to_text(evidence.part)}, {"own_decision", is_own}});
-    if (is_own)
+    if (is_own && !evidence.is_on_request())
     {
         this->mailbox.add_decided_part(evidence);
     }
--- a/tests/engine_crash_test.cpp
+++ b/tests/engine_crash_test.cpp
@@ -117,3 +117,29 @@
     CHECK(engines.sends_after_fifth_crash <= max_sends_after_fifth_crash);
     CHECK(sound_answers == rounds * 3);
 }
+
+TEST_CASE("a request that crashes engines and is repeated by its caller ends three of them at most")
+{
+    fragile_engines engines(12);
+    router host(engines.addresses(), with_engines);
+    int sound_answers = 0;
+    constexpr int repeats = 6;
+    for (int number = 0; number < repeats; ++number)
+    {
+        const auto id = std::to_string(number);
+        // The parts but the last are those of sound requests.
+        static_cast<void>(
+            send_chat(host, "fatal-" + id, shared_part + "," + session_part + "," + fatal_part));
+        for (int sound = 0; sound < 3; ++sound)
+        {
+            const auto sound_id = id + "-" + std::to_string(sound);
+            const auto response = send_chat(host, "sound-" + sound_id,
+                                            shared_part + "," + session_part + ",c" + id +
+                                                std::to_string(sound) + ":10");
+            sound_answers += response.is_complete && response.status == 200 ? 1 : 0;
+        }
+        std::this_thread::sleep_for(150ms);
+    }
+    CHECK(engines.crashes <= 3);
+    CHECK(sound_answers == repeats * 3);
+}
