A part that is at nearly all ends of engines is held, whatever its share of requests

Cause: a part is quarantined when its marks are beyond the usual share of interrupted requests. That share counted the part's own interruptions beyond the 12 that are kept and those of the sound requests that waited beside it, so the more engines the part ended, the less it was suspected. Ruled out: too few marks, or other parts judged first.

And a second way to a verdict that needs no share: a part that was at four fifths of the ends of upstreams since its first mark, five at least, is the cause; of several the deepest of those with comparable numbers. In an outage of all engines a part of most requests is at all ends, too, without being their cause, so this verdict, and any one without an answer begun since the first mark, holds for 5 s, after which one trial decides.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -141,10 +141,16 @@
     }
 }
 
+auto prompt_quarantine::on_upstream_ended(upstream_instance upstream, time_point now) -> void
+{
+    this->ends.add(upstream, now);
+}
+
 auto prompt_quarantine::on_interrupted(const judged_prompt& prompt, upstream_instance upstream,
                                        request_key request, time_point now) -> void
 {
     this->interrupted.add(now);
+    this->ends.add(upstream, now);
     crash_mark mark{upstream, request, now, false, true, this->begun_in_all};
     if (prompt.whole)
     {
@@ -208,6 +214,10 @@
         {
             mark.begun_before = this->begun_in_all;
             note_upstream(*known, mark.upstream);
+            if (now - mark.at < chance_window)
+            {
+                this->ends.add(mark.upstream, mark.at);
+            }
         }
         const auto former_level = known->evidence.is_quarantined() ? known->evidence.level : 0;
         if (!known->evidence.merge(received))
@@ -383,6 +393,7 @@
 
 auto prompt_quarantine::forget_old(time_point now) -> void
 {
+    this->ends.forget_before(now - open_case_lifetime);
     absl::erase_if(this->cases,
                    [&](const auto& item)
                    {
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -3,6 +3,7 @@
 #include "quarantine/harmless_parts.hpp"
 #include "quarantine/mark_summary.hpp"
 #include "quarantine/part_evidence.hpp"
+#include "quarantine/upstream_ends.hpp"
 #include "routing/host_group.hpp"
 #include "routing/sliding_counter.hpp"
 
@@ -67,6 +68,9 @@
 
     /// Sets the time after which other hosts that know a part as harmless have said so.
     auto set_settling_time(duration time) -> void { this->settling_time = time; }
+    /// The connection to `upstream` ended while a request was there, harmless or not. Call before
+    /// on_interrupted.
+    auto on_upstream_ended(upstream_instance upstream, time_point now) -> void;
     /// The connection to `upstream` ended before the request had any output that proves it
     /// harmless.
     auto on_interrupted(const routing::judged_prompt& prompt, upstream_instance upstream,
@@ -135,6 +139,13 @@
     [[nodiscard]] auto judgeable_marks(const part_case& suspect, time_point now) const
         -> std::optional<mark_summary>;
     [[nodiscard]] auto is_beyond_chance(part_case& suspect, time_point now) -> bool;
+    /// The part that was at nearly all ends of upstreams since its first mark, if there is one.
+    /// Holds under any share of the requests, but a part of all requests is at all ends, too.
+    [[nodiscard]] auto find_common_to_ends(time_point now) -> part_case*;
+    /// True if answers have begun since the part's first open mark.
+    [[nodiscard]] auto has_comparison(const part_case& suspect) const -> bool;
+    [[nodiscard]] auto count_common_ends(const part_case& suspect, time_point now) const
+        -> std::size_t;
     /// True if a deeper part that may be the cause has most of the suspect's marks. It is in fewer
     /// other prompts, so it is judged first.
     [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
@@ -153,6 +164,7 @@
     quarantine_listener& listener;
     case_map cases;
     harmless_parts harmless;
+    upstream_ends ends;
     absl::flat_hash_set<upstream_instance> explained_by_part;
     absl::flat_hash_set<upstream_instance> explained_by_request;
     duration settling_time = std::chrono::milliseconds(300);
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -568,6 +568,84 @@
     CHECK_FALSE(host.is_request_refused({common, session}, 101));
 }
 
+TEST_CASE("a part in half of all requests that ends each engine is quarantined from the first "
+          "requests on")
+{
+    // Guards against taking for chance what the part itself does to the requests beside it.
+    const auto seed = GENERATE(range(1U, 40U));
+    std::mt19937 random(seed);
+    recorded_decisions recorded;
+    prompt_quarantine decisions(recorded);
+    decisions.set_settling_time(300ms);
+    time_point now{1000s};
+    std::uint32_t request = 0;
+    time_point fifth_end_at{};
+    constexpr std::uint64_t first_parts = 4;
+    const auto is_found = [&]
+    {
+        return std::find(recorded.quarantined.begin(), recorded.quarantined.end(),
+                         routing::prompt_part_id(fatal)) != recorded.quarantined.end();
+    };
+    for (std::uint32_t upstream = 1; upstream <= 40 && !is_found(); ++upstream)
+    {
+        now += 60ms;
+        fifth_end_at = upstream == 5 ? now : fifth_end_at;
+        for (auto waiting = 2 + random() % 4; waiting > 0; --waiting)
+        {
+            const auto is_fatal = waiting == 1 || random() % 2 == 0;
+            const auto parts = is_fatal
+                                   ? parts_of({fatal, 20 + random() % 11})
+                                   : parts_of({10 + random() % first_parts, 20 + random() % 11});
+            decisions.on_interrupted({parts, routing::prompt_part_id(100'000 + request)},
+                                     upstream_instance(upstream), request_key(request), now);
+            ++request;
+        }
+    }
+    REQUIRE(is_found());
+    CHECK(recorded.quarantined.size() <= 2); // at most one part is taken for the cause before
+    CHECK(now - fifth_end_at <= 3s);         // after this the page allows three more requests
+}
+
+TEST_CASE("the more engines a part ends, the more it is suspected")
+{
+    const auto beside = GENERATE(0U, 1U, 5U, 20U);
+    for (std::uint32_t crashes = 8; crashes <= 40; crashes += 4)
+    {
+        one_host host;
+        host.decisions.set_settling_time(300ms);
+        for (std::uint32_t number = 1; number <= crashes; ++number)
+        {
+            host.pass(100ms);
+            for (std::uint32_t other = 0; other < beside; ++other)
+            {
+                const auto key = 1000 * number + other;
+                host.interrupt({common, 10'000U + key}, number, key);
+            }
+            host.interrupt({common, fatal}, number, number);
+            host.answer({common, 500U + number});
+        }
+        CAPTURE(crashes, beside);
+        CHECK(host.is_refused({fatal}));
+        CHECK_FALSE(host.is_refused({common, session}));
+    }
+}
+
+TEST_CASE("a part of all requests is tried again soon after an outage of all engines")
+{
+    one_host host;
+    for (std::uint32_t number = 1; number <= 30; ++number)
+    {
+        host.pass(100ms);
+        host.interrupt({common}, number, number);
+    }
+    const auto parts = parts_of({common});
+    host.pass(8s);
+    // Refused for a while at most: then a trial request shows that the part is harmless.
+    CHECK_FALSE(host.decisions.admit({parts, std::nullopt}, single_host, host.now));
+    host.answer({common});
+    CHECK_FALSE(host.is_refused({common}));
+}
+
 TEST_CASE("the end of an engine that ran many prompts of many parts is taken in within the lag "
           "that callers accept")
 {
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -32,6 +32,18 @@
 /// The same for a request as a whole: an error costs one caller, not all that share a part.
 constexpr double max_chance_of_request = 0.05;
 
+/// Ends of upstreams from which on a part that was at nearly all of them counts as their cause.
+constexpr std::size_t min_common_ends = 5;
+/// Share of the ends at which such a part was.
+constexpr double min_common_share = 0.8;
+/// Of several such parts the deepest is taken among those with these shares of the most ends and of
+/// the most interrupted requests.
+constexpr double comparable_share_of_ends = 0.9;
+constexpr double comparable_share_of_requests = 0.2;
+/// A verdict without a comparison, as in an outage of all upstreams, is tested by a trial soon: a
+/// part that most requests have is at all ends then without being their cause.
+constexpr duration provisional_quarantine = 5s;
+
 } // namespace
 
 auto prompt_quarantine::chance_of_interruption(part_case& without, time_point now) -> double
@@ -141,15 +153,102 @@
     return found == ranked.end() ? nullptr : std::get<part_case*>(*found);
 }
 
+auto prompt_quarantine::count_common_ends(const part_case& suspect, time_point now) const
+    -> std::size_t
+{
+    const auto summary =
+        suspect.evidence.is_on_request() ? std::nullopt : this->judgeable_marks(suspect, now);
+    if (!summary)
+    {
+        return 0;
+    }
+    std::size_t unexplained = 0;
+    std::size_t unexplained_with_part = 0;
+    std::size_t with_part = 0;
+    const auto& noted = suspect.upstreams;
+    this->ends.for_each_since(summary->first_at,
+                              [&](upstream_instance upstream)
+                              {
+                                  const auto is_with_part = std::find(noted.begin(), noted.end(),
+                                                                      upstream) != noted.end();
+                                  with_part += is_with_part ? 1 : 0;
+                                  if (!this->explained_by_part.contains(upstream) &&
+                                      !this->explained_by_request.contains(upstream))
+                                  {
+                                      ++unexplained;
+                                      unexplained_with_part += is_with_part ? 1 : 0;
+                                  }
+                              });
+    const auto is_common = with_part >= min_common_ends && unexplained_with_part > 0 &&
+                           static_cast<double>(unexplained_with_part) >=
+                               min_common_share * static_cast<double>(unexplained);
+    return is_common && !this->has_deeper_rival(suspect) ? with_part : 0;
+}
+
+auto prompt_quarantine::find_common_to_ends(time_point now) -> part_case*
+{
+    struct candidate
+    {
+        part_case* suspect;
+        std::size_t ends;
+        std::uint64_t requests;
+    };
+    std::vector<candidate> candidates;
+    candidate most{nullptr, 0, 0};
+    for (auto& [part, suspect] : this->cases)
+    {
+        const auto ends_with_part =
+            suspect.evidence.is_quarantined() ? 0 : this->count_common_ends(suspect, now);
+        if (ends_with_part > 0)
+        {
+            candidates.push_back({&suspect, ends_with_part, suspect.interrupted.total(now)});
+            most.ends = std::max(most.ends, candidates.back().ends);
+            most.requests = std::max(most.requests, candidates.back().requests);
+        }
+    }
+    const auto is_comparable = [](auto value, auto highest, double share)
+    { return static_cast<double>(value) >= share * static_cast<double>(highest); };
+    std::erase_if(candidates,
+                  [&](const candidate& it)
+                  {
+                      return !is_comparable(it.ends, most.ends, comparable_share_of_ends) ||
+                             !is_comparable(it.requests, most.requests,
+                                            comparable_share_of_requests);
+                  });
+    const auto rank = [](const candidate& it)
+    { return std::pair(it.suspect->evidence.depth, it.suspect->evidence.part); };
+    const auto deepest = std::max_element(candidates.begin(), candidates.end(),
+                                          [&](const candidate& left, const candidate& right)
+                                          { return rank(left) < rank(right); });
+    return deepest == candidates.end() ? nullptr : deepest->suspect;
+}
+
+auto prompt_quarantine::has_comparison(const part_case& suspect) const -> bool
+{
+    // Answers that have begun since the first open mark are of prompts without the part: others
+    // would have refuted the mark.
+    const auto& marks = suspect.evidence.marks;
+    return std::any_of(marks.begin(), marks.end(),
+                       [&](const crash_mark& mark)
+                       { return !mark.is_refuted && mark.begun_before < this->begun_in_all; });
+}
+
 auto prompt_quarantine::evaluate(time_point now) -> void
 {
     this->update_explained();
     // One at a time: a part in quarantine explains the marks of those that were with it.
     while (auto* const found = this->find_most_suspect(now))
     {
-        this->quarantine(*found, quarantine_time(found->evidence.level + 1), now);
+        this->quarantine(*found,
+                         this->has_comparison(*found) ? quarantine_time(found->evidence.level + 1)
+                                                      : provisional_quarantine,
+                         now);
         this->update_explained();
     }
+    if (auto* const found = this->find_common_to_ends(now))
+    {
+        this->quarantine(*found, provisional_quarantine, now);
+    }
     this->release_explained(now);
 }
 
--- a/src/traffic/exchange_interruption.cpp
+++ b/src/traffic/exchange_interruption.cpp
@@ -69,6 +69,7 @@
     const quarantine::upstream_instance instance(state.instance);
     if (this->is_proved_harmless)
     {
+        quarantine.on_upstream_ended(instance, now);
         return;
     }
     ++this->interruptions;
