Bytes that are no text, in names from outside, don't end the process

Cause: the JSON library throws when it writes invalid UTF-8; the operators' pages wrote without a replacement, on the traffic thread, where nothing catches. And an id became a header field of requests with any bytes it had.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -27,6 +27,7 @@
     daemon_stopped = 104,
     settings_rejected = 105,
     settings_reloaded = 106,
+    page_failed = 107,
     member_changed = 200,
     peer_reconnected = 201,
     peer_message_rejected = 202,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -24,6 +24,8 @@
          "The settings file has faults; the process does not start."},
         {settings_reloaded, info, "settings-reloaded",
          "The settings file has changed and was read again."},
+        {page_failed, warning, "page-failed",
+         "A status page could not be rendered; the detail says why. Requests are not affected."},
         {member_changed, info, "member-changed",
          "Another host became alive, suspect, leaving or absent."},
         {peer_reconnected, warning, "peer-reconnected",
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,6 +1,7 @@
 #include "poplardrift/config/configuration.hpp"
 
 #include "poplardrift/base/crypto.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <algorithm>
 
@@ -45,7 +46,7 @@
                                  {"author", this->author},
                                  {"team", this->team},
                                  {"sets", sets_to_json(this->sets)}};
-    return body.dump();
+    return to_json_text(body);
 }
 
 auto config_change::to_json() const -> nlohmann::json
@@ -295,7 +296,7 @@
 
 auto configuration::snapshot_mac(const nlohmann::json& body) const -> std::string
 {
-    return to_hex(hmac_sha256(this->settings.host_secret, body.dump()));
+    return to_hex(hmac_sha256(this->settings.host_secret, to_json_text(body)));
 }
 
 auto configuration::snapshot(log_offset since) const -> nlohmann::json
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -1,4 +1,5 @@
 #include "poplardrift/config/json_reader.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -84,7 +85,7 @@
     }
     if (!found->is_string())
     {
-        this->add_error(name, "is " + found->dump() + "; allowed: a string");
+        this->add_error(name, "is " + to_json_text(*found) + "; allowed: a string");
         return *this;
     }
     target = found->get<std::string>();
@@ -100,7 +101,7 @@
     }
     if (!found->is_boolean())
     {
-        this->add_error(name, "is " + found->dump() + "; allowed: true or false");
+        this->add_error(name, "is " + to_json_text(*found) + "; allowed: true or false");
         return *this;
     }
     target = found->get<bool>();
@@ -118,7 +119,7 @@
     if (!found->is_number_integer() || found->get<std::int64_t>() < minimum ||
         found->get<std::int64_t>() > maximum)
     {
-        this->add_error(name, "is " + found->dump() + "; allowed: a whole number from " +
+        this->add_error(name, "is " + to_json_text(*found) + "; allowed: a whole number from " +
                                   std::to_string(minimum) + " to " + std::to_string(maximum));
         return *this;
     }
@@ -136,9 +137,8 @@
     }
     if (!found->is_number() || found->get<double>() < minimum || found->get<double>() > maximum)
     {
-        this->add_error(name, "is " + found->dump() + "; allowed: a number from " +
-                                  nlohmann::json(minimum).dump() + " to " +
-                                  nlohmann::json(maximum).dump());
+        this->add_error(name, "is " + to_json_text(*found) + "; allowed: a number from " +
+                                  to_json_text(minimum) + " to " + to_json_text(maximum));
         return *this;
     }
     target = found->get<double>();
@@ -163,7 +163,7 @@
         {
             allowed_list += (allowed_list.empty() ? "" : ", ") + item;
         }
-        this->add_error(name, "is " + found->dump() + "; allowed: " + allowed_list);
+        this->add_error(name, "is " + to_json_text(*found) + "; allowed: " + allowed_list);
         return *this;
     }
     target = found->get<std::string>();
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "daemon/admin_api.hpp"
 
 #include "net/clock.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <thread>
 
@@ -18,8 +19,7 @@
 auto send_json(httplib::Response& response, int status, const nlohmann::json& body) -> void
 {
     response.status = status;
-    response.set_content(body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
-                         "application/json");
+    response.set_content(to_json_text(body, 2) + "\n", "application/json");
 }
 
 auto upstream_state_name(upstream_state state) -> const char*
--- a/src/daemon/caller_request.cpp
+++ b/src/daemon/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_request.hpp"
 
 #include "net/clock.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <charconv>
 
@@ -55,8 +56,7 @@
     {
         response.set_header("Retry-After", std::to_string(error.retry_after_seconds));
     }
-    const auto text =
-        problem_to_json(error, id).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto text = to_json_text(problem_to_json(error, id));
     response.set_content(text, "application/problem+json");
 }
 
--- a/src/daemon/http_front.cpp
+++ b/src/daemon/http_front.cpp
@@ -5,6 +5,7 @@
 #include "net/growing_task_queue.hpp"
 #include "net/resumable_task.hpp"
 #include "poplardrift/base/crypto.hpp"
+#include "poplardrift/base/json_text.hpp"
 #include "poplardrift/placement/conversation.hpp"
 
 namespace poplardrift
@@ -439,8 +440,8 @@
             {
                 const auto text =
                     "event: error\ndata: " +
-                    problem_to_json(*session->relay->failure(), session->relay->request().caller.id)
-                        .dump() +
+                    to_json_text(problem_to_json(*session->relay->failure(),
+                                                 session->relay->request().caller.id)) +
                     "\n\n";
                 sink.write(text.data(), text.size());
             }
@@ -531,7 +532,7 @@
     response.status = 201;
     response.set_header("x-request-id", id);
     response.set_content(
-        nlohmann::json{{"key", this->context.transactions.issue_ticket(workspace->id)}}.dump(),
+        to_json_text({{"key", this->context.transactions.issue_ticket(workspace->id)}}),
         "application/json");
 }
 
@@ -558,8 +559,7 @@
                           {"body_kept", found.answer->body_kept}};
     }
     response.set_header("x-request-id", id);
-    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-                         "application/json");
+    response.set_content(to_json_text(body), "application/json");
 }
 
 } // namespace poplardrift
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -1,6 +1,7 @@
 #include "daemon/order_service.hpp"
 
 #include "net/clock.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 namespace poplardrift
 {
@@ -98,8 +99,7 @@
     engine.set_connection_timeout(limit);
     engine.set_read_timeout(limit);
     const auto body =
-        nlohmann::json{{"model", order.engine.declared_model}, {"fencing", order.fencing.value()}}
-            .dump();
+        to_json_text({{"model", order.engine.declared_model}, {"fencing", order.fencing.value()}});
     // Checked right before sending: the lease may have expired while the order was prepared.
     if (monotonic_now() >= order.valid_until)
     {
--- a/src/observability/decision_log.cpp
+++ b/src/observability/decision_log.cpp
@@ -1,6 +1,7 @@
 #include "observability/decision_log.hpp"
 
 #include "net/clock.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <chrono>
 #include <utility>
@@ -76,7 +77,7 @@
     fields["event"] = static_cast<int>(code);
     fields["name"] = entry.name;
     fields["host"] = this->host;
-    auto line = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    auto line = to_json_text(fields);
     line.push_back('\n');
     const std::lock_guard lock(this->mutex);
     if (!this->admit(entry.level, now_ms))
@@ -129,12 +130,11 @@
         auto lines = std::exchange(this->queue, {});
         if (const auto count = std::exchange(this->dropped_lines, 0); count > 0)
         {
-            lines += nlohmann::json{{"event", static_cast<int>(event_code::lines_dropped)},
-                                    {"name", describe(event_code::lines_dropped).name},
-                                    {"host", this->host},
-                                    {"time_ms", wall_clock_ms()},
-                                    {"count", count}}
-                         .dump() +
+            lines += to_json_text({{"event", static_cast<int>(event_code::lines_dropped)},
+                                   {"name", describe(event_code::lines_dropped).name},
+                                   {"host", this->host},
+                                   {"time_ms", wall_clock_ms()},
+                                   {"count", count}}) +
                      "\n";
         }
         lock.unlock();
--- a/src/observability/request_trace.cpp
+++ b/src/observability/request_trace.cpp
@@ -1,4 +1,5 @@
 #include "observability/request_trace.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -114,8 +115,8 @@
     {
         if (name != "time_ms" && name != "host" && name != "name" && name != "event")
         {
-            text +=
-                " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+            text += " " + name + "=" +
+                    (value.is_string() ? value.get<std::string>() : to_json_text(value));
         }
     }
     return text;
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -1,4 +1,5 @@
 #include "platform/log_client.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 namespace poplardrift
 {
@@ -86,7 +87,7 @@
 {
     this->ensure_client(duration{});
     this->rate_limited = false;
-    const auto body = nlohmann::json{{"records", records}}.dump();
+    const auto body = to_json_text({{"records", records}});
     const auto response =
         this->client->Post("/log/" + stream + "/append", body, "application/json");
     this->bytes += body.size() + overhead_bytes_per_exchange;
--- a/src/traffic/operator_pages.cpp
+++ b/src/traffic/operator_pages.cpp
@@ -1,6 +1,7 @@
 #include "traffic/operator_pages.hpp"
 
 #include "net/clock.hpp"
+#include "poplardrift/base/json_text.hpp"
 #include "traffic/placement_request.hpp"
 #include "traffic/traffic_service.hpp"
 
@@ -106,7 +107,7 @@
     {
         page["upstreams"].push_back(upstream_to_json(upstream, now));
     }
-    return page.dump() + "\n";
+    return to_json_text(page) + "\n";
 }
 
 auto explain_request(const traffic_service& service, const http::request_head& head) -> std::string
@@ -114,13 +115,13 @@
     const auto& configuration = service.get_view().configuration;
     if (!configuration)
     {
-        return json{{"outcome", "no configuration yet"}}.dump() + "\n";
+        return to_json_text({{"outcome", "no configuration yet"}}) + "\n";
     }
     const auto target = std::string_view(head.target).substr(explain_page.size());
     const auto* const route = configuration->find_route(host_name_of(head), path_of(target));
     if (route == nullptr)
     {
-        return json{{"outcome", "no route"}}.dump() + "\n";
+        return to_json_text({{"outcome", "no route"}}) + "\n";
     }
     const auto metadata = service.get_adapter().decode_request(head);
     const auto service_index = choose_service(*route, metadata.id);
@@ -146,7 +147,7 @@
     {
         page["candidates"].push_back(candidate_to_json(account, service.get_upstreams()));
     }
-    return page.dump() + "\n";
+    return to_json_text(page) + "\n";
 }
 
 } // namespace poplardrift::traffic
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -485,3 +485,25 @@
     callers.front().send(host.request_text("/safe/x"));
     CHECK(callers.front().read_until("hello", 1000ms));
 }
+
+TEST_CASE("bytes that are no text, in names from outside, do not end the process when an operator "
+          "opens a page")
+{
+    scripted_server upstream(respond_always(ok_response("hello")));
+    router host({upstream.address()},
+                [](routing::routing_configuration&, routing::fleet_view& view)
+                {
+                    view.upstreams.front().entry.name = routing::upstream_name("\xff\xfe");
+                    view.zones_out.insert(zone_name("\xc3"));
+                });
+    for (const std::string page : {"/status", "/explain/safe/x", "/metrics"})
+    {
+        auto caller = connect_to(host.status_address);
+        caller.send("GET " + page +
+                    " HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: i\r\nX-Api-Key: k\r\n"
+                    "Connection: close\r\n\r\n");
+        CAPTURE(page);
+        CHECK(status_line_of(caller.read_to_end(2000ms)) == "HTTP/1.1 200");
+    }
+    CHECK(status_line_of(host.fetch("/safe/x")) == "HTTP/1.1 200");
+}
