Idle connections belong to an upstream's state by its id, not by its address

Cause: the pool of idle connections, and the list of upstreams that a request had been sent to, held addresses of states. A state could be freed while a request was at work and another one lie there: the connection to the former upstream was then used for the new one, whose 421 counted against it for good.

Fix: each state has an id, unique for the life of the process.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -63,9 +63,9 @@
 /// Cost at a failure share of 1: a failed request has to wait for a second attempt.
 constexpr double failure_share_cost_ms = 300.0;
 
-auto is_tried(const placement_query& query, const upstream_state* state) -> bool
+auto is_tried(const placement_query& query, const upstream_state& state) -> bool
 {
-    return std::find(query.tried.begin(), query.tried.end(), state) != query.tried.end();
+    return std::find(query.tried.begin(), query.tried.end(), state.id) != query.tried.end();
 }
 
 auto is_cold(const live_upstream& candidate, time_point now) -> bool
@@ -350,7 +350,7 @@
     {
         return exclusion_reason::paused;
     }
-    if (is_tried(query, candidate.state.get()))
+    if (is_tried(query, *candidate.state))
     {
         return exclusion_reason::tried;
     }
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -39,10 +39,9 @@
 {
     std::size_t service = 0;
     const service_rules* rules = nullptr;
-    const prompt_metadata* prompt = nullptr; ///< null for services without engines
-    std::uint64_t affinity = 0;              ///< equal for requests with the same prompt prefix
-    std::span<const upstream_state* const>
-        tried; ///< upstreams that the request was already sent to
+    const prompt_metadata* prompt = nullptr;  ///< null for services without engines
+    std::uint64_t affinity = 0;               ///< equal for requests with the same prompt prefix
+    std::span<const upstream_state_id> tried; ///< upstreams that the request was already sent to
     const zone_name* own_zone = nullptr;
     time_point now{};
     const fleet_bounds* bounds = nullptr;
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -7,16 +7,23 @@
 #include "routing/upstream_key.hpp"
 #include "routing/upstream_notices.hpp"
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 
 namespace poplardrift::routing
 {
 
+/// Identifies one upstream_state for the life of the process. Its address doesn't: another state
+/// may lie there later.
+using upstream_state_id = strong_type<struct upstream_state_id_tag, std::uint64_t>;
+
 /// State that this host has observed for one start of an upstream. Owned by the traffic thread.
 struct upstream_state
 {
-    explicit upstream_state(std::uint64_t cache_tokens) : cache(cache_tokens) {}
+    explicit upstream_state(std::uint64_t cache_tokens) : id(next_id()), cache(cache_tokens) {}
 
+    upstream_state_id id;
     std::uint32_t instance = 0; ///< hash of the upstream's name and start number
 
     upstream_health health;
@@ -33,6 +40,12 @@
     time_point restart_suspected_until{}; ///< the upstream counts as cold before this time
     bool suspected_locally = false;       ///< this host has seen the failure itself
 
+    [[nodiscard]] static auto next_id() -> upstream_state_id
+    {
+        static std::atomic<std::uint64_t> count{0};
+        return upstream_state_id(++count);
+    }
+
     /// A connection failed in a way that a restart would explain: it was refused or ended abruptly.
     /// The registry shows a restart only seconds later, so until `cold_start` has passed the
     /// upstream counts as cold.
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-auto connection_pool::take(const routing::upstream_state* upstream, time_point now,
-                           duration max_idle) -> connection_ptr
+auto connection_pool::take(routing::upstream_state_id upstream, time_point now, duration max_idle)
+    -> connection_ptr
 {
     const auto found = this->idle.find(upstream);
     if (found == this->idle.end())
@@ -55,7 +55,7 @@
     return nullptr;
 }
 
-auto connection_pool::put_back(const routing::upstream_state* upstream, connection_ptr connection,
+auto connection_pool::put_back(routing::upstream_state_id upstream, connection_ptr connection,
                                time_point now) -> void
 {
     if (!connection->is_reusable())
@@ -89,7 +89,7 @@
     }
 }
 
-auto connection_pool::close_all(const routing::upstream_state* upstream) -> void
+auto connection_pool::close_all(routing::upstream_state_id upstream) -> void
 {
     const auto found = this->idle.find(upstream);
     if (found == this->idle.end())
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -19,15 +19,15 @@
 {
 public:
     /// Returns the most recently used connection idle for at most `max_idle`; null if none.
-    [[nodiscard]] auto take(const routing::upstream_state* upstream, time_point now,
-                            duration max_idle) -> connection_ptr;
+    [[nodiscard]] auto take(routing::upstream_state_id upstream, time_point now, duration max_idle)
+        -> connection_ptr;
     /// Stores a connection whose response has ended, unless it is not reusable.
-    auto put_back(const routing::upstream_state* upstream, connection_ptr connection,
-                  time_point now) -> void;
+    auto put_back(routing::upstream_state_id upstream, connection_ptr connection, time_point now)
+        -> void;
     /// Closes connections that exceed their idle limit.
     auto close_expired(time_point now) -> void;
     /// Closes all idle connections to an upstream.
-    auto close_all(const routing::upstream_state* upstream) -> void;
+    auto close_all(routing::upstream_state_id upstream) -> void;
 
 private:
     struct idle_connection
@@ -37,7 +37,7 @@
         time_point until;
     };
 
-    absl::flat_hash_map<const routing::upstream_state*, std::vector<idle_connection>> idle;
+    absl::flat_hash_map<routing::upstream_state_id, std::vector<idle_connection>> idle;
 };
 
 } // namespace poplardrift::traffic
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -103,7 +103,7 @@
     auto wire = this->encode_for(choice, now);
     const auto non_repeatable = !routing::may_repeat(this->route->kind, this->route->resumable);
     this->connection = this->service.get_pool().take(
-        this->upstream.get(), now, non_repeatable ? max_idle_non_repeatable : max_idle_repeatable);
+        this->upstream->id, now, non_repeatable ? max_idle_non_repeatable : max_idle_repeatable);
     if (!this->connection)
     {
         this->connection = this->service.connect(chosen.known.entry.address);
@@ -170,7 +170,7 @@
 {
     this->is_sent = true;
     ++this->sends;
-    this->tried.push_back(this->upstream.get());
+    this->tried.push_back(this->upstream->id);
     this->service.count_send(this->target_service, this->sends > 1);
     this->arm_timer(); // starts the progress timeout of this send
 }
--- a/src/traffic/placement_request.hpp
+++ b/src/traffic/placement_request.hpp
@@ -25,7 +25,7 @@
 [[nodiscard]] auto make_placement_query(const traffic_service& service, std::size_t target,
                                         const std::optional<routing::prompt_metadata>& prompt,
                                         std::string_view request_id,
-                                        std::span<const routing::upstream_state* const> tried)
+                                        std::span<const routing::upstream_state_id> tried)
     -> routing::placement_query;
 
 } // namespace poplardrift::traffic
