Bodies count against the memory for them from the first byte, by workspace

Cause: the bound on held bodies was applied when a request was complete. What the readers held of incomplete bodies was neither counted nor bounded.

Fix: body_budget. A request takes the length that its head states as soon as the head has been read, a chunked one what has come so far; without room it is refused at once, with 503 and Retry-After, before its body is sent where the caller waits for 100. A body with a length no longer grows in steps.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -64,7 +64,14 @@
         }
     }
     auto on_header_impl(code&) -> void override { this->head_done = true; }
-    auto on_body_init_impl(const boost::optional<std::uint64_t>&, code&) -> void override {}
+    auto on_body_init_impl(const boost::optional<std::uint64_t>& length, code&) -> void override
+    {
+        if constexpr (IsRequest)
+        {
+            // Its limit has been checked; growing the body in steps would copy it.
+            this->body.reserve(static_cast<std::size_t>(length.value_or(0)));
+        }
+    }
     auto on_body_impl(text bytes, code&) -> std::size_t override
     {
         this->body.append(bytes.data(), bytes.size());
@@ -266,6 +273,11 @@
 {
     return this->self->parser->head;
 }
+auto request_reader::body_size() const -> std::size_t
+{
+    const auto length = this->self->parser->content_length();
+    return length ? static_cast<std::size_t>(*length) : this->self->parser->body.size();
+}
 auto request_reader::take_body() -> std::string
 {
     return std::exchange(this->self->parser->body, {});
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -51,6 +51,9 @@
     /// Number of bytes buffered for the next message.
     [[nodiscard]] auto bytes_ahead() const -> std::size_t;
     [[nodiscard]] auto head() const -> const request_head&;
+    /// Bytes of the whole body, if the head says so; before the message is complete else those
+    /// read so far.
+    [[nodiscard]] auto body_size() const -> std::size_t;
     /// Returns the body read so far and clears it; the whole body once the message is complete.
     [[nodiscard]] auto take_body() -> std::string;
 
--- a/src/traffic/caller_session.cpp
+++ b/src/traffic/caller_session.cpp
@@ -23,6 +23,8 @@
 /// Time after a connection has been accepted in which its first request is on its way. A planned
 /// stop does not close it meanwhile.
 constexpr duration fresh_period = 500ms;
+/// Time after which a caller whose body found no room may come again.
+constexpr duration refused_body_return = 1s;
 constexpr duration timeout_check_interval = 500ms; ///< caller timeouts are whole seconds
 
 } // namespace
@@ -111,6 +113,11 @@
         this->reject_request(400, "malformed request");
         return;
     }
+    if (this->reader.has_head() && !this->reserve_body())
+    {
+        this->reject_request(503, "too many bodies held");
+        return;
+    }
     if (this->reader.is_complete())
     {
         this->start_exchange();
@@ -123,6 +130,20 @@
     }
 }
 
+auto caller_session::reserve_body() -> bool
+{
+    const auto bytes = this->reader.body_size();
+    if (bytes == 0)
+    {
+        return true;
+    }
+    if (!this->body_room.is_open())
+    {
+        this->body_room = this->service.open_body_reservation(this->reader.head());
+    }
+    return this->body_room.try_grow_to(bytes);
+}
+
 auto caller_session::start_exchange() -> void
 {
     this->is_reading_message = false;
@@ -133,14 +154,18 @@
     this->bodiless = head.method == "HEAD";
     auto body = this->reader.take_body();
     this->reader.next(this->service.get_reader_limits());
-    this->current = std::make_shared<exchange>(this->service, this, std::move(head),
-                                               std::move(body), boot_clock_now());
+    this->current =
+        std::make_shared<exchange>(this->service, this, std::move(head), std::move(body),
+                                   std::exchange(this->body_room, {}), boot_clock_now());
     this->current->start();
 }
 
 auto caller_session::reject_request(int status, const char* reason) -> void
 {
-    this->service.get_log().write(event_code::request_invalid,
+    constexpr int service_unavailable = 503;
+    const auto is_refusal = status == service_unavailable;
+    this->service.get_log().write(is_refusal ? event_code::request_refused
+                                             : event_code::request_invalid,
                                   {{"status", status}, {"reason", reason}});
     this->closing = true;
     this->bodiless = false;
@@ -148,6 +173,10 @@
     head.status = status;
     head.reason = http::reason_phrase(status);
     head.fields.add("Content-Type", "text/plain");
+    if (is_refusal)
+    {
+        head.fields.add("Retry-After", std::to_string(refused_body_return / 1s));
+    }
     const auto text = std::string(reason) + "\n";
     this->begin_response(head, text.size());
     this->write_body(text);
--- a/src/traffic/caller_session.hpp
+++ b/src/traffic/caller_session.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] auto bytes_waiting() const -> std::size_t override;
 
     auto process_input() -> void;
+    /// Room in memory for the body of the request whose head has been read; false if there is none.
+    [[nodiscard]] auto reserve_body() -> bool;
     auto start_exchange() -> void;
     auto reject_request(int status, const char* reason) -> void;
     auto arm_timer() -> void;
@@ -54,6 +56,7 @@
     traffic_service& service;
     std::shared_ptr<http::byte_stream> stream;
     http::request_reader reader;
+    body_reservation body_room; ///< of the request that is being read
     std::shared_ptr<exchange> current;
     boost::asio::steady_timer timer;
     time_point message_started_at{};
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -44,20 +44,12 @@
 } // namespace
 
 exchange::exchange(traffic_service& service, response_sink* sink, http::request_head head,
-                   std::string body, time_point arrived)
+                   std::string body, body_reservation body_room, time_point arrived)
     : service(service), sink(sink), request(std::move(head)), body(std::move(body)),
-      arrived(arrived), timer(service.get_io())
+      body_room(std::move(body_room)), arrived(arrived), timer(service.get_io())
 {
 }
 
-exchange::~exchange()
-{
-    if (this->body_reserved)
-    {
-        this->service.release_body(this->body.size());
-    }
-}
-
 auto exchange::is_stream() const -> bool
 {
     return this->route->kind == route_kind::streaming;
@@ -122,12 +114,7 @@
         this->finish_with_error(400, "no request id");
         return false;
     }
-    this->body_reserved = this->service.reserve_body(this->body.size());
-    if (!this->body_reserved)
-    {
-        this->finish_with_error(503, "too many bodies held");
-    }
-    return this->body_reserved;
+    return true;
 }
 
 auto exchange::on_response_head(const http::response_head& head) -> void
@@ -270,9 +257,9 @@
     if (why == http::transport_failure::not_connected)
     {
         ++this->connect_failures;
-        this->tried.push_back(this->upstream.get());
+        this->tried.push_back(this->upstream->id);
         this->record_fault(upstream_fault::unreachable);
-        this->service.get_pool().close_all(this->upstream.get());
+        this->service.get_pool().close_all(this->upstream->id);
         this->finish_send(send_outcome::not_sent, "not connected");
         return;
     }
@@ -319,7 +306,7 @@
             this->paused = false;
             this->connection->set_reading(true);
         }
-        this->service.get_pool().put_back(this->upstream.get(), std::move(this->connection),
+        this->service.get_pool().put_back(this->upstream->id, std::move(this->connection),
                                           boot_clock_now());
         this->connection = nullptr;
     }
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -5,6 +5,7 @@
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/placement.hpp"
 #include "routing/resend_policy.hpp"
+#include "traffic/body_budget.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/wire_adapter.hpp"
 
@@ -48,8 +49,7 @@
 {
 public:
     exchange(traffic_service& service, response_sink* sink, http::request_head head,
-             std::string body, time_point arrived);
-    ~exchange() override;
+             std::string body, body_reservation body_room, time_point arrived);
 
     auto start() -> void;
     /// The caller has closed its connection.
@@ -116,7 +116,7 @@
     response_sink* sink;
     http::request_head request;
     std::string body;
-    bool body_reserved = false;
+    body_reservation body_room;
     time_point arrived;
     request_metadata metadata;
 
@@ -128,7 +128,7 @@
     boost::asio::steady_timer timer;
 
     // Sends and connection attempts so far.
-    std::vector<const routing::upstream_state*> tried;
+    std::vector<routing::upstream_state_id> tried;
     int sends = 0;
     int connect_failures = 0;
     routing::send_outcome worst_outcome = routing::send_outcome::not_sent;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -44,7 +44,8 @@
 
 traffic_service::traffic_service(traffic_settings settings, const wire_adapter& adapter,
                                  decision_log& log, load_mailbox& mailbox)
-    : settings(std::move(settings)), adapter(adapter), log(log), mailbox(mailbox), ticker(this->io)
+    : settings(std::move(settings)), adapter(adapter), log(log), mailbox(mailbox),
+      bodies(this->settings.max_held_bytes), ticker(this->io)
 {
 }
 
@@ -119,7 +120,7 @@
     {
         if (!kept.contains(key))
         {
-            this->pool.close_all(state.get());
+            this->pool.close_all(state->id);
         }
     }
     this->states = std::move(kept);
@@ -180,14 +181,13 @@
     return {limits.head_bytes, limits.body_bytes};
 }
 
-auto traffic_service::reserve_body(std::size_t bytes) -> bool
+auto traffic_service::open_body_reservation(const http::request_head& head) -> body_reservation
 {
-    if (this->reserved_body_bytes + bytes > this->settings.max_held_bytes)
-    {
-        return false;
-    }
-    this->reserved_body_bytes += bytes;
-    return true;
+    const auto& configuration = this->view->configuration;
+    const auto* const workspace =
+        configuration ? configuration->find_workspace(this->adapter.decode_workspace_key(head))
+                      : nullptr;
+    return {this->bodies, workspace != nullptr ? std::string_view(workspace->name) : ""};
 }
 
 auto traffic_service::is_ready() const -> bool
@@ -383,8 +383,22 @@
 
 auto traffic_service::accept_status(boost::asio::ip::tcp::socket socket) -> void
 {
-    std::make_shared<status_session>(std::move(socket), [this](const http::request_head& head)
-                                     { return this->handle_status_request(head); })
+    std::make_shared<status_session>(
+        std::move(socket),
+        [this](const http::request_head& head) -> status_response
+        {
+            // A page that cannot be rendered must not end the process, which serves callers.
+            try
+            {
+                return this->handle_status_request(head);
+            }
+            catch (const std::exception& error)
+            {
+                this->log.write(event_code::page_failed,
+                                {{"target", head.target}, {"reason", error.what()}});
+                return {500, "the page could not be rendered\n"};
+            }
+        })
         ->start();
 }
 
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -7,6 +7,7 @@
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/host_retry_budget.hpp"
 #include "routing/upstream_state.hpp"
+#include "traffic/body_budget.hpp"
 #include "traffic/caller_session.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/load_mailbox.hpp"
@@ -34,8 +35,8 @@
     boost::asio::ip::tcp::endpoint callers;
     boost::asio::ip::tcp::endpoint status;                 ///< readiness, status and metrics pages
     std::optional<boost::asio::ip::tcp::endpoint> metrics; ///< second address of the same pages
-    std::size_t max_held_bytes = 64'000'000;               ///< total size of held request bodies
-    std::size_t max_sessions = 10'000;                     ///< caller connections
+    std::size_t max_held_bytes = 64'000'000; ///< total size of request bodies, complete or not
+    std::size_t max_sessions = 10'000;       ///< caller connections
 };
 
 /// The data path of one host: caller sessions, upstream connections and the state used for
@@ -76,8 +77,8 @@
     [[nodiscard]] auto get_caller_limits() const -> routing::caller_limits;
     [[nodiscard]] auto get_reader_limits() const -> http::reader_limits;
     /// Reserves memory for a request body; false when the total would exceed the limit.
-    [[nodiscard]] auto reserve_body(std::size_t bytes) -> bool;
-    auto release_body(std::size_t bytes) -> void { this->reserved_body_bytes -= bytes; }
+    /// Room for the body of a request with this head; none is taken yet.
+    [[nodiscard]] auto open_body_reservation(const http::request_head& head) -> body_reservation;
     [[nodiscard]] auto is_leaving() const -> bool { return this->leaving; }
     [[nodiscard]] auto is_ready() const -> bool;
 
@@ -153,6 +154,7 @@
     const wire_adapter& adapter;
     decision_log& log;
     load_mailbox& mailbox;
+    body_budget bodies; ///< before the event loop, whose handlers may hold reservations
     boost::asio::io_context io{1};
     std::shared_ptr<http::listener> caller_listener;
     std::vector<std::shared_ptr<http::listener>> status_listeners;
@@ -167,7 +169,6 @@
     quarantine::prompt_quarantine prompts_in_quarantine{*this};
     traffic_metrics metrics;
     boost::asio::steady_timer ticker;
-    std::size_t reserved_body_bytes = 0;
     std::uint64_t remote_loads_version = 0;
     std::vector<upstream_load> remote_loads;
     time_point configuration_applied_at{};
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -59,6 +59,9 @@
 
     [[nodiscard]] virtual auto decode_request(const http::request_head& head) const
         -> request_metadata = 0;
+    /// The caller's key, as in request_metadata. Valid as long as the head.
+    [[nodiscard]] virtual auto decode_workspace_key(const http::request_head& head) const
+        -> std::string_view = 0;
     /// Builds the request to the upstream. Header fields that only the router sets are not copied
     /// from the caller.
     [[nodiscard]] virtual auto encode_request(const http::request_head& head,
--- a/tests/bounded_work_test.cpp
+++ b/tests/bounded_work_test.cpp
@@ -126,3 +126,45 @@
     CAPTURE(longest.count());
     CHECK(longest <= 500ms);
 }
+
+TEST_CASE("bodies that are not complete count against the memory for bodies")
+{
+    scripted_server upstream(respond_always(ok_response("done")));
+    router host({upstream.address()});
+    const auto upload = [](std::size_t bytes)
+    {
+        return "POST /safe/x HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: i\r\nX-Api-Key: k\r\n"
+               "Content-Length: " +
+               std::to_string(bytes) + "\r\n\r\n";
+    };
+    {
+        auto slow = connect_to(host.caller_address);
+        slow.send(upload(4000) + "begun");
+        std::this_thread::sleep_for(100ms);
+        // Refused by its head alone, before the caller sends what there is no room for.
+        auto other = connect_to(host.caller_address);
+        other.send(upload(4000));
+        const auto refusal = other.read_response(1000ms);
+        CHECK(refusal.status == 503);
+        CHECK(refusal.fields.find("Retry-After"));
+        CHECK(status_line_of(host.fetch("/safe/x")) == "HTTP/1.1 200");
+    }
+    std::this_thread::sleep_for(100ms);
+    auto later = connect_to(host.caller_address);
+    later.send(upload(4000) + std::string(4000, 'x'));
+    CHECK(later.read_response(1000ms).status == 200);
+}
+
+TEST_CASE("a body in chunks is refused when it outgrows the memory for bodies")
+{
+    scripted_server upstream(respond_always(ok_response("done")));
+    router host({upstream.address()});
+    const std::string head = "POST /safe/x HTTP/1.1\r\nHost: h\r\nPoplardrift-Attempt-Id: i\r\n"
+                             "X-Api-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n";
+    auto slow = connect_to(host.caller_address);
+    slow.send(head + chunk(std::string(2500, 'x')));
+    std::this_thread::sleep_for(100ms);
+    auto other = connect_to(host.caller_address);
+    other.send(head + chunk(std::string(2500, 'x')));
+    CHECK(other.read_response(1000ms).status == 503);
+}
