--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -1,6 +1,7 @@
 #include "poplardrift/core/control_core.hpp"
 
 #include "poplardrift/base/assert.hpp"
+#include "poplardrift/base/json_text.hpp"
 #include "poplardrift/gossip/codec.hpp"
 
 #include <algorithm>
@@ -796,7 +797,7 @@
         // A host with different content at the same offset lost records, so it gets a full
         // snapshot.
         const auto since = state.configuration_differs ? log_offset{} : state.configuration;
-        message.configuration_update = this->configured.snapshot(since).dump();
+        message.configuration_update = to_json_text(this->configured.snapshot(since));
         state.last_update_sent = now;
     }
 }
--- a/src/placement/conversation.cpp
+++ b/src/placement/conversation.cpp
@@ -1,6 +1,7 @@
 #include "poplardrift/placement/conversation.hpp"
 
 #include "poplardrift/base/crypto.hpp"
+#include "poplardrift/base/json_text.hpp"
 
 #include <charconv>
 
@@ -31,7 +32,7 @@
     }
     for (const auto& message : *messages)
     {
-        text += message.dump();
+        text += to_json_text(message);
         if (message.is_object() && string_member(message, "role") == "user")
         {
             break;
