A released part is released at all hosts soon, and known-harmless ones aren't held for being common

Cause: evidence on whole requests fills the datagrams, which carry seven parts, the most suspect first, and the others in turn; a released part has no open marks, so it came last of hundreds.

Fix: releases go first. The verdict on parts that were at nearly all ends is for parts that have never been harmless: one that many requests share is at all ends by chance.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -96,6 +96,7 @@
 auto prompt_quarantine::on_changed(part_case& changed, time_point now) -> void
 {
     changed.changed_at = now;
+    changed.was_held = changed.was_held || changed.evidence.is_quarantined();
     const auto listed =
         std::find(this->quarantined.begin(), this->quarantined.end(), changed.evidence.part);
     if (changed.evidence.is_quarantined() && listed == this->quarantined.end())
@@ -367,7 +368,10 @@
         const auto marks = item->evidence.count_open_marks();
         // Its caller may repeat the request at another host at any moment.
         const auto is_urgent = item->evidence.is_on_request() && marks > 1;
-        return std::tuple(item->evidence.is_quarantined(), is_urgent, marks, item->changed_at);
+        const auto is_held = item->evidence.is_quarantined();
+        // Hosts that have not heard of a release refuse sound requests.
+        const auto is_released = item->was_held && !is_held;
+        return std::tuple(is_released, is_held, is_urgent, marks, item->changed_at);
     };
     std::sort(recent.begin(), recent.end(),
               [&](const part_case* left, const part_case* right)
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -108,6 +108,7 @@
         part_evidence evidence;
         time_point opened_at{};
         time_point changed_at{};
+        bool was_held = false; ///< has been in quarantine
         /// Upstreams that ended, the first ones, including those of marks that were dropped.
         std::vector<upstream_instance> upstreams;
         /// This host's interrupted requests with the part.
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -646,6 +646,41 @@
     CHECK_FALSE(host.is_refused({common}));
 }
 
+TEST_CASE("a part that has been harmless is not taken for the cause for being at all ends")
+{
+    one_host host;
+    host.answer({common, session});
+    for (std::uint32_t number = 1; number <= 8; ++number)
+    {
+        host.pass(300ms);
+        host.interrupt({common, session}, number, number);
+        for (std::uint32_t beside = 0; beside < 30; ++beside)
+        {
+            const auto key = 1000 * number + beside;
+            host.interrupt({common, 10'000U + key}, number, key);
+        }
+    }
+    CHECK_FALSE(host.is_refused({session}));
+}
+
+TEST_CASE("a release is passed on before all other evidence")
+{
+    // Guards against sound requests that are refused while hundreds of parts are passed on in turn.
+    one_host host;
+    host.quarantine_fatal_part();
+    for (std::uint32_t number = 1; number <= 300; ++number)
+    {
+        host.interrupt_request({common, 20'000U + number}, 50'000U + number, number % 7);
+        host.interrupt_request({common, 20'000U + number}, 50'000U + number, 10 + number % 7);
+    }
+    host.pass(100ms);
+    host.answer({common, session, fatal});
+    REQUIRE_FALSE(host.is_refused({fatal}));
+    const auto shared = host.decisions.evidence_to_share(host.now);
+    REQUIRE_FALSE(shared.parts.empty());
+    CHECK(shared.parts.front().part == routing::prompt_part_id(fatal));
+}
+
 TEST_CASE("the end of an engine that ran many prompts of many parts is taken in within the lag "
           "that callers accept")
 {
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -156,8 +156,9 @@
 auto prompt_quarantine::count_common_ends(const part_case& suspect, time_point now) const
     -> std::size_t
 {
-    const auto summary =
-        suspect.evidence.is_on_request() ? std::nullopt : this->judgeable_marks(suspect, now);
+    // A part that has been harmless is at all ends by chance as well, when many requests have it.
+    const auto may_be_common = !suspect.evidence.is_on_request() && !suspect.evidence.was_harmless;
+    const auto summary = may_be_common ? this->judgeable_marks(suspect, now) : std::nullopt;
     if (!summary)
     {
         return 0;
