Sends report their end to listeners; upstream entries have version and slots

Cause: roll-outs, admission control and learnt speeds all need to know how each send ended, and the registry's version and slots were read but dropped. Change: send_listener with one record a finished send, called from release_send; upstream_entry keeps version and slots; a changed version counts as a change of the entry. No decision uses them yet.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -232,6 +232,7 @@
         this->log.write(event_code::upstream_joined, {{"upstream", entry.name.value()},
                                                       {"service", entry.service},
                                                       {"zone", entry.zone.value()},
+                                                      {"version", entry.version},
                                                       {"start_number", entry.start_number},
                                                       {"cold_ms", entry.cold_remaining / 1ms}});
     }
@@ -244,6 +245,7 @@
     const auto same = !is_new && !restarted && known.entry.leaving == entry.leaving &&
                       known.entry.address == entry.address &&
                       known.entry.service == entry.service && known.entry.zone == entry.zone &&
+                      known.entry.version == entry.version && known.entry.slots == entry.slots &&
                       known.usable_until == time_point::max() && cold_until <= known.cold_until;
     const auto was_leaving = !is_new && !restarted && known.entry.leaving;
     if (is_new || restarted)
--- a/src/routing/fleet_view.hpp
+++ b/src/routing/fleet_view.hpp
@@ -28,6 +28,8 @@
     bool leaving = false;           ///< draining: finishes its requests, accepts no new ones
     duration cold_remaining{};      ///< remaining cold time when the entry was written
     std::uint64_t start_number = 0; ///< differs between starts of an upstream; 0 if not set
+    std::string version;            ///< of the upstream's software
+    int slots = 0;                  ///< requests that it runs at once; 0 if unknown
 };
 
 /// Registry entry with its times converted to the local clock by the control thread.
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -122,6 +122,7 @@
     const auto now = boot_clock_now();
     this->upstream->on_bytes_received(now, this->connection->get_established_at());
     this->last_progress = now;
+    this->head_at = now;
     this->upstream_head = head;
     this->response = this->service.get_adapter().decode_response(head);
     if (this->response.misaddressed)
@@ -197,7 +198,7 @@
 {
     this->abandon_upstream();
     this->record_fault(upstream_fault::broken);
-    this->finish_send(send_outcome::unknown, reason);
+    this->finish_send(send_outcome::unknown, send_result::broken, reason);
 }
 
 auto exchange::on_response_end() -> void
@@ -205,7 +206,7 @@
     const auto self = this->shared_from_this();
     if (this->response.declined)
     {
-        this->finish_send(send_outcome::declined, "declined");
+        this->finish_send(send_outcome::declined, send_result::declined, "declined");
         return;
     }
     if (this->response.success)
@@ -215,7 +216,7 @@
             constexpr const char* reason = "response ends within an event";
             this->record_interruption(reason, true);
             this->record_fault(upstream_fault::broken);
-            this->finish_send(send_outcome::unknown, reason);
+            this->finish_send(send_outcome::unknown, send_result::broken, reason);
             return;
         }
         if (this->is_stream() && this->events_received == 0 &&
@@ -224,7 +225,7 @@
             constexpr const char* reason = "response ends before its first event";
             this->record_interruption(reason, true);
             this->record_fault(upstream_fault::broken);
-            this->finish_send(send_outcome::unknown, reason);
+            this->finish_send(send_outcome::unknown, send_result::broken, reason);
             return;
         }
         this->record_success();
@@ -238,7 +239,7 @@
         // The error concerns the request itself; another upstream would respond alike.
         this->record_success();
         this->worst_outcome = std::max(this->worst_outcome, send_outcome::failed);
-        this->release_send();
+        this->release_send(send_result::rejected);
         this->apply_step(this->head_committed ? next_step::abort_response
                                               : next_step::forward_failure);
         return;
@@ -248,7 +249,7 @@
         this->record_fault(upstream_fault::failed);
     }
     this->finish_send(this->response.trusted ? send_outcome::failed : send_outcome::unknown,
-                      "error response");
+                      send_result::failed, "error response");
 }
 
 auto exchange::on_response_failed(http::transport_failure why) -> void
@@ -260,14 +261,14 @@
         this->tried.push_back(this->upstream->id);
         this->record_fault(upstream_fault::unreachable);
         this->service.get_pool().close_all(this->upstream->id);
-        this->finish_send(send_outcome::not_sent, "not connected");
+        this->finish_send(send_outcome::not_sent, send_result::not_connected, "not connected");
         return;
     }
     const auto* const reason =
         why == http::transport_failure::malformed ? "malformed" : "connection broken";
     this->record_interruption(reason, why == http::transport_failure::broken);
     this->record_fault(upstream_fault::broken);
-    this->finish_send(send_outcome::unknown, reason);
+    this->finish_send(send_outcome::unknown, send_result::broken, reason);
 }
 
 auto exchange::record_success() -> void
@@ -288,12 +289,33 @@
                                     fault);
 }
 
-auto exchange::release_send() -> void
+auto exchange::report_send(send_result result) const -> void
+{
+    finished_send send{this->target_service,   *this->route,    this->workspace, this->upstream_key,
+                       this->upstream_version, *this->upstream, result};
+    send.is_repeat = this->sends > 1;
+    send.was_warm = this->upstream_was_warm;
+    send.in_flight = this->placement.in_flight;
+    send.prefill_tokens = this->prefill_tokens;
+    send.events = this->events_received;
+    send.sent_at = this->sent_at;
+    send.ended_at = boot_clock_now();
+    const auto output_at = this->is_stream() ? this->first_event_at : this->head_at;
+    if (output_at != time_point{})
+    {
+        send.first_output = output_at - this->sent_at;
+    }
+    send.longest_event_gap = this->longest_event_gap;
+    this->service.on_send_finished(send);
+}
+
+auto exchange::release_send(send_result result) -> void
 {
     if (!this->upstream)
     {
         return;
     }
+    this->report_send(result);
     --this->upstream->in_flight;
     if (std::exchange(this->prefill_counted, false))
     {
@@ -321,11 +343,11 @@
     }
 }
 
-auto exchange::finish_send(send_outcome outcome, const char* reason) -> void
+auto exchange::finish_send(send_outcome outcome, send_result result, const char* reason) -> void
 {
     const auto now = boot_clock_now();
     const auto last_upstream = this->upstream_name;
-    this->release_send();
+    this->release_send(result);
     if (this->head_committed)
     {
         outcome = send_outcome::broken_midway;
@@ -399,7 +421,7 @@
     this->done = true;
     this->timer.cancel();
     this->abandon_upstream();
-    this->release_send();
+    this->release_send(send_result::cancelled);
     this->service.get_log().write(event_code::request_cancelled,
                                   {{"request", this->metadata.id},
                                    {"upstream", this->upstream_name.value()},
@@ -476,7 +498,7 @@
     }
     this->record_fault(upstream_fault::silent);
     this->abandon_upstream();
-    this->finish_send(send_outcome::unknown, "no progress");
+    this->finish_send(send_outcome::unknown, send_result::silent, "no progress");
 }
 
 auto exchange::on_timer() -> void
@@ -491,7 +513,7 @@
             this->record_fault(upstream_fault::silent);
         }
         this->abandon_upstream();
-        this->release_send();
+        this->release_send(send_result::silent);
         this->finish_with_error(this->worst_outcome <= send_outcome::declined ? 503 : 504,
                                 "deadline");
         return;
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -7,6 +7,7 @@
 #include "routing/resend_policy.hpp"
 #include "traffic/body_budget.hpp"
 #include "traffic/connection_pool.hpp"
+#include "traffic/send_listener.hpp"
 #include "traffic/wire_adapter.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -75,12 +76,14 @@
                     time_point now) -> void;
     [[nodiscard]] auto encode_for(const routing::placement_choice& choice, time_point now) const
         -> http::upstream_request;
-    auto finish_send(routing::send_outcome outcome, const char* reason) -> void;
+    auto finish_send(routing::send_outcome outcome, send_result result, const char* reason) -> void;
     auto apply_step(routing::next_step step) -> void;
     /// Ends a send whose response is invalid. The upstream may have executed the request.
     auto fail_malformed(const char* reason) -> void;
     auto pause_if_caller_is_slow() -> void;
-    auto release_send() -> void;
+    /// Ends the current send, if there is one, and reports it to the service's listeners.
+    auto release_send(send_result result) -> void;
+    auto report_send(send_result result) const -> void;
     /// Applies what the upstream has said about itself in its response head.
     auto apply_notices() -> void;
     auto record_success() -> void;
@@ -140,7 +143,11 @@
     connection_ptr connection;
     std::shared_ptr<routing::upstream_state> upstream;
     routing::upstream_name upstream_name;
+    routing::upstream_key upstream_key = 0;
+    std::string upstream_version;
+    bool upstream_was_warm = false;
     time_point sent_at{};
+    time_point head_at{};             ///< when the head of the response arrived
     time_point last_progress{};       ///< head or event of the response; single bytes do not count
     time_point progress_checked_at{}; ///< no other upstream could take over then
     bool is_sent = false;
@@ -155,6 +162,8 @@
     std::size_t comment_bytes = 0;     ///< since the last event of this send
     std::uint64_t events_received = 0; ///< of this send, including repeated ones
     time_point first_event_at{};       ///< of this send
+    time_point last_event_at{};        ///< of this send
+    duration longest_event_gap{};      ///< of this send
     bool is_proved_harmless = false;   ///< by output of this send
 
     // The response to the caller.
--- a/src/traffic/exchange_interruption.cpp
+++ b/src/traffic/exchange_interruption.cpp
@@ -131,7 +131,7 @@
         this->worst_outcome = std::max(this->worst_outcome, routing::send_outcome::unknown);
     }
     this->abandon_upstream();
-    this->release_send();
+    this->release_send(send_result::cancelled);
     this->refuse_quarantined(refusal);
 }
 
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -95,6 +95,11 @@
     {
         this->first_event_at = now;
     }
+    else
+    {
+        this->longest_event_gap = std::max(this->longest_event_gap, now - this->last_event_at);
+    }
+    this->last_event_at = now;
     this->record_progress(now);
     if (event.sequence && this->last_event && *event.sequence <= *this->last_event)
     {
@@ -136,7 +141,7 @@
     this->done = true;
     this->timer.cancel();
     const auto upstream_used = this->upstream_name;
-    this->release_send();
+    this->release_send(send_result::succeeded);
     if (!this->head_committed)
     {
         this->first_output = now;
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -116,6 +116,10 @@
 {
     this->upstream = chosen.state;
     this->upstream_name = chosen.known.entry.name;
+    this->upstream_key = chosen.key;
+    this->upstream_version = chosen.known.entry.version;
+    this->upstream_was_warm =
+        now >= chosen.known.cold_until && !chosen.state->is_restart_suspected(now);
     this->placement = choice;
     this->sent_at = now;
     this->last_progress = now;
@@ -125,7 +129,10 @@
     this->events = sse_splitter();
     this->comment_bytes = 0;
     this->events_received = 0;
+    this->head_at = {};
     this->first_event_at = {};
+    this->last_event_at = {};
+    this->longest_event_gap = {};
     this->is_proved_harmless = false;
 
     auto& state = *this->upstream;
@@ -135,6 +142,7 @@
     {
         state.responses_due_since = now;
     }
+    this->prefill_tokens = 0;
     if (this->metadata.prompt)
     {
         const auto input = this->metadata.prompt->input_tokens;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -334,6 +334,14 @@
         {routing::upstream_key_of(name), shared.chain_hash, shared.tokens});
 }
 
+auto traffic_service::on_send_finished(const finished_send& send) -> void
+{
+    for (auto* const listener : this->send_listeners)
+    {
+        listener->on_send_finished(send);
+    }
+}
+
 auto traffic_service::count_send(const std::string& service, bool is_repeat) -> void
 {
     this->metrics.count_send(service, is_repeat);
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -11,6 +11,7 @@
 #include "traffic/caller_session.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/load_mailbox.hpp"
+#include "traffic/send_listener.hpp"
 #include "traffic/status_session.hpp"
 #include "traffic/traffic_metrics.hpp"
 #include "traffic/wire_adapter.hpp"
@@ -112,6 +113,13 @@
     /// hosts.
     auto on_prefill_complete(const routing::upstream_name& name,
                              const routing::prompt_metadata& prompt) -> void;
+    /// A send of this host has ended.
+    auto on_send_finished(const finished_send& send) -> void;
+    /// Adds a listener for the ends of sends, which must outlive the service's event loop.
+    auto add_send_listener(send_listener& listener) -> void
+    {
+        this->send_listeners.push_back(&listener);
+    }
     auto count_send(const std::string& service, bool is_repeat) -> void;
     auto count_interruption(const std::string& service, bool had_output) -> void;
     auto count_outcome(const std::string& route, const std::string& outcome, duration first_output)
@@ -169,6 +177,7 @@
     quarantine::prompt_quarantine prompts_in_quarantine{*this};
     traffic_metrics metrics;
     boost::asio::steady_timer ticker;
+    std::vector<send_listener*> send_listeners;
     std::uint64_t remote_loads_version = 0;
     std::vector<upstream_load> remote_loads;
     time_point configuration_applied_at{};
