--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -306,6 +306,7 @@
     if (query.prompt != nullptr)
     {
         choice.cached_tokens = candidate.state->cache.cached_tokens(*query.prompt);
+        choice.shared_tokens = shared_tokens_of(*query.prompt);
         choice.cost_ms += compute_prompt_cost(candidate, query, context.holder, choice);
     }
     return choice;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -57,6 +57,7 @@
     double mean_in_flight = 0.0;
     exclusion_reason soft_exclusion = exclusion_reason::none; ///< reason that only added a penalty
     std::uint32_t cached_tokens = 0;
+    std::uint32_t shared_tokens = 0; ///< of the parts that other requests share
     std::optional<std::size_t>
         fetch_from;               ///< position of an upstream that caches more of the prompt
     bool is_first_choice = false; ///< highest rendezvous hash for the affinity
--- a/src/routing/routing_configuration.hpp
+++ b/src/routing/routing_configuration.hpp
@@ -99,6 +99,8 @@
     [[nodiscard]] auto find_route(std::string_view host_name, std::string_view path) const
         -> const route_rules*;
     [[nodiscard]] auto find_workspace(std::string_view key) const -> const workspace_rules*;
+    /// Number of keys of the workspace at this position.
+    [[nodiscard]] auto key_count_of(std::size_t workspace) const -> std::size_t;
     [[nodiscard]] auto find_service(std::string_view name) const -> std::optional<std::size_t>;
     /// True if callers need a workspace key on routes that are not anonymous.
     [[nodiscard]] auto requires_keys() const -> bool { return !this->workspaces.empty(); }
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -165,6 +165,7 @@
          {"objection", routing::to_text(this->placement.soft_exclusion)},
          {"first_choice", this->placement.is_first_choice},
          {"cached", this->placement.cached_tokens},
+         {"shared", this->placement.shared_tokens},
          {"fetched", this->placement.fetch_from.has_value()},
          {"affinity", this->affinity},
          {"first_ms", to_milliseconds(this->first_output - this->arrived)},
