Roll-outs on the whole path: order, placement, reports between hosts, status record

With bounds.exposure_share in the settings, an order rollout/SERVICE moves a service to another version: fleet_state keeps the order, the traffic thread counts requests and responses and filters versions in placement, hosts exchange counters in a datagram of its own, and the state is appended to keyed.status on the condition that nothing was appended since it was read.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -83,6 +83,13 @@
          "the end of it."},
         {upstream_notice_ignored, warning, "upstream-notice-ignored",
          "What an upstream said about leaving or a pause cannot be read and changes nothing."},
+        {rollout_ordered, info, "rollout-ordered",
+         "Operators ordered to move a service to another version, or this host learnt of it."},
+        {rollout_phase_changed, info, "rollout-phase-changed",
+         "A roll-out is in another phase on this host; the detail has the reason and the figures "
+         "that decided it."},
+        {rollout_recorded, info, "rollout-recorded",
+         "The store has this state of a roll-out, written by this host or another."},
         {request_done, debug, "request-done", "A request was answered whole."},
         {request_refused, info, "request-refused", "A request was refused and did not run."},
         {request_failed, warning, "request-failed", "A request failed after it may have run."},
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -69,10 +69,12 @@
 {
     auto& mirror = this->mirrors[static_cast<std::size_t>(stream)];
     this->changed = this->changed || !mirror.is_complete();
+    this->applies_listing = true;
     for (const auto& record : mirror.apply_listing(records, end))
     {
         this->apply_record(stream, record, now);
     }
+    this->applies_listing = false;
     // A listing does not show the individual removals before it, but peers may not have applied
     // them yet.
     auto& change_end = this->change_ends[static_cast<std::size_t>(stream)];
@@ -143,14 +145,17 @@
     struct visitor
     {
         fleet_state& self;
+        const published_record& record;
         time_point now;
         auto operator()(const configuration_published& it) -> void { self.on_configuration(it); }
         auto operator()(const zone_switched& it) -> void { self.on_zone(it, now); }
         auto operator()(const upstream_announced& it) -> void { self.on_announced(it, now); }
         auto operator()(const upstream_removed& it) -> void { self.on_removed(it, now); }
+        auto operator()(const rollout_ordered& it) -> void { self.on_rollout(it, record, now); }
+        auto operator()(const rollout_withdrawn& it) -> void { self.on_rollout_withdrawn(it); }
         auto operator()(const irrelevant_record&) -> void {}
     };
-    std::visit(visitor{*this, now}, *change);
+    std::visit(visitor{*this, record, now}, *change);
     // Removals and operator records count as changes even without effect here: a peer may hold an
     // entry that this host never received.
     if (this->changed || !record.value || stream == record_stream::operators)
@@ -284,6 +289,31 @@
     this->upstreams.erase(found);
 }
 
+auto fleet_state::on_rollout(const rollout_ordered& ordered, const published_record& record,
+                             time_point now) -> void
+{
+    if (this->configuration && !this->configuration->find_service(ordered.service))
+    {
+        this->log.write(event_code::record_ignored, {{"key", record.key},
+                                                     {"position", record.position.value()},
+                                                     {"reason", "unknown service"}});
+        return;
+    }
+    auto& order = this->rollouts[ordered.service];
+    const auto position = rollout::order_position(record.position.value());
+    if (order.to == ordered.to && order.position == position)
+    {
+        return;
+    }
+    order = {ordered.service, ordered.to, ordered.length, position, now, !this->applies_listing};
+    this->changed = true;
+}
+
+auto fleet_state::on_rollout_withdrawn(const rollout_withdrawn& withdrawn) -> void
+{
+    this->changed = this->rollouts.erase(withdrawn.service) > 0 || this->changed;
+}
+
 auto fleet_state::remove_expired(time_point now) -> void
 {
     for (auto item = this->upstreams.begin(); item != this->upstreams.end();)
@@ -314,6 +344,10 @@
     {
         view->upstreams.push_back(known);
     }
+    for (const auto& [service, order] : this->rollouts)
+    {
+        view->rollouts.push_back(order);
+    }
     view->zones_out = this->zones_out;
     view->hosts = this->hosts;
     view->bounds = this->bounds;
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace poplardrift::fleet
@@ -62,6 +63,9 @@
     auto on_zone(const zone_switched& change, time_point now) -> void;
     auto on_announced(const upstream_announced& announced, time_point now) -> void;
     auto on_removed(const upstream_removed& removed, time_point now) -> void;
+    auto on_rollout(const rollout_ordered& ordered, const published_record& record, time_point now)
+        -> void;
+    auto on_rollout_withdrawn(const rollout_withdrawn& withdrawn) -> void;
     auto mark_zone_cold(const zone_name& zone, time_point now) -> void;
     auto remove_expired(time_point now) -> void;
     [[nodiscard]] auto may_have_expired(time_point now) const -> bool;
@@ -75,6 +79,8 @@
     std::shared_ptr<const routing::routing_configuration> configuration;
     std::map<routing::upstream_name, routing::known_upstream> upstreams;
     std::set<zone_name> zones_out;
+    std::map<std::string, rollout::rollout_order> rollouts; ///< by service
+    bool applies_listing = false;                           ///< records may be from long ago
     bool platform_reachable = true;
     std::optional<time_point> platform_reachable_since;
     bool changed = true;
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -140,6 +140,7 @@
         auto operator()(host_beacon& it) -> void { self.on_beacon(from, std::move(it), now); }
         auto operator()(zone_summary& it) -> void { self.on_summary(from, std::move(it), now); }
         auto operator()(evidence_report& it) -> void { self.on_evidence(from, std::move(it)); }
+        auto operator()(rollout_message& it) -> void { self.on_rollout(from, std::move(it)); }
     };
     std::visit(visitor{*this, address, now}, *decoded);
 }
@@ -243,6 +244,7 @@
         }
         ++item;
     }
+    this->send_rollouts(now);
     this->send_summaries(now);
     this->sum_loads(now);
     this->mailbox.set_silent_zones(this->find_silent_zones(now));
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -107,6 +107,19 @@
         std::uint64_t next_cached_prefix = 0; ///< position in prefixes_of_cell
         boost::asio::ip::address_v4 last_receiver;
     };
+    /// What has been sent of this host's roll-outs.
+    struct sent_rollouts
+    {
+        std::uint64_t phase_changes = 0;
+        std::uint64_t bad_responses = 0;
+        int repetitions_left = 0;
+        time_point next_broadcast_at{};
+        time_point bad_sent_at{};
+        double credit = 0.0; ///< bytes that may be sent in turn
+        time_point credited_at{};
+        boost::asio::ip::address_v4 last_receiver;
+        std::size_t next_route = 0;
+    };
     class batch_fetch;
 
     auto receive() -> void;
@@ -121,6 +134,13 @@
     /// Sends new evidence to the hosts of the cell at once, rather than with the next beacons.
     auto send_new_evidence(time_point now) -> void;
     auto send_evidence(const boost::asio::ip::address_v4& to, peer& other, time_point now) -> void;
+    auto on_rollout(const boost::asio::ip::address_v4& from, rollout_message message) -> void;
+    auto send_rollouts(time_point now) -> void;
+    auto broadcast_rollouts(const traffic::local_rollouts& local, bool only_bad, time_point now)
+        -> void;
+    auto send_rollouts_in_turn(const traffic::local_rollouts& local, time_point now) -> void;
+    auto send_rollout(const boost::asio::ip::address_v4& to, const rollout::rollout_report& report,
+                      bool only_bad, time_point now) -> std::size_t;
     auto send_summaries(time_point now) -> void;
     auto send_summary(const zone_name& zone, remote_cell& cell, std::size_t position,
                       time_point now) -> void;
@@ -176,6 +196,7 @@
     prefix_queue prefixes_of_host;        ///< cached through requests of this host
     prefix_queue prefixes_of_cell;        ///< cached through requests of any host of the cell
     quarantine::shared_evidence evidence; ///< of this host, as of the last tick
+    sent_rollouts rollouts;
     time_point evidence_sent_at{};
     time_point sent_evidence_changed_at{}; ///< see shared_evidence
     time_point started_at{};
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -381,6 +381,8 @@
         return to_result(decode_summary(bytes));
     case evidence_version:
         return to_result(decode_evidence(bytes, now));
+    case rollout_report_version:
+        return to_result(decode_rollout_message(bytes, now));
     default:
         return to_result(decode_beacon(bytes));
     }
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/keyed_mirror.hpp"
+#include "fleet/rollout_messages.hpp"
 #include "poplardrift/base/outcome.hpp"
 #include "quarantine/part_evidence.hpp"
 #include "traffic/load_mailbox.hpp"
@@ -69,7 +70,7 @@
 [[nodiscard]] auto encode_summary(const zone_summary& summary) -> std::string;
 /// Times are encoded as distances from `now`.
 [[nodiscard]] auto encode_evidence(const evidence_report& report, time_point now) -> std::string;
-using peer_datagram = std::variant<host_beacon, zone_summary, evidence_report>;
+using peer_datagram = std::variant<host_beacon, zone_summary, evidence_report, rollout_message>;
 [[nodiscard]] auto decode_datagram(std::string_view bytes, time_point now)
     -> outcome<peer_datagram>;
 [[nodiscard]] auto encode_batch(const record_batch& batch) -> std::string;
--- a/src/fleet/record_decoder.hpp
+++ b/src/fleet/record_decoder.hpp
@@ -35,13 +35,28 @@
     routing::upstream_name name;
 };
 
+/// Operators ordered a roll-out. Replaces the service's former order.
+struct rollout_ordered
+{
+    std::string service;
+    std::string to;
+    duration length{};
+};
+
+/// Operators withdrew the order of a service.
+struct rollout_withdrawn
+{
+    std::string service;
+};
+
 /// A record without effect on the router, such as one with an unknown key.
 struct irrelevant_record
 {
 };
 
-using fleet_change = std::variant<configuration_published, zone_switched, upstream_announced,
-                                  upstream_removed, irrelevant_record>;
+using fleet_change =
+    std::variant<configuration_published, zone_switched, upstream_announced, upstream_removed,
+                 rollout_ordered, rollout_withdrawn, irrelevant_record>;
 
 /// Decodes records of the platform into changes of the fleet state. Stateless.
 class record_decoder
--- a/src/routing/fleet_view.hpp
+++ b/src/routing/fleet_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplardrift/base/ids.hpp"
+#include "rollout/rollout_order.hpp"
 #include "routing/host_group.hpp"
 #include "routing/routing_configuration.hpp"
 
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +55,7 @@
     duration apply_within = std::chrono::seconds(2); ///< until a configuration is in force
     duration leave_within = std::chrono::seconds(2); ///< until no host sends to a leaving upstream
     duration stop_within = std::chrono::seconds(8);  ///< until a stopping host has exited
+    std::optional<rollout::rollout_bounds> rollouts; ///< empty: no roll-outs are served
 };
 
 /// Immutable snapshot of the fleet, published by the control thread to the traffic thread.
@@ -60,8 +63,9 @@
 {
     std::shared_ptr<const routing_configuration> configuration; ///< null until one is loaded
     std::vector<known_upstream> upstreams;
-    std::set<zone_name> zones_out; ///< zones that operators took out of service
-    host_group hosts;              ///< hosts that may be sending requests
+    std::vector<rollout::rollout_order> rollouts; ///< the newest order of each service
+    std::set<zone_name> zones_out;                ///< zones that operators took out of service
+    host_group hosts;                             ///< hosts that may be sending requests
     fleet_bounds bounds;
     bool upstreams_known = false; ///< the registry or a peer's copy has been read once
 };
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -122,7 +122,8 @@
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
         const auto& candidate = upstreams[position];
-        if (candidate.service != query.service || candidate.is_leaving() || candidate.zone_out ||
+        if (candidate.service != query.service || !query.versions.admits(candidate.standing) ||
+            candidate.is_leaving() || candidate.zone_out ||
             candidate.state->health.is_ejected(query.now) ||
             candidate.state->notices.is_paused(query.now))
         {
@@ -166,8 +167,8 @@
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
         const auto& candidate = upstreams[position];
-        if (candidate.service != query.service || candidate.state->misaddressed ||
-            query.now >= candidate.known.usable_until ||
+        if (candidate.service != query.service || !query.versions.admits(candidate.standing) ||
+            candidate.state->misaddressed || query.now >= candidate.known.usable_until ||
             candidate.state->health.is_ejected(query.now))
         {
             continue;
@@ -318,7 +319,7 @@
     static constexpr std::array<std::string_view, exclusion_reason_count> names = {
         "none",         "other_service", "leaving",     "zone_out",       "lapsed",
         "misaddressed", "tried",         "ejected",     "probation_full", "silent",
-        "cold_limit",   "load_bound",    "unreachable", "paused"};
+        "cold_limit",   "load_bound",    "unreachable", "paused",         "other_version"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -330,6 +331,10 @@
     {
         return exclusion_reason::other_service;
     }
+    if (!query.versions.admits(candidate.standing))
+    {
+        return exclusion_reason::other_version;
+    }
     if (candidate.is_leaving())
     {
         return exclusion_reason::leaving;
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -28,9 +28,10 @@
     load_bound,
     unreachable,
     paused,
+    other_version,
 };
 /// Number of exclusion reasons.
-constexpr std::size_t exclusion_reason_count = 14;
+constexpr std::size_t exclusion_reason_count = 15;
 
 [[nodiscard]] auto to_text(exclusion_reason why) -> std::string_view;
 
@@ -46,6 +47,7 @@
     time_point now{};
     const fleet_bounds* bounds = nullptr;
     const host_group* hosts = nullptr;
+    version_filter versions;
 };
 
 /// The chosen upstream and the inputs of its cost.
--- a/src/routing/placement_test.cpp
+++ b/src/routing/placement_test.cpp
@@ -75,6 +75,26 @@
 
 } // namespace
 
+TEST_CASE("a request goes only to versions that it may run on")
+{
+    // Guards against requests on a version that nobody has ordered, also as a last resort.
+    placement_fixture fixture;
+    fixture.upstreams[0].standing = version_standing::ordered;
+    fixture.upstreams[1].standing = version_standing::canary;
+    fixture.upstreams[2].standing = version_standing::unordered;
+    REQUIRE(fixture.choose());
+    CHECK(fixture.choose()->position == 3);
+    CHECK(fixture.choose()->candidates == 1);
+    fixture.query.versions = canary_versions;
+    CHECK(fixture.choose()->position == 1);
+    fixture.query.versions = new_versions;
+    CHECK(fixture.choose()->candidates == 2);
+    fixture.upstreams[3].standing = version_standing::unordered;
+    fixture.query.versions = {};
+    CHECK_FALSE(fixture.choose());
+    CHECK(fixture.why.most_common_exclusion == exclusion_reason::other_version);
+}
+
 TEST_CASE("upstreams that are leaving, out of service, expired or misaddressed receive no requests")
 {
     placement_fixture fixture;
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -6,6 +6,7 @@
 #include "routing/upstream_health.hpp"
 #include "routing/upstream_key.hpp"
 #include "routing/upstream_notices.hpp"
+#include "routing/version_filter.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -93,6 +94,7 @@
     bool zone_silent = false;
     /// zone_silent, and a connection to an upstream of the zone has failed.
     bool zone_unreachable = false;
+    version_standing standing = version_standing::known;
 
     /// True if the upstream leaves, by its entry or by its own responses.
     [[nodiscard]] auto is_leaving() const -> bool
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -69,6 +69,7 @@
     const auto service_index = choose_service(*this->route, this->metadata.id);
     this->target_service = this->configuration->services[service_index].name;
     this->service.retry_budget_of(this->target_service).on_request(boot_clock_now());
+    this->service.get_rollouts().on_request(this->target_service, this->route->name);
     if (!overload::has_time_for_send(timeout))
     {
         this->finish_with_error(503, "deadline too short");
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -69,6 +69,9 @@
 
     [[nodiscard]] auto admit() -> bool;
     auto place() -> void;
+    /// Chooses an upstream of a new version, if a roll-out wants the request there.
+    [[nodiscard]] auto choose_new_version(routing::placement_query query) const
+        -> std::optional<routing::placement_choice>;
     auto defer_placement(const routing::placement_failure& why) -> void;
     auto send_to(const routing::live_upstream& upstream, const routing::placement_choice& choice)
         -> void;
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -47,11 +47,15 @@
         this->apply_step(routing::final_step(routing::send_outcome::not_sent, this->worst_outcome));
         return;
     }
-    const auto query = make_placement_query(this->service, *position, this->metadata.prompt,
-                                            this->metadata.id, this->tried);
+    auto query = make_placement_query(this->service, *position, this->metadata.prompt,
+                                      this->metadata.id, this->tried);
     this->affinity = query.affinity;
     routing::placement_failure why;
-    const auto choice = routing::choose_upstream(this->service.get_upstreams(), query, why);
+    auto choice = this->choose_new_version(query);
+    if (!choice)
+    {
+        choice = routing::choose_upstream(this->service.get_upstreams(), query, why);
+    }
     if (!choice)
     {
         this->defer_placement(why);
@@ -60,6 +64,23 @@
     this->send_to(this->service.get_upstreams()[choice->position], *choice);
 }
 
+auto exchange::choose_new_version(routing::placement_query query) const
+    -> std::optional<routing::placement_choice>
+{
+    const auto versions = this->service.get_rollouts().choose(
+        this->target_service, this->route->name, this->sends + this->connect_failures > 0);
+    if (!versions)
+    {
+        return std::nullopt;
+    }
+    query.versions = *versions;
+    routing::placement_failure ignored;
+    const auto choice = routing::choose_upstream(this->service.get_upstreams(), query, ignored);
+    const auto is_reachable =
+        choice && choice->soft_exclusion != routing::exclusion_reason::unreachable;
+    return is_reachable ? choice : std::nullopt;
+}
+
 auto exchange::defer_placement(const routing::placement_failure& why) -> void
 {
     const auto now = boot_clock_now();
@@ -135,6 +156,8 @@
     this->longest_event_gap = {};
     this->is_proved_harmless = false;
 
+    this->service.get_rollouts().on_placed(this->target_service, this->route->name,
+                                           chosen.standing);
     auto& state = *this->upstream;
     // Counted before the connection is established: until then many requests may be placed.
     state.cold_sends.add(now);
--- a/src/traffic/load_mailbox.hpp
+++ b/src/traffic/load_mailbox.hpp
@@ -3,6 +3,7 @@
 #include "poplardrift/base/ids.hpp"
 #include "quarantine/part_evidence.hpp"
 #include "routing/upstream_key.hpp"
+#include "traffic/rollout_mailbox.hpp"
 
 #include <cstdint>
 #include <iterator>
@@ -145,7 +146,11 @@
         return std::exchange(this->decided_parts, {});
     }
 
+    /// What concerns roll-outs; has a lock of its own.
+    [[nodiscard]] auto get_rollouts() -> rollout_mailbox& { return this->rollouts; }
+
 private:
+    rollout_mailbox rollouts;
     mutable std::mutex mutex;
     std::vector<upstream_load> local_loads;
     std::vector<upstream_load> remote_loads;
--- a/src/traffic/operator_pages.cpp
+++ b/src/traffic/operator_pages.cpp
@@ -103,6 +103,7 @@
              {"until_ms", milliseconds_since(now, evidence.quarantined_until)},
              {"marks", evidence.open_marks().size()}});
     }
+    page["rollouts"] = service.get_rollouts().to_json(now);
     for (const auto& upstream : service.get_upstreams())
     {
         page["upstreams"].push_back(upstream_to_json(upstream, now));
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -45,6 +45,14 @@
                .Name("poplardrift_upstream_pauses_total")
                .Help("Responses by which an upstream asked for no requests for a time, by service")
                .Register(this->registry)),
+      rollout_sends(&prometheus::BuildCounter()
+                         .Name("poplardrift_rollout_sends_total")
+                         .Help("Sends to the new version during a roll-out, by service")
+                         .Register(this->registry)),
+      rollout_phases(&prometheus::BuildCounter()
+                          .Name("poplardrift_rollout_phases_total")
+                          .Help("Changes of a roll-out's phase, by service and phase")
+                          .Register(this->registry)),
       quarantines(&prometheus::BuildCounter()
                        .Name("poplardrift_prompt_quarantines_total")
                        .Help("Prompt parts quarantined, by this host's decision or another's")
@@ -121,6 +129,17 @@
     this->pauses->Add({{"service", service}}).Increment();
 }
 
+auto traffic_metrics::count_rollout_send(const std::string& service) -> void
+{
+    this->rollout_sends->Add({{"service", service}}).Increment();
+}
+
+auto traffic_metrics::count_rollout_phase(const std::string& service, const std::string& phase)
+    -> void
+{
+    this->rollout_phases->Add({{"service", service}, {"phase", phase}}).Increment();
+}
+
 auto traffic_metrics::count_peer_bytes(std::size_t bytes) -> void
 {
     this->peer_bytes->Increment(static_cast<double>(bytes));
--- a/src/traffic/traffic_metrics.hpp
+++ b/src/traffic/traffic_metrics.hpp
@@ -29,6 +29,9 @@
     auto count_interruption(const std::string& service, bool had_output) -> void;
     auto count_quarantine() -> void;
     auto count_pause(const std::string& service) -> void;
+    /// A send to the new version of a roll-out.
+    auto count_rollout_send(const std::string& service) -> void;
+    auto count_rollout_phase(const std::string& service, const std::string& phase) -> void;
     auto count_peer_bytes(std::size_t bytes) -> void;
     auto set_sessions(std::size_t count) -> void;
     [[nodiscard]] auto to_text() const -> std::string;
@@ -42,6 +45,8 @@
     prometheus::Family<prometheus::Counter>* ejections;
     prometheus::Family<prometheus::Counter>* interruptions;
     prometheus::Family<prometheus::Counter>* pauses;
+    prometheus::Family<prometheus::Counter>* rollout_sends;
+    prometheus::Family<prometheus::Counter>* rollout_phases;
     prometheus::Counter* quarantines;
     prometheus::Counter* peer_bytes;
     prometheus::Gauge* sessions;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -45,8 +45,10 @@
 traffic_service::traffic_service(traffic_settings settings, const wire_adapter& adapter,
                                  decision_log& log, load_mailbox& mailbox)
     : settings(std::move(settings)), adapter(adapter), log(log), mailbox(mailbox),
-      bodies(this->settings.max_held_bytes), ticker(this->io)
+      bodies(this->settings.max_held_bytes),
+      rollouts(this->log, this->metrics, mailbox.get_rollouts()), ticker(this->io)
 {
+    this->add_send_listener(this->rollouts);
 }
 
 auto traffic_service::open() -> bool
@@ -125,6 +127,7 @@
     }
     this->states = std::move(kept);
     this->upstreams = std::move(rebuilt);
+    this->rollouts.apply(*this->view, this->upstreams, boot_clock_now());
     this->positions.clear();
     for (std::size_t position = 0; position < this->upstreams.size(); ++position)
     {
@@ -446,6 +449,7 @@
     this->apply_silent_zones();
     this->apply_remote_loads();
     this->sync_evidence(now);
+    this->rollouts.tick(this->upstreams, now);
 }
 
 auto traffic_service::find_upstream(routing::upstream_key key) -> routing::live_upstream*
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -11,6 +11,7 @@
 #include "traffic/caller_session.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/load_mailbox.hpp"
+#include "traffic/rollout_controller.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/status_session.hpp"
 #include "traffic/traffic_metrics.hpp"
@@ -98,6 +99,8 @@
     {
         return this->prompts_in_quarantine;
     }
+    [[nodiscard]] auto get_rollouts() -> rollout_controller& { return this->rollouts; }
+    [[nodiscard]] auto get_rollouts() const -> const rollout_controller& { return this->rollouts; }
     [[nodiscard]] auto may_retry(const std::string& service) -> bool;
     /// Consumes one repeated send from a service's retry budget; false when the budget is used up.
     [[nodiscard]] auto consume_retry(const std::string& service) -> bool;
@@ -176,6 +179,7 @@
     connection_pool pool;
     quarantine::prompt_quarantine prompts_in_quarantine{*this};
     traffic_metrics metrics;
+    rollout_controller rollouts;
     boost::asio::steady_timer ticker;
     std::vector<send_listener*> send_listeners;
     std::uint64_t remote_loads_version = 0;
--- a/tests/store_stand_in.cpp
+++ b/tests/store_stand_in.cpp
@@ -129,6 +129,12 @@
     }
     const std::lock_guard lock(this->mutex);
     auto& target = this->topics[request.get_param_value("topic")];
+    const auto expected = number_param(request, "at");
+    if (request.has_param("at") && expected != target.first_offset + target.records.size())
+    {
+        response.status = 412;
+        return;
+    }
     const auto& body = request.body;
     const auto key_size = static_cast<std::size_t>(static_cast<unsigned char>(body.at(4)));
     this->put_locked(target, body.substr(5, key_size), body.substr(5 + key_size));
