--- a/tests/rollout_path_test.cpp
+++ b/tests/rollout_path_test.cpp
@@ -152,7 +152,7 @@
     }
     CHECK(fixture.fresh.requests == bad_before);
     auto operators = connect_to(host.status_address);
-    operators.send("GET /-/poplardrift/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    operators.send("GET /status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     const auto page = operators.read_to_end(1s);
     CHECK(page.find("\"rolled_back\"") != std::string::npos);
     CHECK(page.find("bad responses") != std::string::npos);
