--- a/src/rollout/known_versions.cpp
+++ b/src/rollout/known_versions.cpp
@@ -61,6 +61,14 @@
     }
 }
 
+auto known_versions::set_aside(std::string_view version) -> void
+{
+    if (this->versions.size() > 1)
+    {
+        this->versions.erase(std::string(version));
+    }
+}
+
 auto known_versions::forbid(std::string_view version) -> void
 {
     this->forbidden.emplace(version);
--- a/src/rollout/known_versions.hpp
+++ b/src/rollout/known_versions.hpp
@@ -32,6 +32,9 @@
         this->versions = {std::string(version)};
         this->forbidden.erase(std::string(version));
     }
+    /// An order to move to `version` has come. The host may have taken the version for a known one
+    /// if it has read the registry before the order; it stays one if there is no other.
+    auto set_aside(std::string_view version) -> void;
     /// An order to move to `version` was rolled back: it isn't used until another order.
     auto forbid(std::string_view version) -> void;
     [[nodiscard]] auto contains(std::string_view version) const -> bool
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -78,7 +78,8 @@
     {
         return version_choice::only_new;
     }
-    if (this->phase == rollout_phase::rolled_back || !this->may_send_to_new())
+    // What has failed once is not tried on an unproven version again.
+    if (this->phase == rollout_phase::rolled_back || is_repeat || !this->may_send_to_new())
     {
         return version_choice::old_version;
     }
@@ -88,7 +89,7 @@
     }
     const auto limit = canary_limit(this->bounds, this->hosts.share, this->counts.own.requests(),
                                     this->expected_requests);
-    if (is_repeat || this->counts.own.sent_to_new >= limit)
+    if (this->counts.own.sent_to_new >= limit)
     {
         return version_choice::old_version;
     }
--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -196,6 +196,15 @@
     CHECK(late.age(start + 1s) == duration(21s));
 }
 
+TEST_CASE("a request that has failed once goes to the old version")
+{
+    // Guards against callers that get two failures of a bad version instead of an answer.
+    rollout::rollout host(make_order(60s), {0.1, 50.0, 5s}, start);
+    host.on_request(route);
+    CHECK(host.choose(route, false) == version_choice::canary);
+    CHECK(host.choose(route, true) == version_choice::old_version);
+}
+
 TEST_CASE("a state in the store is final")
 {
     // Guards against hosts that serve a version whose upstreams the operators have stopped.
@@ -243,6 +252,12 @@
     registry = {{"v1", 10, false}, {"v1", 22, false}, {"v2", 20, false}};
     mixed.update(registry, "");
     CHECK(mixed.contains("v2"));
+    // A host that reads the registry before the order.
+    mixed.set_aside("v2");
+    mixed.update(registry, "v2");
+    CHECK_FALSE(mixed.contains("v2"));
+    mixed.set_aside("v1");
+    CHECK(mixed.contains("v1"));
 }
 
 TEST_CASE("canaries are as few as carry an old upstream's load, in different zones")
--- a/src/traffic/rollout_controller.cpp
+++ b/src/traffic/rollout_controller.cpp
@@ -155,6 +155,7 @@
                                                   {"length_ms", to_milliseconds(order.length)},
                                                   {"age_known", order.is_fresh}});
     state.current.emplace(order, *this->bounds, now);
+    state.versions.set_aside(order.to);
     state.logged_phase = rollout_phase::in_progress;
     state.settled_at = {};
     this->set_hosts(*state.current);
