--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -21,6 +21,9 @@
 /// at least min_finished_on_route there.
 constexpr std::uint64_t busy_route_responses = 100;
 constexpr std::uint64_t min_finished_on_route = 3;
+/// Part of the canary requests that is divided equally among the routes; the rest follows their
+/// requests. Without it a route with 5 % of the requests got too few canaries for a verdict.
+constexpr double equal_route_part = 0.3;
 /// Requests on a route before its share of the canary requests.
 constexpr std::uint64_t first_canaries_of_route = 1;
 /// A host that started during the roll-out waits this long for one that knows the order's age.
@@ -96,7 +99,12 @@
     const auto own = this->counts.own.routes.find(route);
     const auto requests = own == this->counts.own.routes.end() ? 0 : own->second.requests;
     const auto sent = this->canaries.find(route);
-    const auto part = this->get_canary_share() * static_cast<double>(requests);
+    const auto equal_share =
+        static_cast<double>(this->counts.own.requests()) /
+        static_cast<double>(std::max<std::size_t>(1, this->counts.own.routes.size()));
+    const auto part =
+        this->get_canary_share() *
+        (equal_route_part * equal_share + (1.0 - equal_route_part) * static_cast<double>(requests));
     const auto is_due = sent == this->canaries.end() ||
                         static_cast<double>(sent->second) < part + first_canaries_of_route;
     return is_due ? version_choice::canary : version_choice::old_version;
