--- a/src/overload/return_schedule.cpp
+++ b/src/overload/return_schedule.cpp
@@ -16,6 +16,8 @@
 /// Part of the places that free up that returning callers get; new ones take the rest.
 constexpr double returning_part = 0.5;
 constexpr double completion_window_seconds = 2.0; ///< of the completions counter
+/// Each more urgent class puts a return off by the wait for a place, divided by this.
+constexpr std::int64_t rank_divisor = 2;
 /// Largest deviation from the time of the place, as a part of the wait.
 constexpr double spread = 0.2;
 
@@ -28,10 +30,12 @@
     return rate > 0.0 ? from_seconds(1.0 / (rate * returning_part)) : min_wait;
 }
 
-auto return_schedule::book(time_point now, duration longest_wait, std::uint64_t seed) -> duration
+auto return_schedule::book(time_point now, duration longest_wait, std::uint64_t seed,
+                           std::size_t rank) -> duration
 {
     this->next_place = std::max(this->next_place, now + min_wait);
-    const auto wait = this->next_place - now;
+    const auto place = this->next_place - now;
+    const auto wait = place + place * static_cast<std::int64_t>(rank) / rank_divisor;
     if (wait < longest_wait)
     {
         // Later places are not used: the caller would not wait for them.
--- a/src/overload/wait_policy.cpp
+++ b/src/overload/wait_policy.cpp
@@ -6,15 +6,16 @@
 namespace
 {
 
-using namespace std::chrono_literals;
-
 /// A request waits for at most its objective divided by this.
 constexpr int wait_divisor = 8;
-/// Shortest time in which upstreams respond to small requests.
-constexpr duration min_time_for_send = 40ms;
 
 } // namespace
 
+auto longest_wait_of(duration objective) -> duration
+{
+    return objective / wait_divisor;
+}
+
 auto has_time_for_send(duration time_left) -> bool
 {
     return time_left > min_time_for_send;
@@ -23,7 +24,7 @@
 auto may_wait(const waiting_request& request, const routing::placement_failure& failure) -> bool
 {
     return failure.may_clear_soon && request.sends == 0 &&
-           request.age < request.objective / wait_divisor && has_time_for_send(request.time_left);
+           request.age < longest_wait_of(request.objective) && has_time_for_send(request.time_left);
 }
 
 } // namespace poplardrift::overload
--- a/src/overload/wait_policy.hpp
+++ b/src/overload/wait_policy.hpp
@@ -24,6 +24,12 @@
 [[nodiscard]] auto may_wait(const waiting_request& request,
                             const routing::placement_failure& failure) -> bool;
 
+/// Shortest time in which upstreams respond to small requests.
+constexpr duration min_time_for_send = std::chrono::milliseconds(40);
+
+/// Longest time that a request waits at this host before it is refused.
+[[nodiscard]] auto longest_wait_of(duration objective) -> duration;
+
 /// True while there is enough time left for an upstream to respond. With less, a send only costs
 /// the upstream work.
 [[nodiscard]] auto has_time_for_send(duration time_left) -> bool;
