Admission under overload on the whole path, enabled by the contract pressure

Exchanges pass the gate of their service before the first placement; sends report to it; figures of services travel in an optional last member of beacons and zone summaries (12 bytes a service); refusals name a return by priority.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -57,6 +57,8 @@
     prompt_part_released = 412,
     upstream_paused = 413,
     upstream_notice_ignored = 414,
+    admission_limited = 415,
+    admission_unlimited = 416,
     request_done = 500,
     request_refused = 501,
     request_failed = 502,
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -167,6 +167,7 @@
     other.ends = beacon.ends;
     other.change_ends = beacon.change_ends;
     other.loads = std::move(beacon.loads);
+    other.figures = std::move(beacon.figures);
     this->mailbox.add_remote_prefixes(beacon.cached_prefixes);
     for (const auto& prefix : beacon.cached_prefixes)
     {
@@ -245,6 +246,7 @@
     }
     this->send_summaries(now);
     this->sum_loads(now);
+    this->sum_figures(now);
     this->mailbox.set_silent_zones(this->find_silent_zones(now));
     this->fetch_missing_records(now);
 }
@@ -268,6 +270,7 @@
     if (this->is_in_cell(other))
     {
         beacon.loads = this->mailbox.get_local_loads();
+        beacon.figures = this->mailbox.get_local_figures();
         beacon.cached_prefixes =
             this->prefixes_of_host.read(other.next_cached_prefix, max_prefixes_per_beacon);
     }
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -94,6 +94,7 @@
         /// fetch from it; time_point{} if not ahead.
         std::array<time_point, 2> ahead_since{};
         std::vector<traffic::upstream_load> loads;
+        std::vector<overload::service_figures> figures;
         std::uint64_t next_cached_prefix = 0; ///< position in prefixes_of_host
         time_point next_evidence_at{};        ///< for evidence that has not changed lately
         std::size_t next_evidence_part = 0;   ///< position in the evidence, which is sent in turn
@@ -102,6 +103,7 @@
     struct remote_cell
     {
         std::vector<traffic::upstream_load> loads;
+        std::vector<overload::service_figures> figures;
         time_point received_at{};
         time_point next_summary_at{};
         std::uint64_t next_cached_prefix = 0; ///< position in prefixes_of_cell
@@ -129,6 +131,7 @@
     auto update_plan() -> void;
     auto collect_local_prefixes(time_point now) -> void;
     auto sum_loads(time_point now) -> void;
+    auto sum_figures(time_point now) -> void;
     /// Sum of the loads of the peers that `covers` accepts, and of this host if `with_own`.
     template <class Predicate>
     [[nodiscard]] auto sum_peer_loads(const Predicate& covers, bool with_own) const
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <limits>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -85,6 +86,8 @@
 using beacon_body = std::tuple<std::uint32_t, std::string, std::string, std::uint32_t, position_row,
                                position_row, std::int64_t, load_rows, cached_prefix_rows>;
 
+using received_beacon = decltype(std::tuple_cat(beacon_body(), std::make_tuple(std::string())));
+
 template <class Number>
 auto append_number(std::string& bytes, Number number) -> void
 {
@@ -180,6 +183,76 @@
     return cached_prefixes;
 }
 
+/// Figures of a service take 12 bytes: key, arrivals and completions a second in eighths (3 bytes
+/// each), delay in thousandths of the objective.
+constexpr std::size_t figures_bytes = 12;
+constexpr std::size_t max_services_in_message = 24;
+constexpr double rate_scale = 8.0;
+constexpr double delay_scale = 1000.0;
+
+template <class Number>
+auto to_scaled(double value, double scale) -> Number
+{
+    constexpr auto highest = static_cast<double>(std::numeric_limits<Number>::max());
+    return static_cast<Number>(std::clamp(value * scale, 0.0, highest));
+}
+
+/// Three bytes, for rates up to 2 million a second.
+auto append_rate(std::string& bytes, double rate) -> void
+{
+    constexpr std::uint32_t highest = 0xffffff;
+    const auto number = std::min(to_scaled<std::uint32_t>(rate, rate_scale), highest);
+    bytes.push_back(static_cast<char>(number >> 16U & 0xffU));
+    append_number(bytes, static_cast<std::uint16_t>(number & 0xffffU));
+}
+
+auto read_rate(std::string_view bytes) -> double
+{
+    const auto high = static_cast<unsigned char>(bytes[0]);
+    return (high * 65'536.0 + read_number<std::uint16_t>(bytes.substr(1))) / rate_scale;
+}
+
+auto to_figure_bytes(const std::vector<overload::service_figures>& figures) -> std::string
+{
+    std::string bytes;
+    for (const auto& item : figures)
+    {
+        if (bytes.size() >= max_services_in_message * figures_bytes)
+        {
+            break;
+        }
+        append_number(bytes, item.service.value());
+        append_rate(bytes, item.arrivals);
+        append_rate(bytes, item.completions);
+        append_number(bytes, to_scaled<std::uint16_t>(item.delay, delay_scale));
+    }
+    return bytes;
+}
+
+auto from_figure_bytes(std::string_view bytes) -> std::vector<overload::service_figures>
+{
+    std::vector<overload::service_figures> figures;
+    for (; bytes.size() >= figures_bytes; bytes.remove_prefix(figures_bytes))
+    {
+        figures.push_back({overload::service_key(read_number<std::uint32_t>(bytes)),
+                           read_rate(bytes.substr(4)), read_rate(bytes.substr(7)),
+                           read_number<std::uint16_t>(bytes.substr(10)) / delay_scale});
+    }
+    return figures;
+}
+
+/// A message whose optional last member is left out when it is empty, so that hosts without
+/// overload control send what they always have. The library ignores surplus members and leaves
+/// absent ones at their default.
+template <class Body>
+auto pack_with_figures(const Body& body, const std::vector<overload::service_figures>& figures)
+    -> std::string
+{
+    return figures.empty()
+               ? pack(body)
+               : pack(std::tuple_cat(body, std::make_tuple(to_figure_bytes(figures))));
+}
+
 auto to_row(const std::array<record_position, 2>& positions) -> position_row
 {
     return {positions[0].value(), positions[1].value()};
@@ -210,10 +283,12 @@
 }
 
 using summary_body = std::tuple<std::uint32_t, std::string, bool, load_rows, cached_prefix_rows>;
+using received_summary =
+    decltype(std::tuple_cat(summary_body(), std::make_tuple(std::string())));
 
 auto decode_summary(std::string_view bytes) -> outcome<zone_summary>
 {
-    const auto body = unpack<summary_body>(bytes);
+    const auto body = unpack<received_summary>(bytes);
     if (!body)
     {
         return outcome<zone_summary>::failure(body.failure_reason());
@@ -224,7 +299,8 @@
     {
         return outcome<zone_summary>::failure("numbers of keys and values differ");
     }
-    return zone_summary{std::get<1>(*body), std::get<2>(*body), *loads, *cached_prefixes};
+    return zone_summary{std::get<1>(*body), std::get<2>(*body), *loads, *cached_prefixes,
+                        from_figure_bytes(std::get<5>(*body))};
 }
 
 /// Upstream, request, age in ms, refuted.
@@ -317,15 +393,17 @@
 auto encode_beacon(const host_beacon& beacon) -> std::string
 {
     const auto identity = beacon.identity.value_or(host_identity{});
-    return pack(beacon_body(protocol_version, identity.host, identity.zone, beacon.incarnation,
-                            to_row(beacon.ends), to_distances(beacon), beacon.registry_age.count(),
-                            to_load_rows(beacon.loads, max_loads_per_beacon),
-                            to_cached_prefix_rows(beacon.cached_prefixes)));
+    return pack_with_figures(
+        beacon_body(protocol_version, identity.host, identity.zone, beacon.incarnation,
+                    to_row(beacon.ends), to_distances(beacon), beacon.registry_age.count(),
+                    to_load_rows(beacon.loads, max_loads_per_beacon),
+                    to_cached_prefix_rows(beacon.cached_prefixes)),
+        beacon.figures);
 }
 
 auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
 {
-    const auto body = unpack<beacon_body>(bytes);
+    const auto body = unpack<received_beacon>(bytes);
     if (!body || std::get<0>(*body) != protocol_version)
     {
         return outcome<host_beacon>::failure(body ? "unsupported protocol version"
@@ -348,14 +426,16 @@
     beacon.registry_age = std::chrono::milliseconds(std::get<6>(*body));
     beacon.loads = *loads;
     beacon.cached_prefixes = *cached_prefixes;
+    beacon.figures = from_figure_bytes(std::get<9>(*body));
     return beacon;
 }
 
 auto encode_summary(const zone_summary& summary) -> std::string
 {
-    return pack(summary_body(summary_version, summary.zone, summary.is_relayed,
-                             to_load_rows(summary.loads, max_loads_per_summary),
-                             to_cached_prefix_rows(summary.cached_prefixes)));
+    return pack_with_figures(summary_body(summary_version, summary.zone, summary.is_relayed,
+                                          to_load_rows(summary.loads, max_loads_per_summary),
+                                          to_cached_prefix_rows(summary.cached_prefixes)),
+                             summary.figures);
 }
 
 auto encode_evidence(const evidence_report& report, time_point now) -> std::string
--- a/src/fleet/peer_messages.hpp
+++ b/src/fleet/peer_messages.hpp
@@ -36,6 +36,7 @@
     std::chrono::milliseconds registry_age{};
     std::vector<traffic::upstream_load> loads;
     std::vector<traffic::cached_prefix> cached_prefixes; ///< not yet sent to the receiver
+    std::vector<overload::service_figures> figures;      ///< empty without overload control
 };
 
 /// Sum of the loads that the hosts of one availability zone cause, and prefixes that they have
@@ -46,6 +47,7 @@
     bool is_relayed = false;
     std::vector<traffic::upstream_load> loads;
     std::vector<traffic::cached_prefix> cached_prefixes;
+    std::vector<overload::service_figures> figures; ///< sums, empty without overload control
 };
 
 /// What a host knows of prompt parts that may crash engines. Sent to each peer with the beacons,
--- a/src/fleet/peer_summaries.cpp
+++ b/src/fleet/peer_summaries.cpp
@@ -14,6 +14,8 @@
 using boost::asio::ip::address_v4;
 
 constexpr std::size_t max_prefixes_per_summary = 24;
+/// Age above which a host's figures of services no longer count: its requests go to others by then.
+constexpr duration figures_timeout = std::chrono::milliseconds(1500);
 
 auto key_of(const address_v4& address) -> routing::host_key
 {
@@ -91,6 +93,41 @@
     this->mailbox.set_remote_loads(to_list(sums));
 }
 
+auto peer_link::sum_figures(time_point now) -> void
+{
+    overload::remote_figures result;
+    duration ages{};
+    std::size_t sources = 0;
+    const auto add = [&](const std::vector<overload::service_figures>& figures, time_point at)
+    {
+        if (!figures.empty() && now - at < figures_timeout)
+        {
+            overload::add_figures(result.sums, figures);
+            ages += now - at;
+            ++sources;
+        }
+    };
+    for (const auto& [address, other] : this->peers)
+    {
+        if (this->is_in_cell(other))
+        {
+            add(other.figures, other.last_received_at);
+        }
+    }
+    for (const auto& [zone, cell] : this->remote_cells)
+    {
+        if (this->plan.uses_cells())
+        {
+            add(cell.figures, cell.received_at);
+        }
+    }
+    if (sources > 0)
+    {
+        result.age = ages / sources;
+    }
+    this->mailbox.set_remote_figures(std::move(result));
+}
+
 auto peer_link::send_summaries(time_point now) -> void
 {
     if (!this->plan.uses_cells())
@@ -144,6 +181,14 @@
     summary.zone = this->settings.zone.value();
     summary.loads = to_list(
         this->sum_peer_loads([&](const peer& other) { return this->is_in_own_zone(other); }, true));
+    summary.figures = this->mailbox.get_local_figures();
+    for (const auto& [address, other] : this->peers)
+    {
+        if (this->is_in_own_zone(other) && now - other.last_received_at < figures_timeout)
+        {
+            overload::add_figures(summary.figures, other.figures);
+        }
+    }
     // Each speaker sends its part of the prefixes, so that none is sent twice.
     summary.cached_prefixes = this->prefixes_of_cell.read(
         cell.next_cached_prefix, max_prefixes_per_summary, {position, speaker_count});
@@ -181,6 +226,7 @@
     }
     auto& cell = this->remote_cells[zone_name(summary.zone)];
     cell.loads = summary.loads;
+    cell.figures = summary.figures;
     cell.received_at = now;
     this->loads_changed = true;
     this->mailbox.add_remote_prefixes(summary.cached_prefixes);
--- a/src/overload/admission_gate.cpp
+++ b/src/overload/admission_gate.cpp
@@ -20,10 +20,10 @@
 constexpr duration class_memory = 1s;
 /// Distance between the levels of two classes, in requests and in time at the host's rate. Below 3
 /// requests the random order of arrivals lets less urgent ones pass on hosts with low rates.
-constexpr double class_step = 3.0;
+constexpr double class_step = 4.0;
 /// Further distance of excess, which must not take places that others need a moment later. With 3
 /// requests others lost a tenth of theirs on 34 hosts with 18 requests a second each.
-constexpr double excess_gap = 6.0;
+constexpr double excess_gap = 10.0;
 constexpr double class_step_seconds = 0.01;
 constexpr std::size_t max_told_returns = 16'384;
 
--- a/src/overload/workspace_shares.cpp
+++ b/src/overload/workspace_shares.cpp
@@ -10,14 +10,14 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration recent_memory = 1s;
+constexpr duration recent_memory = 4s;
 constexpr duration usual_memory = 30s;
 constexpr duration service_memory = 10s;
 constexpr duration growth_interval = 200ms;
 /// Multiple of the usual rate, times the median rise, above which requests are excess.
 constexpr double allowed_factor = 2.0;
 /// Small rates vary by chance; this many requests in a row are never excess.
-constexpr double allowed_burst = 4.0;
+constexpr double allowed_burst = 6.0;
 /// A workspace without history counts as this part of a mean one.
 constexpr double new_workspace_part = 0.5;
 /// No workspace is served less than a quarter as often as all; a little more is aimed at.
--- a/src/routing/fleet_view.hpp
+++ b/src/routing/fleet_view.hpp
@@ -50,6 +50,7 @@
     double cold_multiplier = 1.0;
     double cold_slack = 0.0;
     double load_factor = 2.0;
+    bool overload_control = false; ///< admission by src/overload
     duration apply_within = std::chrono::seconds(2); ///< until a configuration is in force
     duration leave_within = std::chrono::seconds(2); ///< until no host sends to a leaving upstream
     duration stop_within = std::chrono::seconds(8);  ///< until a stopping host has exited
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -83,7 +83,7 @@
         return;
     }
     this->arm_timer();
-    this->place();
+    this->pass_gate();
 }
 
 auto exchange::admit() -> bool
@@ -420,6 +420,7 @@
     }
     this->done = true;
     this->timer.cancel();
+    this->leave_gate();
     this->abandon_upstream();
     this->release_send(send_result::cancelled);
     this->service.get_log().write(event_code::request_cancelled,
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/upstream_connection.hpp"
+#include "overload/admission_gate.hpp"
 #include "poplardrift/streams/sse_splitter.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/placement.hpp"
@@ -59,6 +60,10 @@
     auto on_quarantine_changed() -> void;
     /// All bytes written so far have been passed to the kernel.
     auto on_caller_drained() -> void;
+    /// Called by overload_control: the request waits for its first send, may be sent, or is refused.
+    auto on_gate_wait(overload::gate_ticket ticket) -> void { this->gate_ticket = ticket; }
+    auto on_admitted() -> void;
+    auto on_shed(const overload::gate_decision& decision) -> void;
 
 private:
     auto on_request_sent() -> void override;
@@ -68,6 +73,9 @@
     auto on_response_failed(http::transport_failure why) -> void override;
 
     [[nodiscard]] auto admit() -> bool;
+    /// Places the request once the admission gate of its service lets it pass.
+    auto pass_gate() -> void;
+    auto leave_gate() -> void;
     auto place() -> void;
     auto defer_placement(const routing::placement_failure& why) -> void;
     auto send_to(const routing::live_upstream& upstream, const routing::placement_choice& choice)
@@ -139,6 +147,8 @@
     bool is_quarantine_trial = false;    ///< admitted to find out whether its prompt is harmless
     std::optional<duration> retry_after; ///< for a refusal, if known
 
+    overload::gate_ticket gate_ticket{0}; ///< while it waits at the gate
+
     // The current send.
     connection_ptr connection;
     std::shared_ptr<routing::upstream_state> upstream;
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -94,6 +94,11 @@
     if (this->events_received++ == 0)
     {
         this->first_event_at = now;
+        if (this->upstream_was_warm)
+        {
+            this->service.get_overload().on_first_event(
+                this->target_service, now - this->sent_at, this->route->objective);
+        }
     }
     else
     {
@@ -223,6 +228,7 @@
     const auto now = boot_clock_now();
     this->done = true;
     this->timer.cancel();
+    this->leave_gate();
     const auto code = this->head_committed ? event_code::stream_broken
                       : status == 503      ? event_code::request_refused
                       : status >= 500      ? event_code::request_failed
--- a/src/traffic/load_mailbox.hpp
+++ b/src/traffic/load_mailbox.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "overload/capacity_estimate.hpp"
 #include "poplardrift/base/ids.hpp"
 #include "quarantine/part_evidence.hpp"
 #include "routing/upstream_key.hpp"
@@ -108,6 +109,31 @@
         return std::exchange(this->remote_prefixes, {});
     }
 
+    /// Traffic thread: stores this host's figures of the services that it limits admission to.
+    auto set_local_figures(std::vector<overload::service_figures> figures) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->local_figures = std::move(figures);
+    }
+    /// Control thread.
+    [[nodiscard]] auto get_local_figures() const -> std::vector<overload::service_figures>
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->local_figures;
+    }
+    /// Control thread: stores the sums over all other hosts.
+    auto set_remote_figures(overload::remote_figures figures) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->remote_figures = std::move(figures);
+    }
+    /// Traffic thread.
+    [[nodiscard]] auto get_remote_figures() const -> overload::remote_figures
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->remote_figures;
+    }
+
     /// Traffic thread: stores what this host knows of prompt parts that may crash engines.
     auto set_local_evidence(quarantine::shared_evidence evidence) -> void
     {
@@ -151,6 +177,8 @@
     std::vector<upstream_load> remote_loads;
     std::uint64_t remote_loads_version = 0;
     std::set<zone_name> silent_zones;
+    std::vector<overload::service_figures> local_figures;
+    overload::remote_figures remote_figures;
     std::vector<cached_prefix> local_prefixes;
     std::vector<cached_prefix> remote_prefixes;
     quarantine::shared_evidence local_evidence;
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -12,6 +12,9 @@
 const prometheus::Histogram::BucketBoundaries first_output_bounds{
     0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5, 10};
 
+const prometheus::Histogram::BucketBoundaries queue_time_bounds{0.001, 0.0025, 0.005, 0.01, 0.02,
+                                                                0.04,  0.08,   0.15,  0.3};
+
 } // namespace
 
 traffic_metrics::traffic_metrics()
@@ -45,6 +48,18 @@
                .Name("poplardrift_upstream_pauses_total")
                .Help("Responses by which an upstream asked for no requests for a time, by service")
                .Register(this->registry)),
+      admissions(&prometheus::BuildCounter()
+                      .Name("poplardrift_admissions_total")
+                      .Help("Decisions of admission gates, by service and cause of a refusal")
+                      .Register(this->registry)),
+      queue_time(&prometheus::BuildHistogram()
+                      .Name("poplardrift_admission_wait_seconds")
+                      .Help("Time that admitted and refused requests waited, by priority")
+                      .Register(this->registry)),
+      waiting(&prometheus::BuildGauge()
+                   .Name("poplardrift_admission_waiting")
+                   .Help("Requests that wait at the admission gate, by service")
+                   .Register(this->registry)),
       quarantines(&prometheus::BuildCounter()
                        .Name("poplardrift_prompt_quarantines_total")
                        .Help("Prompt parts quarantined, by this host's decision or another's")
@@ -126,6 +141,30 @@
     this->peer_bytes->Increment(static_cast<double>(bytes));
 }
 
+auto traffic_metrics::count_admission(const std::string& service,
+                                      const overload::gate_decision& decision, int priority) -> void
+{
+    auto& counter = this->admission_series[{service, decision.cause}];
+    if (counter == nullptr)
+    {
+        counter = &this->admissions->Add(
+            {{"service", service}, {"refused", overload::to_text(decision.cause)}});
+    }
+    counter->Increment();
+    auto& histogram = this->queue_time_series[priority];
+    if (histogram == nullptr)
+    {
+        histogram =
+            &this->queue_time->Add({{"priority", std::to_string(priority)}}, queue_time_bounds);
+    }
+    histogram->Observe(to_seconds(decision.waited));
+}
+
+auto traffic_metrics::set_waiting(const std::string& service, std::size_t count) -> void
+{
+    this->waiting->Add({{"service", service}}).Set(static_cast<double>(count));
+}
+
 auto traffic_metrics::set_sessions(std::size_t count) -> void
 {
     this->sessions->Set(static_cast<double>(count));
--- a/src/traffic/traffic_metrics.hpp
+++ b/src/traffic/traffic_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "overload/admission_gate.hpp"
 #include "poplardrift/base/time.hpp"
 
 #include <prometheus/counter.h>
@@ -30,6 +31,10 @@
     auto count_quarantine() -> void;
     auto count_pause(const std::string& service) -> void;
     auto count_peer_bytes(std::size_t bytes) -> void;
+    /// A decision of an admission gate, and the queue time of those that it has admitted.
+    auto count_admission(const std::string& service, const overload::gate_decision& decision,
+                         int priority) -> void;
+    auto set_waiting(const std::string& service, std::size_t count) -> void;
     auto set_sessions(std::size_t count) -> void;
     [[nodiscard]] auto to_text() const -> std::string;
 
@@ -42,12 +47,18 @@
     prometheus::Family<prometheus::Counter>* ejections;
     prometheus::Family<prometheus::Counter>* interruptions;
     prometheus::Family<prometheus::Counter>* pauses;
+    prometheus::Family<prometheus::Counter>* admissions;
+    prometheus::Family<prometheus::Histogram>* queue_time;
+    prometheus::Family<prometheus::Gauge>* waiting;
     prometheus::Counter* quarantines;
     prometheus::Counter* peer_bytes;
     prometheus::Gauge* sessions;
     std::map<std::pair<std::string, std::string>, prometheus::Counter*> outcome_series;
     std::map<std::string, prometheus::Histogram*> first_output_series;
     std::map<std::pair<std::string, bool>, prometheus::Counter*> send_series;
+    std::map<std::pair<std::string, overload::refusal_cause>, prometheus::Counter*>
+        admission_series;
+    std::map<int, prometheus::Histogram*> queue_time_series;
 };
 
 } // namespace poplardrift::traffic
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -47,6 +47,7 @@
     : settings(std::move(settings)), adapter(adapter), log(log), mailbox(mailbox),
       bodies(this->settings.max_held_bytes), ticker(this->io)
 {
+    this->add_send_listener(this->overload);
 }
 
 auto traffic_service::open() -> bool
@@ -446,6 +447,7 @@
     this->apply_silent_zones();
     this->apply_remote_loads();
     this->sync_evidence(now);
+    this->overload.tick(now);
 }
 
 auto traffic_service::find_upstream(routing::upstream_key key) -> routing::live_upstream*
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -11,6 +11,7 @@
 #include "traffic/caller_session.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/load_mailbox.hpp"
+#include "traffic/overload_control.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/status_session.hpp"
 #include "traffic/traffic_metrics.hpp"
@@ -63,6 +64,8 @@
     [[nodiscard]] auto get_io() -> boost::asio::io_context& { return this->io; }
     [[nodiscard]] auto get_adapter() const -> const wire_adapter& { return this->adapter; }
     [[nodiscard]] auto get_log() -> decision_log& { return this->log; }
+    [[nodiscard]] auto get_mailbox() -> load_mailbox& { return this->mailbox; }
+    [[nodiscard]] auto get_overload() -> overload_control& { return this->overload; }
     [[nodiscard]] auto get_pool() -> connection_pool& { return this->pool; }
     [[nodiscard]] auto get_view() const -> const routing::fleet_view& { return *this->view; }
     [[nodiscard]] auto get_upstreams() const -> const std::vector<routing::live_upstream>&
@@ -124,6 +127,15 @@
     auto count_interruption(const std::string& service, bool had_output) -> void;
     auto count_outcome(const std::string& route, const std::string& outcome, duration first_output)
         -> void;
+    auto count_admission(const std::string& service, const overload::gate_decision& decision,
+                         int priority) -> void
+    {
+        this->metrics.count_admission(service, decision, priority);
+    }
+    auto set_waiting(const std::string& service, std::size_t count) -> void
+    {
+        this->metrics.set_waiting(service, count);
+    }
     auto on_session_ended(const std::shared_ptr<caller_session>& session) -> void;
 
 private:
@@ -176,6 +188,7 @@
     connection_pool pool;
     quarantine::prompt_quarantine prompts_in_quarantine{*this};
     traffic_metrics metrics;
+    overload_control overload{*this};
     boost::asio::steady_timer ticker;
     std::vector<send_listener*> send_listeners;
     std::uint64_t remote_loads_version = 0;
