--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -57,6 +57,8 @@
     prompt_part_released = 412,
     upstream_paused = 413,
     upstream_notice_ignored = 414,
+    admission_limited = 415,
+    admission_unlimited = 416,
     rollout_ordered = 420,
     rollout_phase_changed = 421,
     rollout_recorded = 422,
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -49,6 +49,7 @@
       rollouts(this->log, this->metrics, mailbox.get_rollouts()), ticker(this->io)
 {
     this->add_send_listener(this->rollouts);
+    this->add_send_listener(this->overload);
 }
 
 auto traffic_service::open() -> bool
@@ -450,6 +451,7 @@
     this->apply_remote_loads();
     this->sync_evidence(now);
     this->rollouts.tick(this->upstreams, now);
+    this->overload.tick(now);
 }
 
 auto traffic_service::find_upstream(routing::upstream_key key) -> routing::live_upstream*
