Explain page shows learnt speeds; fetched prompts aren't learnt from

Cause: operators couldn't see why an upstream is preferred, and the time of a fetch was taken for the time to read a prompt.

Change: the explain page lists slowness, slots, learnt times and the last load report of each candidate. Sends without an estimate teach nothing. The placement benchmark measures placement with learnt speeds as well.

--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -11,6 +11,7 @@
 
 using namespace poplardrift;
 using namespace poplardrift::routing;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -53,7 +54,41 @@
     return made;
 }
 
-auto measure(std::size_t count) -> void
+/// What placement decides by, and for what.
+enum class placement_mode
+{
+    constants,    ///< prompts, without learnt speeds
+    learnt,       ///< prompts, with learnt speeds
+    learnt_plain, ///< requests to a plain service, with learnt speeds
+};
+
+auto to_text(placement_mode mode) -> const char*
+{
+    switch (mode)
+    {
+    case placement_mode::constants:
+        return "constants";
+    case placement_mode::learnt:
+        return "learnt";
+    case placement_mode::learnt_plain:
+        return "learnt, plain";
+    }
+    return "";
+}
+
+/// Gives all upstreams reports and learnt times.
+auto learn(const fleet& made, service_speed& speed, time_point now) -> void
+{
+    for (const auto& upstream : made.upstreams)
+    {
+        auto& known = upstream.state->speed;
+        known.on_load_report({3, 0, 16, static_cast<int>(80 + upstream.key % 100)}, now - 50ms);
+        known.on_prompt_read(4'000, 3, {}, 45ms, speed, now);
+        known.on_response({}, 30ms, speed, now);
+    }
+}
+
+auto measure(std::size_t count, placement_mode mode) -> void
 {
     const auto made = make_fleet(count);
     placement_query query;
@@ -64,6 +99,12 @@
     hosts.count = 5;
     query.hosts = &hosts;
     query.now = time_point(std::chrono::hours(1));
+    service_speed speed;
+    if (mode != placement_mode::constants)
+    {
+        learn(made, speed, query.now);
+        query.speed = &speed;
+    }
     const auto rounds = 2'000'000 / count + 50;
     placement_failure why;
     std::uint64_t chosen = 0;
@@ -71,13 +112,15 @@
     const auto begin = monotonic_now();
     for (std::size_t round = 0; round < rounds; ++round)
     {
-        query.prompt = &made.prompts[round % made.prompts.size()];
-        query.affinity = query.prompt->parts[1].chain_hash;
+        const auto& prompt = made.prompts[round % made.prompts.size()];
+        query.prompt = mode == placement_mode::learnt_plain ? nullptr : &prompt;
+        query.affinity = prompt.parts[1].chain_hash;
+        query.draw = prompt.parts[2].chain_hash + round;
         chosen += choose_upstream(made.upstreams, query, why).has_value() ? 1 : 0;
     }
     const auto took = to_seconds(monotonic_now() - begin);
-    std::printf("%6zu upstreams: %8.2f us a choice, %.2f allocations, %llu of %zu placed\n", count,
-                took * 1e6 / static_cast<double>(rounds),
+    std::printf("%6zu upstreams, %-13s: %8.2f us a choice, %.2f allocations, %llu of %zu placed\n",
+                count, to_text(mode), took * 1e6 / static_cast<double>(rounds),
                 static_cast<double>(allocations.load() - allocated_before) /
                     static_cast<double>(rounds),
                 static_cast<unsigned long long>(chosen), rounds);
@@ -107,6 +150,10 @@
 {
     for (const std::size_t count : {10U, 60U, 170U, 1'000U, 8'000U})
     {
-        measure(count);
+        for (const auto mode :
+             {placement_mode::constants, placement_mode::learnt, placement_mode::learnt_plain})
+        {
+            measure(count, mode);
+        }
     }
 }
--- a/src/routing/speed_costs.cpp
+++ b/src/routing/speed_costs.cpp
@@ -87,6 +87,10 @@
         estimate.expected_ms = speed.response_ms * estimate.turns;
         return estimate;
     }
+    if (choice.fetch_from)
+    {
+        return estimate; // the time of a fetch says nothing of the time to read a prompt
+    }
     estimate.waiting_tokens = candidate.state->pending_prefill_tokens;
     const auto input = query.prompt->input_tokens;
     const auto own = input - std::min(input, choice.cached_tokens);
--- a/src/traffic/operator_pages.cpp
+++ b/src/traffic/operator_pages.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace poplardrift::traffic
 {
@@ -49,6 +50,36 @@
     return page;
 }
 
+/// What is known of an upstream's speed. `usual` is what is known of its service.
+auto speed_to_json(const routing::upstream_speed& speed, const routing::service_speed& usual,
+                   time_point now) -> json
+{
+    const auto learnt_to_json = [now](const routing::learnt_time& learnt,
+                                      double expected_ms) -> json
+    {
+        return {{"ms", expected_ms},
+                {"deviation_ms", std::sqrt(learnt.get_variance())},
+                {"samples", learnt.weight(now)}};
+    };
+    json page = {{"slowness", speed.slowness(now)},
+                 {"slots", speed.slots()},
+                 {"token", learnt_to_json(speed.get_learnt_token_ms(), speed.token_ms(usual, now))},
+                 {"response",
+                  learnt_to_json(speed.get_learnt_response_ms(), speed.response_ms(usual, now))}};
+    if (const auto& report = speed.get_report())
+    {
+        page["report"] = {{"running", report->running},
+                          {"waiting", report->waiting},
+                          {"slots", report->slots},
+                          {"ms_ago", milliseconds_since(speed.get_reported_at(), now)}};
+        if (report->work_time_percent)
+        {
+            page["report"]["work_time_percent"] = *report->work_time_percent;
+        }
+    }
+    return page;
+}
+
 auto candidate_to_json(const routing::candidate_evaluation& account,
                        const std::vector<routing::live_upstream>& upstreams) -> json
 {
@@ -142,10 +173,17 @@
                  {"service", query.rules->name},
                  {"version", configuration->version.value()},
                  {"is_prompt", query.prompt != nullptr},
+                 {"speeds_learnt", query.speed != nullptr},
                  {"candidates", json::array()}};
     for (const auto& account : accounts)
     {
         page["candidates"].push_back(candidate_to_json(account, service.get_upstreams()));
+        if (query.speed != nullptr)
+        {
+            const auto& state = *service.get_upstreams()[account.position].state;
+            page["candidates"].back()["speed"] =
+                speed_to_json(state.speed, *query.speed, query.now);
+        }
     }
     return to_json_text(page) + "\n";
 }
--- a/src/traffic/speed_learner.cpp
+++ b/src/traffic/speed_learner.cpp
@@ -33,8 +33,10 @@
 
 auto speed_learner::on_send_finished(const finished_send& send) -> void
 {
-    // Failures say nothing of speed, and a cold upstream is slow for another reason.
-    if (send.result != send_result::succeeded || !send.was_warm || !send.first_output)
+    // Failures say nothing of speed, and a cold upstream is slow for another reason. A send without
+    // an estimate was placed while speeds weren't used, or fetched its prompt.
+    if (send.result != send_result::succeeded || !send.was_warm || !send.first_output ||
+        send.estimate.expected_ms <= 0.0)
     {
         return;
     }
@@ -42,11 +44,9 @@
     auto& service = this->services[name];
     const auto is_prompt = send.prefill_tokens > 0;
     const auto is_stream = send.route.kind == routing::route_kind::streaming;
-    if (send.estimate.expected_ms > 0.0)
-    {
-        const auto expected = send.estimate.expected_ms / 1e3;
-        this->metrics.observe_estimate(name, to_seconds(*send.first_output) / expected);
-    }
+    constexpr double ms_per_second = 1e3;
+    this->metrics.observe_estimate(name, to_seconds(*send.first_output) * ms_per_second /
+                                             send.estimate.expected_ms);
     if (is_prompt && is_stream)
     {
         send.state.speed.on_prompt_read(send.prefill_tokens, send.in_flight, send.estimate,
