--- a/src/traffic/traffic_metrics.hpp
+++ b/src/traffic/traffic_metrics.hpp
@@ -33,6 +33,9 @@
     /// A send to the new version of a roll-out.
     auto count_rollout_send(const std::string& service) -> void;
     auto count_rollout_phase(const std::string& service, const std::string& phase) -> void;
+    auto count_load_report(const std::string& service, bool is_valid) -> void;
+    /// Counts the time to a first output, divided by the estimate made at placement.
+    auto observe_estimate(const std::string& service, double ratio) -> void;
     auto count_peer_bytes(std::size_t bytes) -> void;
     /// A decision of an admission gate, and the queue time of those that it has admitted.
     auto count_admission(const std::string& service, const overload::gate_decision& decision,
@@ -55,6 +58,8 @@
     prometheus::Family<prometheus::Counter>* admissions;
     prometheus::Family<prometheus::Histogram>* queue_time;
     prometheus::Family<prometheus::Gauge>* waiting;
+    prometheus::Family<prometheus::Counter>* load_reports;
+    prometheus::Family<prometheus::Histogram>* estimates;
     prometheus::Counter* quarantines;
     prometheus::Counter* peer_bytes;
     prometheus::Gauge* sessions;
@@ -64,6 +69,8 @@
     std::map<std::pair<std::string, overload::refusal_cause>, prometheus::Counter*>
         admission_series;
     std::map<int, prometheus::Histogram*> queue_time_series;
+    std::map<std::pair<std::string, bool>, prometheus::Counter*> load_report_series;
+    std::map<std::string, prometheus::Histogram*> estimate_series;
 };
 
 } // namespace poplardrift::traffic
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -14,6 +14,7 @@
 #include "traffic/overload_control.hpp"
 #include "traffic/rollout_controller.hpp"
 #include "traffic/send_listener.hpp"
+#include "traffic/speed_learner.hpp"
 #include "traffic/status_session.hpp"
 #include "traffic/traffic_metrics.hpp"
 #include "traffic/wire_adapter.hpp"
@@ -104,6 +105,8 @@
     }
     [[nodiscard]] auto get_rollouts() -> rollout_controller& { return this->rollouts; }
     [[nodiscard]] auto get_rollouts() const -> const rollout_controller& { return this->rollouts; }
+    [[nodiscard]] auto get_speeds() -> speed_learner& { return this->speeds; }
+    [[nodiscard]] auto get_speeds() const -> const speed_learner& { return this->speeds; }
     [[nodiscard]] auto may_retry(const std::string& service) -> bool;
     /// Consumes one repeated send from a service's retry budget; false when the budget is used up.
     [[nodiscard]] auto consume_retry(const std::string& service) -> bool;
@@ -193,6 +196,7 @@
     traffic_metrics metrics;
     overload_control overload{*this};
     rollout_controller rollouts;
+    speed_learner speeds{this->metrics};
     boost::asio::steady_timer ticker;
     std::vector<send_listener*> send_listeners;
     std::uint64_t remote_loads_version = 0;
