Placement computes the speed of a candidate once

Cause: the draw among plain upstreams computed each speed a second time, and both kinds of times where only one is needed.

Change: a candidate's speed is computed once for each choice, and only the times that the request needs.

--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -287,7 +287,8 @@
 /// Evaluates the cost of one candidate; empty if it is excluded.
 auto evaluate_candidate(std::span<const live_upstream> upstreams, std::size_t position,
                         const placement_query& query, const placement_context& context,
-                        exclusion_reason excluded_by) -> std::optional<placement_choice>
+                        exclusion_reason excluded_by, const current_speed& speed)
+    -> std::optional<placement_choice>
 {
     const auto penalty = exclusion_penalty(excluded_by, context.load);
     if (!penalty)
@@ -295,7 +296,6 @@
         return std::nullopt;
     }
     const auto& candidate = upstreams[position];
-    const auto speed = current_speed_of(candidate, query);
     placement_choice choice;
     choice.position = position;
     choice.is_first_choice = context.first == position;
@@ -405,7 +405,9 @@
     for (std::size_t position = 0; position < upstreams.size(); ++position)
     {
         const auto excluded_by = check_eligibility(upstreams[position], query, context.load);
-        const auto choice = evaluate_candidate(upstreams, position, query, context, excluded_by);
+        const auto speed = current_speed_of(upstreams[position], query);
+        const auto choice =
+            evaluate_candidate(upstreams, position, query, context, excluded_by, speed);
         if (!choice)
         {
             ++exclusion_counts[static_cast<std::size_t>(excluded_by)];
@@ -424,7 +426,7 @@
                 zone_cost(upstreams[position], query) +
                 failure_share_cost_ms * upstreams[position].state->health.failure_share();
             sample.add(make_sampled_candidate(upstreams[position], position, query, context.load,
-                                              extra_ms));
+                                              speed, extra_ms));
         }
         if (!best || choice->cost_ms < best->cost_ms)
         {
@@ -433,7 +435,8 @@
     }
     if (const auto drawn = sample.choose())
     {
-        best = evaluate_candidate(upstreams, *drawn, query, context, exclusion_reason::none);
+        best = evaluate_candidate(upstreams, *drawn, query, context, exclusion_reason::none,
+                                  current_speed_of(upstreams[*drawn], query));
     }
     if (best)
     {
@@ -474,7 +477,8 @@
         {
             evaluations.push_back(
                 {position, excluded_by,
-                 evaluate_candidate(upstreams, position, query, context, excluded_by)});
+                 evaluate_candidate(upstreams, position, query, context, excluded_by,
+                                    current_speed_of(upstreams[position], query))});
         }
     }
     return evaluations;
--- a/src/routing/speed_costs.cpp
+++ b/src/routing/speed_costs.cpp
@@ -31,8 +31,11 @@
                                                   static_cast<double>(load.slots);
     const auto age_ms =
         to_seconds(std::max(query.now - state.loads_received_at, min_load_age)) * 1e3;
-    return state.in_flight + even_share +
-           (state.in_flight_elsewhere - even_share) * std::exp(-age_ms / response_ms);
+    // Beyond this multiple of the response time the rest is far below one request.
+    constexpr double negligible_after = 8.0;
+    const auto rest =
+        age_ms > negligible_after * response_ms ? 0.0 : std::exp(-age_ms / response_ms);
+    return state.in_flight + even_share + (state.in_flight_elsewhere - even_share) * rest;
 }
 
 } // namespace
@@ -47,7 +50,11 @@
     const auto& known = candidate.state->speed;
     speed.is_learnt = true;
     speed.slowness = known.slowness(query.now);
-    speed.token_ms = known.token_ms(*query.speed, query.now) * speed.slowness;
+    if (query.prompt != nullptr)
+    {
+        speed.token_ms = known.token_ms(*query.speed, query.now) * speed.slowness;
+        return speed;
+    }
     speed.response_ms = known.response_ms(*query.speed, query.now) * speed.slowness;
     speed.slots = known.slots();
     return speed;
@@ -100,10 +107,9 @@
 }
 
 auto make_sampled_candidate(const live_upstream& candidate, std::size_t position,
-                            const placement_query& query, const service_load& load, double extra_ms)
-    -> sampled_candidate
+                            const placement_query& query, const service_load& load,
+                            const current_speed& speed, double extra_ms) -> sampled_candidate
 {
-    const auto speed = current_speed_of(candidate, query);
     sampled_candidate sampled;
     sampled.position = position;
     sampled.slots = speed.slots;
--- a/src/routing/speed_costs.hpp
+++ b/src/routing/speed_costs.hpp
@@ -6,7 +6,8 @@
 namespace poplardrift::routing
 {
 
-/// Times of one upstream at the moment of a placement, with its slowness.
+/// Times of one upstream at the moment of a placement, with its slowness. Only those that the query
+/// needs.
 struct current_speed
 {
     bool is_learnt = false; ///< the other members have no meaning otherwise
@@ -33,6 +34,7 @@
 /// beside its response time, on average.
 [[nodiscard]] auto make_sampled_candidate(const live_upstream& candidate, std::size_t position,
                                           const placement_query& query, const service_load& load,
-                                          double extra_ms) -> sampled_candidate;
+                                          const current_speed& speed, double extra_ms)
+    -> sampled_candidate;
 
 } // namespace poplardrift::routing
