--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -237,9 +237,9 @@
 
 auto rollout::judge(const host_counts& sums, time_point now) -> void
 {
-    if (auto found = this->judging.observe(sums, now))
+    if (const auto found = this->judging.observe(sums, now))
     {
-        this->verdict = std::move(found);
+        this->verdict = found;
         this->roll_back(rollback_cause::bad_version, now);
         return;
     }
