--- a/bench/overload_benchmark.cpp
+++ b/bench/overload_benchmark.cpp
@@ -30,8 +30,8 @@
                                 with_gate ? 1 : 0, hosts, to_seconds(age), load,
                                 result.all.in_time / seconds / settings.capacity() /
                                     std::min(1.0, load),
-                                result.all.served / seconds / settings.capacity(),
-                                result.declined, result.calm.share_in_time(),
+                                result.all.served / seconds / settings.capacity(), result.declined,
+                                result.calm.share_in_time(),
                                 static_cast<long long>(to_milliseconds(result.longest_wait)));
                     for (const auto& [priority, group] : result.by_class)
                     {
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -248,9 +248,8 @@
 auto pack_with_figures(const Body& body, const std::vector<overload::service_figures>& figures)
     -> std::string
 {
-    return figures.empty()
-               ? pack(body)
-               : pack(std::tuple_cat(body, std::make_tuple(to_figure_bytes(figures))));
+    return figures.empty() ? pack(body)
+                           : pack(std::tuple_cat(body, std::make_tuple(to_figure_bytes(figures))));
 }
 
 auto to_row(const std::array<record_position, 2>& positions) -> position_row
@@ -283,8 +282,7 @@
 }
 
 using summary_body = std::tuple<std::uint32_t, std::string, bool, load_rows, cached_prefix_rows>;
-using received_summary =
-    decltype(std::tuple_cat(summary_body(), std::make_tuple(std::string())));
+using received_summary = decltype(std::tuple_cat(summary_body(), std::make_tuple(std::string())));
 
 auto decode_summary(std::string_view bytes) -> outcome<zone_summary>
 {
@@ -393,12 +391,12 @@
 auto encode_beacon(const host_beacon& beacon) -> std::string
 {
     const auto identity = beacon.identity.value_or(host_identity{});
-    return pack_with_figures(
-        beacon_body(protocol_version, identity.host, identity.zone, beacon.incarnation,
-                    to_row(beacon.ends), to_distances(beacon), beacon.registry_age.count(),
-                    to_load_rows(beacon.loads, max_loads_per_beacon),
-                    to_cached_prefix_rows(beacon.cached_prefixes)),
-        beacon.figures);
+    return pack_with_figures(beacon_body(protocol_version, identity.host, identity.zone,
+                                         beacon.incarnation, to_row(beacon.ends),
+                                         to_distances(beacon), beacon.registry_age.count(),
+                                         to_load_rows(beacon.loads, max_loads_per_beacon),
+                                         to_cached_prefix_rows(beacon.cached_prefixes)),
+                             beacon.figures);
 }
 
 auto decode_beacon(std::string_view bytes) -> outcome<host_beacon>
--- a/src/overload/admission_gate.cpp
+++ b/src/overload/admission_gate.cpp
@@ -108,8 +108,7 @@
 auto admission_gate::refill(time_point now) -> void
 {
     const auto highest = this->level_needed(class_count, now);
-    this->level =
-        std::min(highest, this->level + this->rate * to_seconds(now - this->refilled_at));
+    this->level = std::min(highest, this->level + this->rate * to_seconds(now - this->refilled_at));
     this->refilled_at = now;
 }
 
@@ -126,8 +125,7 @@
 auto admission_gate::class_of(const gate_request& request, time_point now) -> std::uint8_t
 {
     const auto standing = this->shares.on_arrival(request.workspace, this->engaged, now);
-    const auto priority =
-        std::clamp(request.priority, 0, static_cast<int>(priority_levels) - 1);
+    const auto priority = std::clamp(request.priority, 0, static_cast<int>(priority_levels) - 1);
     switch (standing)
     {
     case workspace_standing::underserved:
@@ -177,7 +175,8 @@
         if (const auto rest = this->find_early_repeat(request.id, now))
         {
             // Not counted as an arrival: repeating must not raise a host's or workspace's share.
-            return {gate_verdict::refused, gate_ticket(0), refusal_cause::early_repeat, 0, {}, rest};
+            return {
+                gate_verdict::refused, gate_ticket(0), refusal_cause::early_repeat, 0, {}, rest};
         }
     }
     this->estimate.on_arrival(now);
@@ -190,8 +189,7 @@
         return {};
     }
     this->refill(now);
-    const auto is_first =
-        this->queue.empty() || request_class < this->queue.begin()->request_class;
+    const auto is_first = this->queue.empty() || request_class < this->queue.begin()->request_class;
     const auto rank = this->rank_of(request_class, now);
     if (is_first && this->try_take(request_class, now))
     {
@@ -211,8 +209,8 @@
     const auto until = std::min(wait_until, send_until);
     if (until <= now)
     {
-        const auto cause = send_until < wait_until ? refusal_cause::deadline_close
-                                                   : refusal_cause::wait_too_long;
+        const auto cause =
+            send_until < wait_until ? refusal_cause::deadline_close : refusal_cause::wait_too_long;
         return {gate_verdict::refused, gate_ticket(0), cause, rank, {}, {}};
     }
     const auto ticket = this->next_ticket++;
@@ -232,8 +230,8 @@
 auto admission_gate::drop_least_urgent(time_point now) -> void
 {
     // More requests than complete within the longest wait cannot all be admitted.
-    const auto most = static_cast<std::size_t>(
-        std::ceil(1.0 + this->rate * to_seconds(this->longest_wait)));
+    const auto most =
+        static_cast<std::size_t>(std::ceil(1.0 + this->rate * to_seconds(this->longest_wait)));
     if (this->queue.size() > most)
     {
         this->end_wait(this->queue.rbegin()->ticket, gate_verdict::refused,
@@ -259,8 +257,12 @@
     {
         this->shares.on_admitted(entry.workspace, now);
     }
-    ended.push_back({verdict, gate_ticket(ticket), cause,
-                     this->rank_of(entry.key.request_class, now), now - entry.since, {}});
+    ended.push_back({verdict,
+                     gate_ticket(ticket),
+                     cause,
+                     this->rank_of(entry.key.request_class, now),
+                     now - entry.since,
+                     {}});
 }
 
 auto admission_gate::release(time_point now, std::vector<gate_decision>& ended) -> void
@@ -304,8 +306,7 @@
         return time_point::max();
     }
     this->refill(now);
-    const auto missing =
-        this->level_needed(this->queue.begin()->request_class, now) - this->level;
+    const auto missing = this->level_needed(this->queue.begin()->request_class, now) - this->level;
     const auto expiry = this->expiries.begin()->at;
     if (missing <= 0.0)
     {
--- a/src/overload/admission_gate_test.cpp
+++ b/src/overload/admission_gate_test.cpp
@@ -97,8 +97,7 @@
         CHECK(result.by_class[priority - 1].share_in_time() + 0.05 >
               result.by_class[priority].share_in_time());
     }
-    CHECK(result.by_class[0].share_in_time() >
-          std::min(0.9, 2.0 * result.all.share_in_time()));
+    CHECK(result.by_class[0].share_in_time() > std::min(0.9, 2.0 * result.all.share_in_time()));
 }
 
 // Guards against one workspace displacing the requests of all others, also with top priority.
--- a/src/overload/capacity_estimate.cpp
+++ b/src/overload/capacity_estimate.cpp
@@ -26,8 +26,8 @@
 constexpr double base_growth_per_step = 0.003;
 /// Part of the limit that admission steers for.
 constexpr double target_part = 0.95;
-/// Change of the rate for a delay off its target by a whole objective. At 1.5 and more the queues of
-/// the upstreams oscillate when hosts act on the same delay.
+/// Change of the rate for a delay off its target by a whole objective. At 1.5 and more the queues
+/// of the upstreams oscillate when hosts act on the same delay.
 constexpr double gain = 1.0;
 constexpr double lowest_correction = 0.5;
 constexpr double highest_correction = 1.25;
@@ -47,8 +47,9 @@
 {
     for (const auto& figures : more)
     {
-        const auto found = std::find_if(sums.begin(), sums.end(), [&](const auto& sum)
-                                        { return sum.service == figures.service; });
+        const auto found =
+            std::find_if(sums.begin(), sums.end(),
+                         [&](const auto& sum) { return sum.service == figures.service; });
         if (found == sums.end())
         {
             sums.push_back(figures);
@@ -57,9 +58,9 @@
         const auto completions = found->completions + figures.completions;
         if (completions > 0.0)
         {
-            found->delay = (found->delay * found->completions +
-                            figures.delay * figures.completions) /
-                           completions;
+            found->delay =
+                (found->delay * found->completions + figures.delay * figures.completions) /
+                completions;
         }
         found->completions = completions;
         found->arrivals += figures.arrivals;
@@ -113,7 +114,8 @@
 auto capacity_estimate::get_local(time_point now) -> service_figures
 {
     const auto count = this->delay_count.total(now);
-    return {service_key(0), static_cast<double>(this->arrivals.total(now)) / arrivals_window_seconds,
+    return {service_key(0),
+            static_cast<double>(this->arrivals.total(now)) / arrivals_window_seconds,
             static_cast<double>(this->completions.total(now)),
             count > 0.0 ? this->delay_sum.total(now) / count : 0.0};
 }
@@ -126,9 +128,10 @@
 
 auto capacity_estimate::measure_delay(time_point now) const -> double
 {
-    const auto weight = this->remote.completions > 0.0
-                            ? remote_weight * std::exp(-to_seconds(this->remote_age) / to_seconds(delay_memory))
-                            : 0.0;
+    const auto weight =
+        this->remote.completions > 0.0
+            ? remote_weight * std::exp(-to_seconds(this->remote_age) / to_seconds(delay_memory))
+            : 0.0;
     const auto count = this->delay_count.total(now) + weight;
     return count > 0.0 ? (this->delay_sum.total(now) + weight * this->remote.delay) / count : 0.0;
 }
@@ -153,9 +156,8 @@
     const auto position = (this->current_step - steps_back + size) % size;
     const auto own = this->recent_arrivals[static_cast<std::size_t>(position)];
     const auto all = own + this->remote.arrivals;
-    const auto least = this->remote.arrivals > 0.0
-                           ? least_share / static_cast<double>(this->hosts)
-                           : 1.0;
+    const auto least =
+        this->remote.arrivals > 0.0 ? least_share / static_cast<double>(this->hosts) : 1.0;
     return all > 0.0 ? std::max(own / all, least) : 1.0;
 }
 
@@ -171,8 +173,7 @@
         ++this->current_step;
         this->recent_completions[static_cast<std::size_t>(this->current_step % size)] =
             all_completions;
-        this->recent_arrivals[static_cast<std::size_t>(this->current_step % size)] =
-            local.arrivals;
+        this->recent_arrivals[static_cast<std::size_t>(this->current_step % size)] = local.arrivals;
         this->base_delay *= 1.0 + base_growth_per_step;
     }
     this->capacity =
@@ -189,8 +190,7 @@
     const auto share = this->share_of_host();
     const auto correction = std::clamp(1.0 + gain * (target_part * limit - this->delay),
                                        lowest_correction, highest_correction);
-    this->rate =
-        std::max(this->capacity * correction * share, this->lowest_capacity(share, now));
+    this->rate = std::max(this->capacity * correction * share, this->lowest_capacity(share, now));
 }
 
 } // namespace poplardrift::overload
--- a/src/overload/decayed_counter.hpp
+++ b/src/overload/decayed_counter.hpp
@@ -23,8 +23,8 @@
     {
         return now <= this->updated_at || this->value == 0.0
                    ? this->value
-                   : this->value * std::exp(-to_seconds(now - this->updated_at) /
-                                            this->time_constant);
+                   : this->value *
+                         std::exp(-to_seconds(now - this->updated_at) / this->time_constant);
     }
     [[nodiscard]] auto per_second(time_point now) const -> double
     {
--- a/src/overload/overload_simulation.hpp
+++ b/src/overload/overload_simulation.hpp
@@ -36,7 +36,10 @@
     bool repeats_at_once = false; ///< callers with odd ids return 20 ms after each refusal
     std::uint64_t seed = 1;
 
-    [[nodiscard]] auto capacity() const -> double { return this->slots / to_seconds(this->service_time); }
+    [[nodiscard]] auto capacity() const -> double
+    {
+        return this->slots / to_seconds(this->service_time);
+    }
 };
 
 /// What a group of requests got in the load phase.
@@ -109,9 +112,18 @@
         auto operator<(const event& other) const -> bool { return this->at > other.at; }
     };
 
-    [[nodiscard]] auto load_start() const -> time_point { return this->start + this->settings.warm_up; }
-    [[nodiscard]] auto load_end() const -> time_point { return this->load_start() + this->settings.load_phase; }
-    [[nodiscard]] auto end() const -> time_point { return this->load_end() + this->settings.calm_phase; }
+    [[nodiscard]] auto load_start() const -> time_point
+    {
+        return this->start + this->settings.warm_up;
+    }
+    [[nodiscard]] auto load_end() const -> time_point
+    {
+        return this->load_start() + this->settings.load_phase;
+    }
+    [[nodiscard]] auto end() const -> time_point
+    {
+        return this->load_end() + this->settings.calm_phase;
+    }
 
     auto schedule_arrival(time_point from) -> void
     {
@@ -121,8 +133,8 @@
         const auto flood_part = 1.0 / static_cast<double>(this->settings.workspaces);
         const auto flooded = 1.0 + (this->settings.flood - 1.0) * flood_part;
         const auto is_flood = in_load && this->settings.flood > 0.0;
-        const auto load = is_flood  ? usual_load * flooded
-                          : in_load ? this->settings.load
+        const auto load = is_flood                  ? usual_load * flooded
+                          : in_load                 ? this->settings.load
                           : from < this->load_end() ? usual_load
                                                     : calm_load;
         std::exponential_distribution<double> gap(this->settings.capacity() * load);
@@ -137,7 +149,8 @@
         const auto from_flood =
             is_flood && part(this->random) < (this->settings.flood - 1.0) * flood_part / flooded;
         made.workspace = from_flood ? 0 : this->random() % this->settings.workspaces;
-        made.priority = static_cast<int>(made.workspace % static_cast<std::uint64_t>(this->settings.classes));
+        made.priority =
+            static_cast<int>(made.workspace % static_cast<std::uint64_t>(this->settings.classes));
         made.first_arrived = at;
         this->events.push({at, [this, made]
                            {
@@ -179,8 +192,13 @@
             return;
         }
         auto& gate = this->gates[it.host];
-        gate_request asked{it.id, it.workspace, it.priority, it.arrived, this->settings.objective,
-                           it.first_arrived + this->settings.deadline, 0};
+        gate_request asked{it.id,
+                           it.workspace,
+                           it.priority,
+                           it.arrived,
+                           this->settings.objective,
+                           it.first_arrived + this->settings.deadline,
+                           0};
         const auto decision = gate.offer(asked, this->now);
         if (decision.verdict == gate_verdict::waiting)
         {
@@ -263,7 +281,8 @@
     {
         ++this->busy;
         std::uniform_real_distribution<double> spread(0.7, 1.3);
-        const auto took = from_seconds(to_seconds(this->settings.service_time) * spread(this->random));
+        const auto took =
+            from_seconds(to_seconds(this->settings.service_time) * spread(this->random));
         this->events.push({this->now + took, [this, it] { this->complete(it); }});
     }
 
@@ -278,7 +297,8 @@
         }
         auto& estimate = this->gates[it.host].capacity();
         const auto took = this->now - it.sent_at;
-        estimate.on_first_output(to_seconds(took) / to_seconds(this->settings.objective), this->now);
+        estimate.on_first_output(to_seconds(took) / to_seconds(this->settings.objective),
+                                 this->now);
         estimate.on_completion(took, this->now);
         // A caller that was refused before counts from its last try.
         const auto in_time = this->now - it.arrived <= this->settings.objective;
--- a/src/overload/return_schedule.hpp
+++ b/src/overload/return_schedule.hpp
@@ -24,8 +24,8 @@
     auto on_completion(time_point now) -> void { this->completions.add(now); }
     /// Books a place and returns the time until it is free, between a lower bound and
     /// `longest_wait`, the longest time that the caller waits before it returns anyway. `seed`
-    /// spreads the times of callers, for example a hash of the request's id. `rank` is the number of
-    /// classes of requests that are more urgent: they return before this one.
+    /// spreads the times of callers, for example a hash of the request's id. `rank` is the number
+    /// of classes of requests that are more urgent: they return before this one.
     [[nodiscard]] auto book(time_point now, duration longest_wait, std::uint64_t seed,
                             std::size_t rank = 0) -> duration;
 
--- a/src/overload/workspace_shares.cpp
+++ b/src/overload/workspace_shares.cpp
@@ -31,8 +31,7 @@
 } // namespace
 
 workspace_shares::usage::usage()
-    : recent(recent_memory), usual(usual_memory), arrived(service_memory),
-      admitted(service_memory)
+    : recent(recent_memory), usual(usual_memory), arrived(service_memory), admitted(service_memory)
 {
 }
 
@@ -54,8 +53,7 @@
     this->growth_at = now;
     if (this->workspaces.size() > max_workspaces)
     {
-        absl::erase_if(this->workspaces,
-                       [&](const auto& item)
+        absl::erase_if(this->workspaces, [&](const auto& item)
                        { return item.second.arrived.per_second(now) < forgotten_rate; });
     }
     this->ratios.clear();
@@ -97,8 +95,8 @@
 
 auto workspace_shares::takes_allowed(usage& use, time_point now) const -> bool
 {
-    const auto usual = std::max(use.usual.per_second(this->calm_time),
-                                new_workspace_part * this->mean_usual);
+    const auto usual =
+        std::max(use.usual.per_second(this->calm_time), new_workspace_part * this->mean_usual);
     if (usual <= 0.0)
     {
         return true;
--- a/src/overload/workspace_shares.hpp
+++ b/src/overload/workspace_shares.hpp
@@ -51,10 +51,10 @@
     absl::flat_hash_map<std::uint64_t, usage> workspaces;
     std::vector<std::pair<double, double>> ratios; ///< growth and weight of each workspace
     usage all;
-    double growth = 1.0;       ///< median rise above the usual rate
-    double mean_usual = 0.0;   ///< rate of a workspace
-    time_point growth_at{};    ///< when these two were computed
-    time_point calm_time{};    ///< stands still under congestion
+    double growth = 1.0;     ///< median rise above the usual rate
+    double mean_usual = 0.0; ///< rate of a workspace
+    time_point growth_at{};  ///< when these two were computed
+    time_point calm_time{};  ///< stands still under congestion
     time_point advanced_at{};
 };
 
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -60,7 +60,8 @@
     auto on_quarantine_changed() -> void;
     /// All bytes written so far have been passed to the kernel.
     auto on_caller_drained() -> void;
-    /// Called by overload_control: the request waits for its first send, may be sent, or is refused.
+    /// Called by overload_control: the request waits for its first send, may be sent, or is
+    /// refused.
     auto on_gate_wait(overload::gate_ticket ticket) -> void { this->gate_ticket = ticket; }
     auto on_admitted() -> void;
     auto on_shed(const overload::gate_decision& decision) -> void;
--- a/src/traffic/exchange_admission.cpp
+++ b/src/traffic/exchange_admission.cpp
@@ -54,9 +54,8 @@
     }
     auto& control = this->service.get_overload();
     const auto now = boot_clock_now();
-    this->retry_after =
-        control.book_return(this->target_service, hash_bytes_64(this->metadata.id), decision,
-                            (this->deadline - now) / return_wait_divisor);
+    this->retry_after = control.book_return(this->target_service, hash_bytes_64(this->metadata.id),
+                                            decision, (this->deadline - now) / return_wait_divisor);
     if (const auto* const gate = control.find_gate(this->target_service))
     {
         this->service.get_log().write(event_code::request_refused,
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -96,8 +96,8 @@
         this->first_event_at = now;
         if (this->upstream_was_warm)
         {
-            this->service.get_overload().on_first_event(
-                this->target_service, now - this->sent_at, this->route->objective);
+            this->service.get_overload().on_first_event(this->target_service, now - this->sent_at,
+                                                        this->route->objective);
         }
     }
     else
--- a/src/traffic/overload_control.cpp
+++ b/src/traffic/overload_control.cpp
@@ -224,14 +224,14 @@
         return;
     }
     const auto& capacity = state.gate.capacity();
-    this->service.get_log().write(
-        engaged ? event_code::admission_limited : event_code::admission_unlimited,
-        {{"service", target},
-         {"delay_part", capacity.get_delay()},
-         {"delay_limit", capacity.get_delay_limit()},
-         {"capacity", capacity.get_capacity()},
-         {"rate", state.gate.get_rate()},
-         {"waiting", state.gate.waiting_count()}});
+    this->service.get_log().write(engaged ? event_code::admission_limited
+                                          : event_code::admission_unlimited,
+                                  {{"service", target},
+                                   {"delay_part", capacity.get_delay()},
+                                   {"delay_limit", capacity.get_delay_limit()},
+                                   {"capacity", capacity.get_capacity()},
+                                   {"rate", state.gate.get_rate()},
+                                   {"waiting", state.gate.waiting_count()}});
 }
 
 auto overload_control::sync_figures(time_point now) -> void
@@ -245,8 +245,8 @@
         const auto key = key_of(target);
         const auto found = std::find_if(remote.sums.begin(), remote.sums.end(),
                                         [&](const auto& sum) { return sum.service == key; });
-        capacity.set_remote(
-            found == remote.sums.end() ? overload::service_figures{} : *found, remote.age);
+        capacity.set_remote(found == remote.sums.end() ? overload::service_figures{} : *found,
+                            remote.age);
         capacity.set_fleet(this->slots_of(target), this->service.get_view().hosts.count);
         auto figures = capacity.get_local(now);
         figures.service = key;
--- a/src/traffic/overload_control.hpp
+++ b/src/traffic/overload_control.hpp
@@ -25,7 +25,8 @@
 public:
     explicit overload_control(traffic_service& service);
 
-    /// Calls the exchange's on_admitted or on_shed, now or after a wait that on_gate_wait announces.
+    /// Calls the exchange's on_admitted or on_shed, now or after a wait that on_gate_wait
+    /// announces.
     auto offer(const std::shared_ptr<exchange>& waiting, const std::string& target,
                const overload::gate_request& request) -> void;
     auto withdraw(const std::string& target, overload::gate_ticket ticket) -> void;
