--- a/bench/overload_benchmark.cpp
+++ b/bench/overload_benchmark.cpp
@@ -2,14 +2,50 @@
 
 #include "overload/overload_simulation.hpp"
 
+#include <chrono>
 #include <cstdio>
 
 using namespace poplardrift;
 using namespace poplardrift::overload;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// Prints the mean time of one decision while 10,000 requests wait.
+auto print_decision_time() -> void
+{
+    const time_point now(1h);
+    admission_gate gate;
+    gate.capacity().set_remote({service_key(1), 1e6, 2e5, 1.5}, 0ms);
+    const auto make = [&](std::uint64_t id) {
+        return gate_request{id, id % 50, static_cast<int>(id % 3), now, 16s, now + 60s + id * 1us,
+                            0};
+    };
+    std::vector<gate_decision> ended;
+    for (std::uint64_t id = 0; id < 200'000 && gate.waiting_count() < 10'000; ++id)
+    {
+        (void)gate.offer(make(id), now);
+    }
+    const auto waiting = gate.waiting_count();
+    constexpr int rounds = 100'000;
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::uint64_t id = 0; id < rounds; ++id)
+    {
+        const auto decision = gate.offer(make(id * 7919 % 1'000'003), now);
+        gate.release(now, ended);
+        gate.withdraw(decision.ticket);
+        ended.clear();
+    }
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
+    std::printf("decision with %zu waiting: %.2f us\n", waiting, took.count() / rounds);
+}
+
+} // namespace
+
 auto main() -> int
 {
+    print_decision_time();
     for (const bool with_gate : {false, true})
     {
         for (const std::size_t hosts : {1U, 5U, 34U})
