Bound the memory and descriptors that callers can hold

Cause: the budget counted payload of bodies only, after it had been read. Buffers, header fields (64 bytes and more for one of 4), copies of a body for each send, unread answers of pipelined requests, lingering connections and the ports for status and peers had no bound.

Change: one budget of bytes by process, workspace and caller address counts what sessions hold; without room, what holds most and progresses least is closed, or refused with 503 and Retry-After if it has not run. Bodies are shared, not copied; header fields share one block; empty buffers give their memory back. Sockets count until they are closed; the longest inactive caller is closed for a new one.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -66,6 +66,7 @@
     request_sent_again = 506,
     request_cancelled = 507,
     send_interrupted = 508,
+    caller_limited = 509,
     transaction_claimed = 600,
     transaction_lost = 601,
     transaction_unknown = 602,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -99,6 +99,9 @@
          "The connection to an upstream ended before the answer was whole; the detail says how "
          "much "
          "output there was, what the prompt held and how the upstream stood."},
+        {caller_limited, warning, "caller-limited",
+         "A caller met a limit of the process on memory or connections and was refused or closed; "
+         "at most one line a second for each limit, with the number of others since the last."},
         {transaction_claimed, debug, "transaction-claimed",
          "This host may run a transaction: its claim is first in the log."},
         {transaction_lost, info, "transaction-lost", "Another claim for the key came first."},
--- a/src/fleet/peer_link.cpp
+++ b/src/fleet/peer_link.cpp
@@ -17,6 +17,9 @@
 using boost::asio::ip::address_v4;
 using boost::system::error_code;
 
+/// Connections of other hosts that fetch records. Each is closed after one response, and only the
+/// hosts of one cell fetch at one host.
+constexpr std::size_t max_fetch_connections = 100;
 constexpr duration silent_beacon_interval = 1s; ///< to peers that are not alive
 /// Interval at which the identity is repeated, for peers that missed it.
 constexpr duration identity_interval = 1s;
@@ -44,7 +47,15 @@
                      traffic::load_mailbox& mailbox, decision_log& log,
                      std::function<void()> on_records_applied)
     : io(io), settings(std::move(settings)), state(state), mailbox(mailbox), log(log),
-      on_records_applied(std::move(on_records_applied)), socket(io)
+      on_records_applied(std::move(on_records_applied)), socket(io),
+      fetch_sessions(max_fetch_connections), limits(log,
+                                                    [this](const char* limit)
+                                                    {
+                                                        if (this->count_limit)
+                                                        {
+                                                            this->count_limit(limit);
+                                                        }
+                                                    })
 {
 }
 
@@ -72,10 +83,14 @@
         this->io,
         [this](boost::asio::ip::tcp::socket accepted)
         {
-            std::make_shared<traffic::status_session>(std::move(accepted),
-                                                      [this](const http::request_head& head)
-                                                      { return this->serve_records(head); })
-                ->start();
+            const auto now = boot_clock_now();
+            const auto closed = this->fetch_sessions.accept(
+                std::move(accepted),
+                [this](const http::request_head& head) { return this->serve_records(head); }, now);
+            if (closed)
+            {
+                this->limits.report("peer_connections", *closed, 0, now);
+            }
         });
     this->receive();
     this->started_at = boot_clock_now();
@@ -219,6 +234,7 @@
 
 auto peer_link::tick(time_point now) -> void
 {
+    this->fetch_sessions.close_inactive(now);
     this->update_plan();
     this->collect_local_prefixes(now);
     this->send_new_evidence(now);
--- a/src/fleet/peer_link.hpp
+++ b/src/fleet/peer_link.hpp
@@ -8,6 +8,7 @@
 #include "http/upstream_connection.hpp"
 #include "observability/decision_log.hpp"
 #include "routing/host_group.hpp"
+#include "traffic/limit_reporter.hpp"
 #include "traffic/load_mailbox.hpp"
 #include "traffic/status_session.hpp"
 
@@ -63,6 +64,11 @@
     /// Sends due beacons, expires peers, and starts a fetch from a peer that is ahead. Call about
     /// every 50 ms.
     auto tick(time_point now) -> void;
+    /// Calls this when a caller of this host's port has met a limit.
+    auto set_limit_counter(traffic::limit_reporter::counter counter) -> void
+    {
+        this->count_limit = std::move(counter);
+    }
     /// True when this host should poll the registry frequently: fewer than the required number of
     /// live, up-to-date peers of its cell have a lower address.
     [[nodiscard]] auto is_reader(time_point now) const -> bool;
@@ -169,6 +175,9 @@
     boost::asio::ip::udp::endpoint sender;
     std::array<char, 2048> datagram{};
     std::shared_ptr<http::listener> fetch_listener;
+    traffic::status_session_group fetch_sessions;
+    traffic::limit_reporter::counter count_limit;
+    traffic::limit_reporter limits;
     std::map<boost::asio::ip::address_v4, peer> peers;
     std::shared_ptr<batch_fetch> fetch;
     std::map<zone_name, remote_cell> remote_cells;
--- a/src/http/byte_stream.cpp
+++ b/src/http/byte_stream.cpp
@@ -98,7 +98,7 @@
     }
     error_code error;
     auto& buffer = read_buffer();
-    const auto count = this->socket.read_some(asio::buffer(buffer), error);
+    const auto count = this->socket.read_some(asio::buffer(buffer, this->read_limit), error);
     if (error == asio::error::would_block || error == asio::error::interrupted)
     {
         this->wait_readable();
@@ -128,6 +128,10 @@
     {
         return;
     }
+    if (this->shared_waiting)
+    {
+        this->waiting.append(*std::exchange(this->shared_waiting, nullptr));
+    }
     if (this->waiting.empty())
     {
         this->waiting = std::move(bytes);
@@ -139,15 +143,35 @@
     this->flush();
 }
 
+auto byte_stream::write(std::shared_ptr<const std::string> bytes) -> void
+{
+    if (!this->socket.is_open() || this->closing)
+    {
+        return;
+    }
+    if (this->shared_waiting)
+    {
+        this->write(std::string(*bytes));
+        return;
+    }
+    this->shared_waiting = std::move(bytes);
+    this->flush();
+}
+
 auto byte_stream::flush() -> void
 {
-    if (this->writing || this->waiting.empty() || !this->socket.is_open())
+    if (this->writing || (this->waiting.empty() && !this->shared_waiting) ||
+        !this->socket.is_open())
     {
         return;
     }
     this->in_write = std::exchange(this->waiting, {});
+    this->shared_in_write = std::exchange(this->shared_waiting, nullptr);
     this->writing = true;
-    asio::async_write(this->socket, asio::buffer(this->in_write),
+    const auto shared =
+        this->shared_in_write ? asio::buffer(*this->shared_in_write) : asio::const_buffer();
+    asio::async_write(this->socket,
+                      std::array{asio::const_buffer(asio::buffer(this->in_write)), shared},
                       [self = this->shared_from_this()](const error_code& error, std::size_t count)
                       { self->on_flushed(error, count); });
 }
@@ -155,7 +179,8 @@
 auto byte_stream::on_flushed(const error_code& error, std::size_t) -> void
 {
     this->writing = false;
-    this->in_write.clear();
+    this->in_write = {}; // its memory too, so that an idle connection needs little
+    this->shared_in_write = nullptr;
     if (error)
     {
         // The peer may have sent a response before it stopped reading.
@@ -198,6 +223,10 @@
     this->listener = nullptr;
     error_code ignored;
     this->socket.close(ignored);
+    this->waiting = {};
+    this->shared_waiting = nullptr;
+    this->kept_until_written = nullptr;
+    this->kept_until_closed = nullptr;
 }
 
 auto byte_stream::reset() -> void
@@ -226,6 +255,7 @@
 
 auto byte_stream::finish_closing() -> void
 {
+    this->kept_until_written = nullptr;
     error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     auto timer = std::make_shared<asio::steady_timer>(this->socket.get_executor(), this->linger);
--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace poplardrift::http
 {
@@ -49,8 +50,25 @@
     auto start(duration peer_timeout) -> void;
     /// Queues bytes.
     auto write(std::string bytes) -> void;
+    /// Queues bytes without a copy of them. They are written after those of earlier calls and
+    /// before those of later ones.
+    auto write(std::shared_ptr<const std::string> bytes) -> void;
+    /// Keeps an object until the socket is closed, such as its share of the process's descriptors.
+    auto keep_until_closed(std::shared_ptr<void> object) -> void
+    {
+        this->kept_until_closed = std::move(object);
+    }
+    /// Keeps an object until all queued bytes have been passed to the kernel or the socket is
+    /// closed. Call before close_after_writing.
+    auto keep_until_written(std::shared_ptr<void> object) -> void
+    {
+        this->kept_until_written = std::move(object);
+    }
     /// Pauses or resumes reading. While paused, the end of the connection is not detected.
     auto set_reading(bool wanted) -> void;
+    /// Most bytes that one read delivers, so that a peer cannot make its reader hold more than it
+    /// can use.
+    auto set_read_limit(std::size_t bytes) -> void { this->read_limit = bytes; }
     /// Delivers bytes that have arrived but have not been read yet.
     auto poll() -> void { this->read_available(); }
     /// Closes immediately. The listener is not called again.
@@ -70,7 +88,14 @@
     /// Bytes not yet passed to the kernel.
     [[nodiscard]] auto bytes_waiting() const -> std::size_t
     {
-        return this->in_write.size() + this->waiting.size();
+        return this->in_write.size() + this->waiting.size() +
+               (this->shared_in_write ? this->shared_in_write->size() : 0) +
+               (this->shared_waiting ? this->shared_waiting->size() : 0);
+    }
+    /// Memory taken by the write queue, without shared bytes.
+    [[nodiscard]] auto allocated_bytes() const -> std::size_t
+    {
+        return this->in_write.capacity() + this->waiting.capacity();
     }
 
 private:
@@ -85,6 +110,11 @@
     stream_listener* listener;
     std::string in_write;
     std::string waiting;
+    std::shared_ptr<const std::string> shared_in_write;
+    std::shared_ptr<const std::string> shared_waiting; ///< to be written after `waiting`
+    std::shared_ptr<void> kept_until_closed;
+    std::shared_ptr<void> kept_until_written;
+    std::size_t read_limit = static_cast<std::size_t>(-1);
     bool writing = false;
     bool reading = true;
     bool read_pending = false;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -66,12 +66,22 @@
 
 auto header_list::add(std::string_view name, std::string_view value) -> void
 {
-    this->fields.push_back({std::string(name), std::string(value)});
+    this->fields.push_back({static_cast<std::uint32_t>(this->text.size()),
+                            static_cast<std::uint32_t>(name.size()),
+                            static_cast<std::uint32_t>(value.size())});
+    this->text.append(name).append(value);
+}
+
+auto header_list::at(std::size_t position) const -> header_field
+{
+    const auto& field = this->fields[position];
+    const auto both = std::string_view(this->text).substr(field.begin);
+    return {both.substr(0, field.name_size), both.substr(field.name_size, field.value_size)};
 }
 
 auto header_list::find(std::string_view name) const -> std::optional<std::string_view>
 {
-    for (const auto& field : this->fields)
+    for (const auto& field : *this)
     {
         if (equal_names(field.name, name))
         {
@@ -83,11 +93,24 @@
 
 auto header_list::count(std::string_view name) const -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(this->fields.begin(), this->fields.end(),
+    return static_cast<std::size_t>(std::count_if(this->begin(), this->end(),
                                                   [&](const header_field& field)
                                                   { return equal_names(field.name, name); }));
 }
 
+auto header_list::allocated_bytes() const -> std::size_t
+{
+    return this->text.capacity() + this->fields.capacity() * sizeof(extent);
+}
+
+auto memory_of(const std::string& text) -> std::size_t
+{
+    constexpr std::size_t page_bytes = 4096;
+    return text.capacity() < min_mapped_bytes
+               ? text.capacity()
+               : (text.size() + page_bytes - 1) / page_bytes * page_bytes;
+}
+
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
 {
     std::uint64_t number = 0;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,28 +14,84 @@
 /// One header field as received, without the whitespace around its value.
 struct header_field
 {
-    std::string name;
-    std::string value;
+    std::string_view name;
+    std::string_view value;
 };
 
 /// Compares two header names, ignoring case.
 [[nodiscard]] auto equal_names(std::string_view left, std::string_view right) -> bool;
 
-/// Header fields in the order received. Messages have few fields, so lookup is linear.
+/// Header fields in the order received. Messages have few fields, so lookup is linear. All text is
+/// in one block: a head of thousands of tiny fields takes a small multiple of its size. Names and
+/// values refer to the list and are valid until it is changed, moved or destroyed.
 class header_list final
 {
 public:
+    class iterator final
+    {
+    public:
+        using iterator_category = std::input_iterator_tag;
+        using value_type = header_field;
+        using difference_type = std::ptrdiff_t;
+        using pointer = void;
+        using reference = header_field;
+
+        iterator(const header_list& list, std::size_t position) : list(&list), position(position) {}
+        [[nodiscard]] auto operator*() const -> header_field
+        {
+            return this->list->at(this->position);
+        }
+        auto operator++() -> iterator&
+        {
+            ++this->position;
+            return *this;
+        }
+        auto operator++(int) -> iterator
+        {
+            auto before = *this;
+            ++this->position;
+            return before;
+        }
+        [[nodiscard]] auto operator==(const iterator& other) const -> bool
+        {
+            return this->position == other.position;
+        }
+
+    private:
+        const header_list* list;
+        std::size_t position;
+    };
+
     auto add(std::string_view name, std::string_view value) -> void;
     /// Value of the first field with this name.
     [[nodiscard]] auto find(std::string_view name) const -> std::optional<std::string_view>;
     [[nodiscard]] auto count(std::string_view name) const -> std::size_t;
-    [[nodiscard]] auto begin() const { return this->fields.begin(); }
-    [[nodiscard]] auto end() const { return this->fields.end(); }
+    [[nodiscard]] auto begin() const -> iterator { return {*this, 0}; }
+    [[nodiscard]] auto end() const -> iterator { return {*this, this->fields.size()}; }
+    /// Memory taken by the list.
+    [[nodiscard]] auto allocated_bytes() const -> std::size_t;
 
 private:
-    std::vector<header_field> fields;
+    /// A name, directly followed by its value.
+    struct extent
+    {
+        std::uint32_t begin = 0;
+        std::uint32_t name_size = 0;
+        std::uint32_t value_size = 0;
+    };
+
+    [[nodiscard]] auto at(std::size_t position) const -> header_field;
+
+    std::string text;
+    std::vector<extent> fields;
 };
 
+/// Memory that a text takes: its capacity or, of a large block, the pages that have been written.
+/// The allocator maps large blocks (M_MMAP_THRESHOLD, set by the router's main function), and the
+/// system provides their pages only when they are written.
+[[nodiscard]] auto memory_of(const std::string& text) -> std::size_t;
+inline constexpr std::size_t min_mapped_bytes = 131'072;
+
 /// Parses a non-negative decimal number without sign or whitespace; nullopt for any other text.
 [[nodiscard]] auto parse_number(std::string_view text) -> std::optional<std::uint64_t>;
 
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -19,6 +19,9 @@
 /// Beast needs a finite limit for bodies with a length. Response bodies are not limited here.
 constexpr std::uint64_t unbounded_body = std::uint64_t{1} << 40;
 
+/// Bytes of a body after which it is given room for its whole length; shorter ones have it at once.
+constexpr std::size_t reserve_from_bytes = 65'536;
+
 auto to_view(beast::string_view text) -> std::string_view
 {
     return {text.data(), text.size()};
@@ -32,6 +35,7 @@
 public:
     Head head;
     std::string body;
+    std::size_t length = 0; ///< of a request's whole body, if the head says so
     bool head_done = false;
 
 private:
@@ -68,12 +72,19 @@
     {
         if constexpr (IsRequest)
         {
-            // Its limit has been checked; growing the body in steps would copy it.
-            this->body.reserve(static_cast<std::size_t>(length.value_or(0)));
+            this->length = static_cast<std::size_t>(length.value_or(0));
         }
     }
     auto on_body_impl(text bytes, code&) -> std::size_t override
     {
+        // A body that grows in steps is copied. What is only announced takes no memory until the
+        // body has shown that it comes.
+        const auto is_coming =
+            this->length <= reserve_from_bytes || this->body.size() >= reserve_from_bytes;
+        if (this->length > this->body.capacity() && is_coming)
+        {
+            this->body.reserve(this->length);
+        }
         this->body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
@@ -114,34 +125,43 @@
     auto consume(std::size_t count) -> void
     {
         this->consumed += count;
-        if (this->consumed >= this->size())
+        if (this->consumed == this->bytes.size() && this->bytes.capacity() > max_kept_bytes)
+        {
+            this->bytes = {};
+            this->consumed = 0;
+        }
+        else if (this->consumed >= this->size())
         {
             this->bytes.erase(0, this->consumed);
             this->consumed = 0;
         }
     }
+    [[nodiscard]] auto capacity() const -> std::size_t { return this->bytes.capacity(); }
     [[nodiscard]] auto data() const -> const char* { return this->bytes.data() + this->consumed; }
     [[nodiscard]] auto size() const -> std::size_t { return this->bytes.size() - this->consumed; }
     [[nodiscard]] auto empty() const -> bool { return this->size() == 0; }
 
 private:
+    /// An empty buffer that is larger gives its memory back, so that idle connections hold little.
+    static constexpr std::size_t max_kept_bytes = 4096;
+
     std::string bytes;
     std::size_t consumed = 0;
 };
 
-/// Feeds pending bytes to a parser. Bytes it does not consume stay pending.
-template <class Parser>
-auto advance(Parser& parser, pending_bytes& pending) -> read_error
+/// Feeds the bytes of a source to a parser. What it does not take stays in the source.
+template <class Parser, class Source>
+auto advance(Parser& parser, Source& source) -> read_error
 {
-    while (!pending.empty() && !parser.is_done())
+    while (!source.empty() && !parser.is_done())
     {
         beast::error_code code;
         const auto consumed =
-            parser.put(boost::asio::const_buffer(pending.data(), pending.size()), code);
-        pending.consume(consumed);
+            parser.put(boost::asio::const_buffer(source.data(), source.size()), code);
+        source.consume(consumed);
         if (code == beast::http::error::need_more)
         {
-            return pending.size() <= max_element_bytes ? read_error::none : read_error::malformed;
+            return source.size() <= max_element_bytes ? read_error::none : read_error::malformed;
         }
         if (code)
         {
@@ -155,6 +175,20 @@
     return read_error::none;
 }
 
+/// Bytes that were just received, parsed where they are.
+class received_bytes final
+{
+public:
+    explicit received_bytes(std::string_view bytes) : bytes(bytes) {}
+    auto consume(std::size_t count) -> void { this->bytes.remove_prefix(count); }
+    [[nodiscard]] auto data() const -> const char* { return this->bytes.data(); }
+    [[nodiscard]] auto size() const -> std::size_t { return this->bytes.size(); }
+    [[nodiscard]] auto empty() const -> bool { return this->bytes.empty(); }
+
+private:
+    std::string_view bytes;
+};
+
 template <class Head>
 auto framing_of(const Head& head, bool chunked, bool has_length) -> std::optional<body_framing>
 {
@@ -185,13 +219,28 @@
         this->checked = false;
     }
 
-    auto advance_parser() -> void
+    /// Copies only what the parser cannot take yet.
+    auto feed(std::string_view bytes) -> void
+    {
+        if (!this->pending.empty())
+        {
+            this->pending.append(bytes);
+            this->advance_parser(this->pending);
+            return;
+        }
+        received_bytes received(bytes);
+        this->advance_parser(received);
+        this->pending.append({received.data(), received.size()});
+    }
+
+    template <class Source>
+    auto advance_parser(Source& source) -> void
     {
         if (this->failure != read_error::none)
         {
             return;
         }
-        this->failure = advance(*this->parser, this->pending);
+        this->failure = advance(*this->parser, source);
         if (this->failure == read_error::none && this->parser->head_done && !this->checked)
         {
             this->check_head();
@@ -239,14 +288,13 @@
 
 auto request_reader::feed(std::string_view bytes) -> void
 {
-    this->self->pending.append(bytes);
-    this->self->advance_parser();
+    this->self->feed(bytes);
 }
 
 auto request_reader::next(reader_limits limits) -> void
 {
     this->self->restart(limits);
-    this->self->advance_parser();
+    this->self->advance_parser(this->self->pending);
 }
 
 auto request_reader::error() const -> read_error
@@ -275,8 +323,17 @@
 }
 auto request_reader::body_size() const -> std::size_t
 {
-    const auto length = this->self->parser->content_length();
-    return length ? static_cast<std::size_t>(*length) : this->self->parser->body.size();
+    return this->self->parser->body.size();
+}
+auto request_reader::body_memory() const -> std::size_t
+{
+    return memory_of(this->self->parser->body);
+}
+auto request_reader::other_memory() const -> std::size_t
+{
+    const auto& head = this->self->parser->head;
+    return this->self->pending.capacity() + head.fields.allocated_bytes() + head.target.capacity() +
+           head.method.capacity();
 }
 auto request_reader::take_body() -> std::string
 {
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -51,9 +51,13 @@
     /// Number of bytes buffered for the next message.
     [[nodiscard]] auto bytes_ahead() const -> std::size_t;
     [[nodiscard]] auto head() const -> const request_head&;
-    /// Bytes of the whole body, if the head says so; before the message is complete else those
-    /// read so far.
+    /// Bytes of the body read so far and not yet taken.
     [[nodiscard]] auto body_size() const -> std::size_t;
+    /// Memory taken by the body read so far. It is smaller than the body's capacity when that is
+    /// large: the system provides pages of large blocks only when they are written.
+    [[nodiscard]] auto body_memory() const -> std::size_t;
+    /// Memory taken by all else that has been read.
+    [[nodiscard]] auto other_memory() const -> std::size_t;
     /// Returns the body read so far and clears it; the whole body once the message is complete.
     [[nodiscard]] auto take_body() -> std::string;
 
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -91,10 +91,13 @@
 auto upstream_connection::transmit() -> void
 {
     this->reader.next(this->request.is_head_request);
-    auto bytes = std::move(this->request.head);
-    bytes.append(this->request.body);
-    this->request.body.clear();
+    auto bytes = std::exchange(this->request.head, {});
+    bytes.append(std::exchange(this->request.body, {}));
     this->stream->write(std::move(bytes));
+    if (auto shared = std::exchange(this->request.shared_body, nullptr))
+    {
+        this->stream->write(std::move(shared));
+    }
     if (this->receiver != nullptr)
     {
         this->receiver->on_request_sent();
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -48,6 +48,7 @@
 {
     std::string head; ///< request line and header fields, including the blank line
     std::string body;
+    std::shared_ptr<const std::string> shared_body; ///< follows `body`; may be null
     bool is_head_request = false;
     /// A response with another value than `echo_value` in this field belongs to an earlier request.
     /// Responses without the field are accepted.
@@ -72,6 +73,8 @@
 
     /// Connects if needed and sends the request. The connection must be new or idle.
     auto send(upstream_request request, response_receiver* receiver) -> void;
+    /// Keeps an object as long as the connection, such as its share of the process's descriptors.
+    auto keep(std::shared_ptr<void> object) -> void { this->kept = std::move(object); }
     /// Drops the request and closes the connection. The receiver is not called again.
     auto abandon() -> void;
     /// Pauses or resumes reading the response.
@@ -109,6 +112,7 @@
     std::shared_ptr<byte_stream> stream;
     response_reader reader;
     upstream_request request;
+    std::shared_ptr<void> kept;
     response_receiver* receiver = nullptr;
     std::optional<std::uint64_t> keep_alive;
     std::uint64_t completed_responses = 0;
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -89,6 +89,26 @@
     }
 }
 
+auto connection_pool::close_oldest() -> bool
+{
+    std::vector<idle_connection>* oldest = nullptr;
+    for (auto& [upstream, list] : this->idle)
+    {
+        // Each list is in the order in which its connections became idle.
+        if (!list.empty() && (oldest == nullptr || list.front().since < oldest->front().since))
+        {
+            oldest = &list;
+        }
+    }
+    if (oldest == nullptr)
+    {
+        return false;
+    }
+    oldest->front().connection->abandon();
+    oldest->erase(oldest->begin());
+    return true;
+}
+
 auto connection_pool::close_all(routing::upstream_state_id upstream) -> void
 {
     const auto found = this->idle.find(upstream);
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -26,6 +26,8 @@
         -> void;
     /// Closes connections that exceed their idle limit.
     auto close_expired(time_point now) -> void;
+    /// Closes the connection that has been idle for longest; false if there is none.
+    auto close_oldest() -> bool;
     /// Closes all idle connections to an upstream.
     auto close_all(routing::upstream_state_id upstream) -> void;
 
--- a/src/traffic/connection_pool_test.cpp
+++ b/src/traffic/connection_pool_test.cpp
@@ -43,7 +43,7 @@
     const auto connection = std::make_shared<http::upstream_connection>(
         io, server.address(), http::connection_settings{1s, 1s});
     ignored_response receiver;
-    connection->send({"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "", false, "", ""}, &receiver);
+    connection->send({"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "", nullptr, false, "", ""}, &receiver);
     for (int rounds = 0; rounds < 200 && !receiver.has_ended; ++rounds)
     {
         io.run_for(10ms);
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -44,12 +44,24 @@
 } // namespace
 
 exchange::exchange(traffic_service& service, response_sink* sink, http::request_head head,
-                   std::string body, body_reservation body_room, time_point arrived)
-    : service(service), sink(sink), request(std::move(head)), body(std::move(body)),
-      body_room(std::move(body_room)), arrived(arrived), timer(service.get_io())
+                   std::string body, time_point arrived)
+    : service(service), sink(sink), request(std::move(head)),
+      body(std::make_shared<const std::string>(std::move(body))), arrived(arrived),
+      timer(service.get_io())
 {
 }
 
+auto exchange::body_memory() const -> std::size_t
+{
+    return http::memory_of(*this->body);
+}
+
+auto exchange::other_memory() const -> std::size_t
+{
+    return this->request.fields.allocated_bytes() + this->buffered_body.capacity() +
+           this->failure_body.capacity();
+}
+
 auto exchange::is_stream() const -> bool
 {
     return this->route->kind == route_kind::streaming;
@@ -171,6 +183,11 @@
         return;
     }
     this->buffered_body.append(bytes);
+    this->sink->on_memory_changed();
+    if (this->done)
+    {
+        return; // there was no room for the response
+    }
     if (this->buffered_body.size() <= max_buffered_bytes)
     {
         return;
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -5,7 +5,6 @@
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/placement.hpp"
 #include "routing/resend_policy.hpp"
-#include "traffic/body_budget.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/wire_adapter.hpp"
@@ -40,6 +39,8 @@
     virtual auto end_response() -> void = 0;
     /// Ends an incomplete response in such a way that the caller detects that it is incomplete.
     virtual auto abort_response() -> void = 0;
+    /// The exchange holds more memory, or less.
+    virtual auto on_memory_changed() -> void = 0;
     /// Bytes of the response not yet passed to the kernel.
     [[nodiscard]] virtual auto bytes_waiting() const -> std::size_t = 0;
 };
@@ -50,7 +51,7 @@
 {
 public:
     exchange(traffic_service& service, response_sink* sink, http::request_head head,
-             std::string body, body_reservation body_room, time_point arrived);
+             std::string body, time_point arrived);
 
     auto start() -> void;
     /// The caller has closed its connection.
@@ -59,6 +60,10 @@
     auto on_quarantine_changed() -> void;
     /// All bytes written so far have been passed to the kernel.
     auto on_caller_drained() -> void;
+    /// Memory taken by the request's body.
+    [[nodiscard]] auto body_memory() const -> std::size_t;
+    /// Memory taken by the request's head and by what has been read of the response.
+    [[nodiscard]] auto other_memory() const -> std::size_t;
 
 private:
     auto on_request_sent() -> void override;
@@ -118,8 +123,7 @@
     traffic_service& service;
     response_sink* sink;
     http::request_head request;
-    std::string body;
-    body_reservation body_room;
+    std::shared_ptr<const std::string> body; ///< shared with the connection that sends it
     time_point arrived;
     request_metadata metadata;
 
--- a/src/traffic/exchange_send.cpp
+++ b/src/traffic/exchange_send.cpp
@@ -28,6 +28,8 @@
 /// Callers that are refused during a pause return within this time after its end.
 constexpr duration max_return_spread = 500ms;
 constexpr std::uint64_t spread_steps = 64;
+/// Longer bodies are not copied for a send; shorter ones go with the head in one packet or two.
+constexpr std::size_t max_copied_body_bytes = 4096;
 
 } // namespace
 
@@ -171,7 +173,17 @@
     {
         options.fetch_from = &this->service.get_upstreams()[*choice.fetch_from].known.entry.address;
     }
-    return this->service.get_adapter().encode_request(this->request, this->body, options);
+    auto wire =
+        this->service.get_adapter().encode_request(this->request, this->body->size(), options);
+    if (this->body->size() <= max_copied_body_bytes)
+    {
+        wire.body = *this->body; // is written together with the head
+    }
+    else
+    {
+        wire.shared_body = this->body;
+    }
+    return wire;
 }
 
 auto exchange::on_request_sent() -> void
--- a/src/traffic/status_session.cpp
+++ b/src/traffic/status_session.cpp
@@ -1,5 +1,8 @@
 #include "traffic/status_session.hpp"
 
+#include "net/clock.hpp"
+
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -12,7 +15,13 @@
 
 constexpr duration prober_ack_timeout = std::chrono::seconds(5);
 constexpr duration close_linger = std::chrono::milliseconds(500);
-constexpr http::reader_limits status_reader_limits{8'192, 65'536};
+/// Requests to these ports have no body.
+constexpr http::reader_limits status_reader_limits{8'192, 1'024};
+/// Most bytes read at once, and so the most that wait in a connection's buffer.
+constexpr std::size_t read_bytes = 8'192;
+/// Collectors read once in 60 s at the most seldom.
+constexpr duration inactive_limit = std::chrono::seconds(90);
+constexpr duration request_limit = std::chrono::seconds(5);
 /// Unsent bytes for a peer that doesn't read, beyond which its next request waits.
 constexpr std::size_t max_unsent_bytes = 65'536;
 
@@ -27,12 +36,19 @@
 auto status_session::start() -> void
 {
     this->self_reference = this->shared_from_this();
+    this->last_activity = boot_clock_now();
+    this->stream->set_read_limit(read_bytes);
     this->stream->start(prober_ack_timeout);
 }
 
 auto status_session::on_bytes(std::string_view bytes) -> void
 {
     const auto self = this->shared_from_this();
+    this->last_activity = boot_clock_now();
+    if (!this->reader.has_begun())
+    {
+        this->begun_at = this->last_activity;
+    }
     this->reader.feed(bytes);
     if (!this->is_busy)
     {
@@ -54,6 +70,7 @@
     const auto reply = this->handler(this->reader.head());
     const auto keep_alive = this->reader.head().keep_alive;
     this->reader.next(status_reader_limits);
+    this->begun_at = this->last_activity;
     // Reading goes on when all requests received so far have been handled.
     this->is_busy = keep_alive;
     this->stream->set_reading(!keep_alive);
@@ -86,6 +103,7 @@
 auto status_session::on_written() -> void
 {
     const auto self = this->shared_from_this();
+    this->last_activity = boot_clock_now();
     this->on_turn();
 }
 
@@ -115,4 +133,79 @@
     const auto self = std::exchange(this->self_reference, nullptr);
 }
 
+auto status_session::close() -> void
+{
+    const auto self = std::exchange(this->self_reference, nullptr);
+    this->stream->close();
+}
+
+auto status_session_group::accept(boost::asio::ip::tcp::socket socket,
+                                  status_session::request_handler handler, time_point now)
+    -> std::optional<boost::asio::ip::address>
+{
+    std::optional<boost::asio::ip::address> closed;
+    this->remove_closed();
+    if (this->connections.size() >= this->max_connections)
+    {
+        const auto active_at = [](const connection& one)
+        {
+            const auto session = one.session.lock();
+            return session ? session->active_at() : one.accepted_at;
+        };
+        const auto oldest = std::min_element(this->connections.begin(), this->connections.end(),
+                                             [&](const connection& left, const connection& right)
+                                             { return active_at(left) < active_at(right); });
+        closed = oldest->peer;
+        close(*oldest);
+        this->connections.erase(oldest);
+    }
+    boost::system::error_code error;
+    const auto peer = socket.remote_endpoint(error).address();
+    const auto session = std::make_shared<status_session>(std::move(socket), std::move(handler));
+    this->connections.push_back({session->get_stream(), session, peer, now});
+    session->start();
+    return closed;
+}
+
+auto status_session_group::close_inactive(time_point now) -> void
+{
+    for (const auto& one : this->connections)
+    {
+        const auto session = one.session.lock();
+        if (!session)
+        {
+            continue; // lingers for a moment after its last response
+        }
+        const auto begun_at = session->request_begun_at();
+        if (now - session->active_at() > inactive_limit ||
+            (begun_at && now - *begun_at > request_limit))
+        {
+            session->close();
+        }
+    }
+    this->remove_closed();
+}
+
+auto status_session_group::remove_closed() -> void
+{
+    std::erase_if(this->connections,
+                  [](const connection& one)
+                  {
+                      const auto stream = one.stream.lock();
+                      return !stream || !stream->is_open();
+                  });
+}
+
+auto status_session_group::close(const connection& closed) -> void
+{
+    if (const auto session = closed.session.lock())
+    {
+        session->close();
+    }
+    else if (const auto stream = closed.stream.lock())
+    {
+        stream->close();
+    }
+}
+
 } // namespace poplardrift::traffic
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -45,6 +45,10 @@
                .Name("poplardrift_upstream_pauses_total")
                .Help("Responses by which an upstream asked for no requests for a time, by service")
                .Register(this->registry)),
+      limits(&prometheus::BuildCounter()
+                  .Name("poplardrift_caller_limits_total")
+                  .Help("Callers refused or closed at a limit on memory or connections, by limit")
+                  .Register(this->registry)),
       quarantines(&prometheus::BuildCounter()
                        .Name("poplardrift_prompt_quarantines_total")
                        .Help("Prompt parts quarantined, by this host's decision or another's")
@@ -59,7 +63,12 @@
                     .Name("poplardrift_caller_connections")
                     .Help("Open connections of callers")
                     .Register(this->registry)
-                    .Add({}))
+                    .Add({})),
+      held_bytes(&prometheus::BuildGauge()
+                      .Name("poplardrift_caller_memory_bytes")
+                      .Help("Memory counted for callers' requests and responses")
+                      .Register(this->registry)
+                      .Add({}))
 {
 }
 
@@ -126,6 +135,16 @@
     this->peer_bytes->Increment(static_cast<double>(bytes));
 }
 
+auto traffic_metrics::count_limit(const char* limit) -> void
+{
+    this->limits->Add({{"limit", limit}}).Increment();
+}
+
+auto traffic_metrics::set_held_bytes(std::size_t bytes) -> void
+{
+    this->held_bytes->Set(static_cast<double>(bytes));
+}
+
 auto traffic_metrics::set_sessions(std::size_t count) -> void
 {
     this->sessions->Set(static_cast<double>(count));
--- a/src/traffic/traffic_metrics.hpp
+++ b/src/traffic/traffic_metrics.hpp
@@ -14,7 +14,8 @@
 namespace poplardrift::traffic
 {
 
-/// Counters and histograms of the data path. Any thread may call `to_text` and `count_peer_bytes`;
+/// Counters and histograms of the data path. Any thread may call `to_text`, `count_peer_bytes`
+/// and `count_limit`;
 /// the rest belongs to the traffic thread, whose maps cache the series by label.
 class traffic_metrics final
 {
@@ -30,7 +31,10 @@
     auto count_quarantine() -> void;
     auto count_pause(const std::string& service) -> void;
     auto count_peer_bytes(std::size_t bytes) -> void;
+    /// Any thread.
+    auto count_limit(const char* limit) -> void;
     auto set_sessions(std::size_t count) -> void;
+    auto set_held_bytes(std::size_t bytes) -> void;
     [[nodiscard]] auto to_text() const -> std::string;
 
 private:
@@ -42,9 +46,11 @@
     prometheus::Family<prometheus::Counter>* ejections;
     prometheus::Family<prometheus::Counter>* interruptions;
     prometheus::Family<prometheus::Counter>* pauses;
+    prometheus::Family<prometheus::Counter>* limits;
     prometheus::Counter* quarantines;
     prometheus::Counter* peer_bytes;
     prometheus::Gauge* sessions;
+    prometheus::Gauge* held_bytes;
     std::map<std::pair<std::string, std::string>, prometheus::Counter*> outcome_series;
     std::map<std::string, prometheus::Histogram*> first_output_series;
     std::map<std::pair<std::string, bool>, prometheus::Counter*> send_series;
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -31,6 +31,9 @@
 /// service divided by this, but at least one.
 constexpr int ejection_divisor = 3;
 
+/// Connections to the ports for status and metrics together. Probers and collectors are few.
+constexpr std::size_t max_status_connections = 64;
+
 constexpr const char* json_type = "application/json";
 
 /// Identifies one start of an upstream: a restarted one gets a new state.
@@ -45,24 +48,17 @@
 traffic_service::traffic_service(traffic_settings settings, const wire_adapter& adapter,
                                  decision_log& log, load_mailbox& mailbox)
     : settings(std::move(settings)), adapter(adapter), log(log), mailbox(mailbox),
-      bodies(this->settings.max_held_bytes), ticker(this->io)
+      memory(this->settings.max_held_bytes), descriptors(this->settings.max_sessions),
+      status_sessions(max_status_connections),
+      limits(log, [this](const char* limit) { this->metrics.count_limit(limit); }), ticker(this->io)
 {
 }
 
 auto traffic_service::open() -> bool
 {
-    this->caller_listener = std::make_shared<http::listener>(
-        this->io,
-        [this](boost::asio::ip::tcp::socket socket)
-        {
-            if (this->sessions.size() >= this->settings.max_sessions)
-            {
-                return; // closed without reading, so the caller knows that nothing has run
-            }
-            auto session = std::make_shared<caller_session>(*this, std::move(socket));
-            this->sessions.insert(session);
-            session->start();
-        });
+    this->caller_listener =
+        std::make_shared<http::listener>(this->io, [this](boost::asio::ip::tcp::socket socket)
+                                         { this->accept_caller(std::move(socket)); });
     const auto open_status = [this](const boost::asio::ip::tcp::endpoint& address)
     {
         this->status_listeners.push_back(
@@ -181,13 +177,13 @@
     return {limits.head_bytes, limits.body_bytes};
 }
 
-auto traffic_service::open_body_reservation(const http::request_head& head) -> body_reservation
+auto traffic_service::workspace_name_of(const http::request_head& head) const -> std::string_view
 {
     const auto& configuration = this->view->configuration;
     const auto* const workspace =
         configuration ? configuration->find_workspace(this->adapter.decode_workspace_key(head))
                       : nullptr;
-    return {this->bodies, workspace != nullptr ? std::string_view(workspace->name) : ""};
+    return workspace != nullptr ? std::string_view(workspace->name) : "";
 }
 
 auto traffic_service::is_ready() const -> bool
@@ -197,8 +193,13 @@
 
 auto traffic_service::connect(const boost::asio::ip::tcp::endpoint& address) -> connection_ptr
 {
-    return std::make_shared<http::upstream_connection>(
+    while (!this->descriptors.has_room(descriptor_use::upstream) && this->pool.close_oldest())
+    {
+    }
+    auto connection = std::make_shared<http::upstream_connection>(
         this->io, address, http::connection_settings{connect_timeout, upstream_ack_timeout});
+    connection->keep(this->descriptors.take(descriptor_use::upstream));
+    return connection;
 }
 
 auto traffic_service::retry_budget_of(const std::string& service) -> routing::host_retry_budget&
@@ -391,7 +392,7 @@
 
 auto traffic_service::accept_status(boost::asio::ip::tcp::socket socket) -> void
 {
-    std::make_shared<status_session>(
+    const auto closed = this->status_sessions.accept(
         std::move(socket),
         [this](const http::request_head& head) -> status_response
         {
@@ -406,14 +407,20 @@
                                 {{"target", head.target}, {"reason", error.what()}});
                 return {500, "the page could not be rendered\n"};
             }
-        })
-        ->start();
+        },
+        boot_clock_now());
+    if (closed)
+    {
+        this->limits.report("status_connections", *closed, 0, boot_clock_now());
+    }
 }
 
 auto traffic_service::tick() -> void
 {
     this->sync_mailbox();
     this->pool.close_expired(boot_clock_now());
+    this->status_sessions.close_inactive(boot_clock_now());
+    this->metrics.set_held_bytes(this->memory.get_taken());
     this->metrics.set_sessions(this->sessions.size());
     this->ticker.expires_after(tick_interval);
     this->ticker.async_wait(
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -7,10 +7,12 @@
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/host_retry_budget.hpp"
 #include "routing/upstream_state.hpp"
-#include "traffic/body_budget.hpp"
 #include "traffic/caller_session.hpp"
 #include "traffic/connection_pool.hpp"
+#include "traffic/descriptor_budget.hpp"
+#include "traffic/limit_reporter.hpp"
 #include "traffic/load_mailbox.hpp"
+#include "traffic/memory_budget.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/status_session.hpp"
 #include "traffic/traffic_metrics.hpp"
@@ -21,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,7 +39,7 @@
     boost::asio::ip::tcp::endpoint callers;
     boost::asio::ip::tcp::endpoint status;                 ///< readiness, status and metrics pages
     std::optional<boost::asio::ip::tcp::endpoint> metrics; ///< second address of the same pages
-    std::size_t max_held_bytes = 64'000'000; ///< total size of request bodies, complete or not
+    std::size_t max_held_bytes = 64'000'000; ///< memory for callers' requests and responses
     std::size_t max_sessions = 10'000;       ///< caller connections
 };
 
@@ -59,6 +62,8 @@
     auto leave(duration within) -> void;
     /// Control thread: counts bytes sent to other hosts.
     auto count_peer_bytes(std::size_t bytes) -> void { this->metrics.count_peer_bytes(bytes); }
+    /// Any thread: a caller has met a limit of the process.
+    auto count_limit(const char* limit) -> void { this->metrics.count_limit(limit); }
 
     [[nodiscard]] auto get_io() -> boost::asio::io_context& { return this->io; }
     [[nodiscard]] auto get_adapter() const -> const wire_adapter& { return this->adapter; }
@@ -77,9 +82,16 @@
     [[nodiscard]] auto get_zone() const -> const zone_name& { return this->settings.zone; }
     [[nodiscard]] auto get_caller_limits() const -> routing::caller_limits;
     [[nodiscard]] auto get_reader_limits() const -> http::reader_limits;
-    /// Reserves memory for a request body; false when the total would exceed the limit.
-    /// Room for the body of a request with this head; none is taken yet.
-    [[nodiscard]] auto open_body_reservation(const http::request_head& head) -> body_reservation;
+    [[nodiscard]] auto get_memory() -> memory_budget& { return this->memory; }
+    /// Empty if the head states none that is known. Valid until the view changes.
+    [[nodiscard]] auto workspace_name_of(const http::request_head& head) const -> std::string_view;
+    /// Closes the connection that holds most and progresses least, among those that the shortage
+    /// concerns; false if that is the one that asks.
+    [[nodiscard]] auto make_room(const caller_session& asking, const memory_holding& wanted,
+                                 room_shortage shortage) -> bool;
+    /// A session has ended whose connection may still be open; `room` is what it still holds.
+    auto on_lingering(const std::shared_ptr<http::byte_stream>& stream,
+                      const std::shared_ptr<memory_reservation>& room) -> void;
     [[nodiscard]] auto is_leaving() const -> bool { return this->leaving; }
     [[nodiscard]] auto is_ready() const -> bool;
 
@@ -138,6 +150,10 @@
     auto make_upstream(const routing::known_upstream& known, std::size_t service)
         -> routing::live_upstream;
     auto handle_status_request(const http::request_head& head) const -> status_response;
+    auto accept_caller(boost::asio::ip::tcp::socket socket) -> void;
+    /// Closes the connection that has been inactive for longest; false if none is.
+    auto close_inactive_caller() -> bool;
+    auto close_lingering_for(const caller_session& asking, room_shortage shortage) -> bool;
     auto accept_status(boost::asio::ip::tcp::socket socket) -> void;
     auto tick() -> void;
     auto sync_mailbox() -> void;
@@ -162,7 +178,9 @@
     const wire_adapter& adapter;
     decision_log& log;
     load_mailbox& mailbox;
-    body_budget bodies; ///< before the event loop, whose handlers may hold reservations
+    // Before the event loop, whose handlers may hold parts of these.
+    memory_budget memory;
+    descriptor_budget descriptors;
     boost::asio::io_context io{1};
     std::shared_ptr<http::listener> caller_listener;
     std::vector<std::shared_ptr<http::listener>> status_listeners;
@@ -175,7 +193,16 @@
     absl::flat_hash_set<std::shared_ptr<caller_session>> sessions;
     connection_pool pool;
     quarantine::prompt_quarantine prompts_in_quarantine{*this};
+    /// Connections of ended sessions, oldest first; some may have closed since.
+    struct lingering_stream
+    {
+        std::weak_ptr<http::byte_stream> stream;
+        std::weak_ptr<memory_reservation> room;
+    };
+    std::deque<lingering_stream> lingering;
+    status_session_group status_sessions;
     traffic_metrics metrics;
+    limit_reporter limits;
     boost::asio::steady_timer ticker;
     std::vector<send_listener*> send_listeners;
     std::uint64_t remote_loads_version = 0;
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -62,10 +62,10 @@
     /// The caller's key, as in request_metadata. Valid as long as the head.
     [[nodiscard]] virtual auto decode_workspace_key(const http::request_head& head) const
         -> std::string_view = 0;
-    /// Builds the request to the upstream. Header fields that only the router sets are not copied
-    /// from the caller.
+    /// Builds the request to the upstream, without its body. Header fields that only the router
+    /// sets are not copied from the caller.
     [[nodiscard]] virtual auto encode_request(const http::request_head& head,
-                                              const std::string& body,
+                                              std::size_t body_bytes,
                                               const send_options& options) const
         -> http::upstream_request = 0;
     [[nodiscard]] virtual auto decode_response(const http::response_head& head) const
