--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -6,7 +6,6 @@
 #include "quarantine/prompt_quarantine.hpp"
 #include "routing/placement.hpp"
 #include "routing/resend_policy.hpp"
-#include "traffic/body_budget.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/wire_adapter.hpp"
@@ -41,6 +40,8 @@
     virtual auto end_response() -> void = 0;
     /// Ends an incomplete response in such a way that the caller detects that it is incomplete.
     virtual auto abort_response() -> void = 0;
+    /// The exchange holds more memory, or less.
+    virtual auto on_memory_changed() -> void = 0;
     /// Bytes of the response not yet passed to the kernel.
     [[nodiscard]] virtual auto bytes_waiting() const -> std::size_t = 0;
 };
@@ -51,7 +52,7 @@
 {
 public:
     exchange(traffic_service& service, response_sink* sink, http::request_head head,
-             std::string body, body_reservation body_room, time_point arrived);
+             std::string body, time_point arrived);
 
     auto start() -> void;
     /// The caller has closed its connection.
@@ -65,6 +66,10 @@
     auto on_gate_wait(overload::gate_ticket ticket) -> void { this->gate_ticket = ticket; }
     auto on_admitted() -> void;
     auto on_shed(const overload::gate_decision& decision) -> void;
+    /// Memory taken by the request's body.
+    [[nodiscard]] auto body_memory() const -> std::size_t;
+    /// Memory taken by the request's head and by what has been read of the response.
+    [[nodiscard]] auto other_memory() const -> std::size_t;
 
 private:
     auto on_request_sent() -> void override;
@@ -130,8 +135,7 @@
     traffic_service& service;
     response_sink* sink;
     http::request_head request;
-    std::string body;
-    body_reservation body_room;
+    std::shared_ptr<const std::string> body; ///< shared with the connection that sends it
     time_point arrived;
     request_metadata metadata;
 
--- a/src/traffic/traffic_metrics.cpp
+++ b/src/traffic/traffic_metrics.cpp
@@ -80,6 +80,10 @@
                      .Help("Time to a send's first output, divided by the estimate by which its "
                            "upstream was chosen")
                      .Register(this->registry)),
+      limits(&prometheus::BuildCounter()
+                  .Name("poplardrift_caller_limits_total")
+                  .Help("Callers refused or closed at a limit on memory or connections, by limit")
+                  .Register(this->registry)),
       quarantines(&prometheus::BuildCounter()
                        .Name("poplardrift_prompt_quarantines_total")
                        .Help("Prompt parts quarantined, by this host's decision or another's")
@@ -94,7 +98,12 @@
                     .Name("poplardrift_caller_connections")
                     .Help("Open connections of callers")
                     .Register(this->registry)
-                    .Add({}))
+                    .Add({})),
+      held_bytes(&prometheus::BuildGauge()
+                      .Name("poplardrift_caller_memory_bytes")
+                      .Help("Memory counted for callers' requests and responses")
+                      .Register(this->registry)
+                      .Add({}))
 {
 }
 
@@ -217,6 +226,16 @@
     this->waiting->Add({{"service", service}}).Set(static_cast<double>(count));
 }
 
+auto traffic_metrics::count_limit(const char* limit) -> void
+{
+    this->limits->Add({{"limit", limit}}).Increment();
+}
+
+auto traffic_metrics::set_held_bytes(std::size_t bytes) -> void
+{
+    this->held_bytes->Set(static_cast<double>(bytes));
+}
+
 auto traffic_metrics::set_sessions(std::size_t count) -> void
 {
     this->sessions->Set(static_cast<double>(count));
