--- a/bench/rollout_verdict_benchmark.cpp
+++ b/bench/rollout_verdict_benchmark.cpp
@@ -121,8 +121,8 @@
         }
     }
 
-    auto respond(rollout::rollout& host, route_key route, bool is_new, duration age, int sent_now)
-        -> void
+    auto respond(rollout::service_rollout& host, route_key route, bool is_new, duration age,
+                 int sent_now) -> void
     {
         judged_response response{route, is_new, this->random() % 2 == 0 ? 1U : 2U,
                                  response_quality::good, std::nullopt};
@@ -201,7 +201,7 @@
     double per_step;
     double bad_share;
     duration event_at;
-    std::vector<rollout::rollout> hosts;
+    std::vector<rollout::service_rollout> hosts;
     std::optional<rollout_phase> stored;
     std::uint64_t requests = 0;
     std::uint64_t sent_to_new = 0;
--- a/src/overload/admission_gate.hpp
+++ b/src/overload/admission_gate.hpp
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -96,13 +97,13 @@
         time_point deadline{};
         std::uint32_t work = 0;
         std::uint64_t ticket = 0;
-        friend auto operator<=>(const queue_key&, const queue_key&) = default;
+        auto operator<=>(const queue_key&) const -> std::strong_ordering = default;
     };
     struct expiry_key
     {
         time_point at{};
         std::uint64_t ticket = 0;
-        friend auto operator<=>(const expiry_key&, const expiry_key&) = default;
+        auto operator<=>(const expiry_key&) const -> std::strong_ordering = default;
     };
     struct waiting_entry
     {
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -47,7 +47,7 @@
     return names[static_cast<std::size_t>(cause)];
 }
 
-rollout::rollout(rollout_order order, const rollout_bounds& bounds, time_point now)
+service_rollout::service_rollout(rollout_order order, const rollout_bounds& bounds, time_point now)
     : order(std::move(order)), bounds(bounds), known_since(now),
       judging(std::max<duration>(min_test_interval, this->order.length / test_start_divisor))
 {
@@ -58,24 +58,24 @@
     }
 }
 
-auto rollout::get_canary_share() const -> double
+auto service_rollout::get_canary_share() const -> double
 {
     return canary_share(this->bounds, this->expected_requests);
 }
 
-auto rollout::age(time_point now) const -> std::optional<duration>
+auto service_rollout::age(time_point now) const -> std::optional<duration>
 {
     return this->ordered_at ? std::optional(now - *this->ordered_at) : std::nullopt;
 }
 
-auto rollout::may_send_to_new() const -> bool
+auto service_rollout::may_send_to_new() const -> bool
 {
     return this->ordered_at && !this->stopped_alone &&
            this->counts.own.sent_to_new <
                exposure_limit(this->bounds, this->hosts.share, this->counts.own.requests());
 }
 
-auto rollout::choose(route_key route, bool is_repeat) const -> version_choice
+auto service_rollout::choose(route_key route, bool is_repeat) const -> version_choice
 {
     if (this->phase == rollout_phase::complete)
     {
@@ -110,13 +110,13 @@
     return is_due ? version_choice::canary : version_choice::old_version;
 }
 
-auto rollout::on_sent_to_new(route_key route) -> void
+auto service_rollout::on_sent_to_new(route_key route) -> void
 {
     ++this->counts.own.sent_to_new;
     ++this->canaries[route];
 }
 
-auto rollout::on_response(const judged_response& response) -> void
+auto service_rollout::on_response(const judged_response& response) -> void
 {
     auto& route = this->counts.own.routes[response.route];
     auto& counts_of_version = response.is_new_version ? route.new_version : route.old_version;
@@ -140,7 +140,8 @@
     }
 }
 
-auto rollout::on_report(host_instance from, const rollout_report& report, time_point now) -> void
+auto service_rollout::on_report(host_instance from, const rollout_report& report, time_point now)
+    -> void
 {
     this->counts.merge(from, report.counts);
     if (report.ordered_at)
@@ -164,7 +165,7 @@
     this->peer_is_shifting = this->peer_is_shifting || report.phase == rollout_phase::shifting;
 }
 
-auto rollout::on_recorded(rollout_phase recorded_phase, time_point now) -> void
+auto service_rollout::on_recorded(rollout_phase recorded_phase, time_point now) -> void
 {
     if (!is_final(recorded_phase))
     {
@@ -189,12 +190,12 @@
     this->write.reset();
 }
 
-auto rollout::on_withdrawn(time_point now) -> void
+auto service_rollout::on_withdrawn(time_point now) -> void
 {
     this->roll_back(rollback_cause::withdrawn, now);
 }
 
-auto rollout::roll_back(rollback_cause why, time_point now) -> void
+auto service_rollout::roll_back(rollback_cause why, time_point now) -> void
 {
     if (is_final(this->phase))
     {
@@ -206,7 +207,7 @@
     this->want_write(rollout_phase::rolled_back, now);
 }
 
-auto rollout::want_write(rollout_phase state, time_point now) -> void
+auto service_rollout::want_write(rollout_phase state, time_point now) -> void
 {
     if (!this->write || this->write->state != state)
     {
@@ -214,7 +215,7 @@
     }
 }
 
-auto rollout::has_enough_evidence(const host_counts& sums) const -> bool
+auto service_rollout::has_enough_evidence(const host_counts& sums) const -> bool
 {
     return sums.total().new_version.finished >= min_finished &&
            std::all_of(sums.routes.begin(), sums.routes.end(),
@@ -226,7 +227,7 @@
                        });
 }
 
-auto rollout::assume_age(time_point now) -> void
+auto service_rollout::assume_age(time_point now) -> void
 {
     // All hosts may have started after the order.
     if (!this->ordered_at && !this->hosts.is_isolated && now - this->known_since >= age_wait)
@@ -235,7 +236,7 @@
     }
 }
 
-auto rollout::judge(const host_counts& sums, time_point now) -> void
+auto service_rollout::judge(const host_counts& sums, time_point now) -> void
 {
     if (const auto found = this->judging.observe(sums, now))
     {
@@ -249,7 +250,7 @@
     this->stopped_alone = this->stopped_alone || (this->hosts.is_isolated && own_bad >= own_limit);
 }
 
-auto rollout::update_expected_requests(const host_counts& sums, duration order_age) -> void
+auto service_rollout::update_expected_requests(const host_counts& sums, duration order_age) -> void
 {
     constexpr duration min_age = 500ms;
     if (order_age >= min_age)
@@ -259,7 +260,7 @@
     }
 }
 
-auto rollout::advance(const host_counts& sums, duration order_age, time_point now) -> void
+auto service_rollout::advance(const host_counts& sums, duration order_age, time_point now) -> void
 {
     this->update_expected_requests(sums, order_age);
     const auto requests = this->counts.own.requests();
@@ -284,7 +285,7 @@
     }
 }
 
-auto rollout::tick(time_point now) -> void
+auto service_rollout::tick(time_point now) -> void
 {
     if (is_final(this->phase))
     {
@@ -299,7 +300,7 @@
     }
 }
 
-auto rollout::take_due_write(time_point now) -> std::optional<rollout_phase>
+auto service_rollout::take_due_write(time_point now) -> std::optional<rollout_phase>
 {
     if (!this->write || this->write->is_taken)
     {
@@ -315,7 +316,7 @@
     return this->write->state;
 }
 
-auto rollout::take_due_read(time_point now) -> bool
+auto service_rollout::take_due_read(time_point now) -> bool
 {
     const auto is_needed =
         !is_final(this->phase) &&
@@ -329,7 +330,7 @@
     return true;
 }
 
-auto rollout::report() const -> rollout_report
+auto service_rollout::report() const -> rollout_report
 {
     return {this->order.service, this->order.position, this->ordered_at,
             this->phase,         this->recorded,       this->counts.own};
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -76,10 +76,10 @@
 /// One order, from its record to its final phase, as one host sees it. Has no I/O; callers pass the
 /// time. The decisions respond to the service's requests, to the responses of both versions on all
 /// hosts and to the order's age.
-class rollout final
+class service_rollout final
 {
 public:
-    rollout(rollout_order order, const rollout_bounds& bounds, time_point now);
+    service_rollout(rollout_order order, const rollout_bounds& bounds, time_point now);
 
     [[nodiscard]] auto get_order() const -> const rollout_order& { return this->order; }
     [[nodiscard]] auto get_phase() const -> rollout_phase { return this->phase; }
--- a/src/traffic/placement_request.cpp
+++ b/src/traffic/placement_request.cpp
@@ -74,7 +74,12 @@
     query.now = boot_clock_now();
     query.bounds = &view.bounds;
     query.hosts = &view.hosts;
-    query.speed = service.get_speeds().find(query.rules->name, view.bounds.learn_speeds);
+    // Learnt costs are used for plain services only: with those of prompts, hosts that act on the
+    // same picture send more than the load bound to the fastest engines.
+    if (query.prompt == nullptr)
+    {
+        query.speed = service.get_speeds().find(query.rules->name, view.bounds.learn_speeds);
+    }
     query.draw = hash_bytes_64(request_id, tried.size());
     return query;
 }
--- a/src/traffic/rollout_controller.cpp
+++ b/src/traffic/rollout_controller.cpp
@@ -234,7 +234,7 @@
     }
 }
 
-auto rollout_controller::set_hosts(rollout::rollout& current) const -> void
+auto rollout_controller::set_hosts(rollout::service_rollout& current) const -> void
 {
     const auto& order = current.get_order();
     const auto seed = hash_bytes_64(order.service, order.position.value());
--- a/src/traffic/rollout_controller.hpp
+++ b/src/traffic/rollout_controller.hpp
@@ -54,7 +54,7 @@
     struct service_state
     {
         rollout::known_versions versions;
-        std::optional<rollout::rollout> current;
+        std::optional<rollout::service_rollout> current;
         rollout::latency_baseline first_output;
         rollout::latency_baseline event_gaps;
         rollout::rollout_phase logged_phase = rollout::rollout_phase::in_progress;
@@ -69,7 +69,7 @@
         -> void;
     auto apply_registry(std::span<const routing::live_upstream> upstreams) -> void;
     auto set_standings(std::span<routing::live_upstream> upstreams) -> void;
-    auto set_hosts(rollout::rollout& current) const -> void;
+    auto set_hosts(rollout::service_rollout& current) const -> void;
     auto take_messages(time_point now) -> void;
     auto advance(const std::string& service, service_state& state, time_point now) -> void;
     auto settle(const std::string& service, service_state& state, time_point now) -> void;
