--- a/src/routing/routing_configuration.cpp
+++ b/src/routing/routing_configuration.cpp
@@ -66,9 +66,9 @@
 
 auto routing_configuration::key_count_of(std::size_t workspace) const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->by_key.begin(), this->by_key.end(),
-                      [&](const auto& entry) { return entry.second == workspace; }));
+    return static_cast<std::size_t>(std::count_if(this->by_key.begin(), this->by_key.end(),
+                                                  [&](const auto& entry)
+                                                  { return entry.second == workspace; }));
 }
 
 auto routing_configuration::find_service(std::string_view name) const -> std::optional<std::size_t>
