--- a/src/overload/admission_gate.hpp
+++ b/src/overload/admission_gate.hpp
@@ -97,13 +97,13 @@
         time_point deadline{};
         std::uint32_t work = 0;
         std::uint64_t ticket = 0;
-        auto operator<=>(const queue_key&) const -> std::strong_ordering = default;
+        auto operator<=>(const queue_key&) const -> std::strong_ordering = default; // NOLINT
     };
     struct expiry_key
     {
         time_point at{};
         std::uint64_t ticket = 0;
-        auto operator<=>(const expiry_key&) const -> std::strong_ordering = default;
+        auto operator<=>(const expiry_key&) const -> std::strong_ordering = default; // NOLINT
     };
     struct waiting_entry
     {
--- a/src/rollout/canary_choice.cpp
+++ b/src/rollout/canary_choice.cpp
@@ -19,6 +19,7 @@
     const auto count =
         std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(loads)), 1, candidates.size());
     std::vector<std::tuple<std::uint64_t, std::uint32_t, zone_name>> sorted;
+    sorted.reserve(candidates.size());
     for (const auto& candidate : candidates)
     {
         sorted.emplace_back(hash_pair_64(order.value(), candidate.key), candidate.key,
@@ -27,12 +28,14 @@
     std::sort(sorted.begin(), sorted.end());
     std::map<zone_name, std::size_t> rank_in_zone;
     std::vector<std::tuple<std::size_t, std::uint64_t, std::uint32_t>> in_turn;
+    in_turn.reserve(sorted.size());
     for (const auto& [hash, key, zone] : sorted)
     {
         in_turn.emplace_back(rank_in_zone[zone]++, hash, key);
     }
     std::sort(in_turn.begin(), in_turn.end());
     std::vector<std::uint32_t> chosen;
+    chosen.reserve(count);
     for (std::size_t index = 0; index < count; ++index)
     {
         chosen.push_back(std::get<2>(in_turn[index]));
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -58,7 +58,7 @@
     std::uint32_t host = 0; ///< its address
     std::uint32_t incarnation = 0;
 
-    auto operator<=>(const host_instance&) const = default;
+    auto operator<=>(const host_instance&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// What this host and the others have seen of a roll-out.
