Roll-outs: a bad response that completes the evidence rolls back at once

Cause: the verdict on a new version was made on a tick of 50 ms only.

Adds: service_rollout::on_response takes the time and looks for the verdict at bad responses of the new version: each of the first 50, then when they have grown by an eighth (early_verdicts). The controller settles a roll-back at once: placement, the record for the store and the report to the other hosts.

Tests: the path test keeps its bound of 50 and checks the exposure bound after each request, and that nothing reaches the bad version after the decision. With a clock of their own, in the core: the number of bad responses up to the decision without a tick, against a host that looks after each response; slow and interrupted ones; at most one good version in a hundred rolled back; the number of early verdicts.

Not run: x86-64.

--- a/bench/rollout_verdict_benchmark.cpp
+++ b/bench/rollout_verdict_benchmark.cpp
@@ -158,7 +158,7 @@
         {
             this->fiftieth_bad_at = age;
         }
-        host.on_response(response);
+        host.on_response(response, start + age);
     }
 
     auto tick(duration age) -> void
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -116,7 +116,7 @@
     ++this->canaries[route];
 }
 
-auto service_rollout::on_response(const judged_response& response) -> void
+auto service_rollout::count_response(const judged_response& response) -> void
 {
     auto& route = this->counts.own.routes[response.route];
     auto& counts_of_version = response.is_new_version ? route.new_version : route.old_version;
@@ -140,6 +140,17 @@
     }
 }
 
+auto service_rollout::on_response(const judged_response& response, time_point now) -> void
+{
+    this->count_response(response);
+    const auto is_bad = response.quality != response_quality::good || response.slow.value_or(false);
+    if (response.is_new_version && is_bad && !is_final(this->phase) &&
+        this->early.is_due_at_bad_response())
+    {
+        this->judge(this->counts.sum(), now);
+    }
+}
+
 auto service_rollout::on_report(host_instance from, const rollout_report& report, time_point now)
     -> void
 {
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rollout/canary_choice.hpp"
+#include "rollout/early_verdicts.hpp"
 #include "rollout/evidence.hpp"
 #include "rollout/exposure_budget.hpp"
 #include "rollout/rollout_order.hpp"
@@ -104,7 +105,9 @@
     [[nodiscard]] auto choose(route_key route, bool is_repeat) const -> version_choice;
     /// A send to the new version begins.
     auto on_sent_to_new(route_key route) -> void;
-    auto on_response(const judged_response& response) -> void;
+    /// A bad response of the new version may end the roll-out at once: a version that plainly fails
+    /// would otherwise get requests until the next tick, the more the faster they arrive.
+    auto on_response(const judged_response& response, time_point now) -> void;
     /// Another host's report.
     auto on_report(host_instance from, const rollout_report& report, time_point now) -> void;
     /// The store has this state for the order's version.
@@ -130,6 +133,7 @@
     };
 
     [[nodiscard]] auto may_send_to_new() const -> bool;
+    auto count_response(const judged_response& response) -> void;
     [[nodiscard]] auto has_enough_evidence(const host_counts& sums) const -> bool;
     auto assume_age(time_point now) -> void;
     auto judge(const host_counts& sums, time_point now) -> void;
@@ -150,6 +154,7 @@
     evidence counts;
     std::map<route_key, std::uint64_t> canaries; ///< sends to the new version by route
     version_judge judging;
+    early_verdicts early;
     double expected_requests = 0.0; ///< of all hosts by the deadline
     bool stopped_alone = false;     ///< an isolated host has seen too many bad responses
     bool peer_is_shifting = false;
--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <random>
 
 using namespace poplardrift;
 using namespace poplardrift::rollout;
@@ -51,7 +52,8 @@
             const auto is_bad = is_new && this->debt >= 1.0;
             this->debt -= is_bad ? 1.0 : 0.0;
             host.on_response({route, is_new, 1,
-                              is_bad ? response_quality::failed : response_quality::good, false});
+                              is_bad ? response_quality::failed : response_quality::good, false},
+                             this->now);
         }
     }
     auto tick() -> void
@@ -111,6 +113,50 @@
     std::uint64_t sent_to_new = 0;
 };
 
+/// Canary requests that had failed when a host rolled back, and how many it had sent.
+struct roll_back_counts
+{
+    std::uint64_t bad = 0;
+    std::uint64_t sent_to_new = 0;
+};
+
+/// Sends requests to one host at one moment until it rolls back. `share_bad` of the new version's
+/// responses fail. With `ticks` the host decides after each response, otherwise never by its clock.
+auto roll_back_at_one_moment(unsigned seed, double share_bad, bool ticks) -> roll_back_counts
+{
+    std::mt19937 random{seed};
+    rollout::service_rollout host(make_order(60s), {0.1, 50.0, 5s}, start);
+    host.set_hosts({{1, 0, true}, false});
+    roll_back_counts counts;
+    for (int requests = 1; requests <= 20'000; ++requests)
+    {
+        host.on_request(route);
+        const auto is_new = host.choose(route, false) != version_choice::old_version;
+        const auto is_bad = is_new && std::bernoulli_distribution(share_bad)(random);
+        if (is_new)
+        {
+            host.on_sent_to_new(route);
+            ++counts.sent_to_new;
+            counts.bad += is_bad ? 1 : 0;
+        }
+        REQUIRE(static_cast<double>(counts.sent_to_new) <= 0.1 * requests + 50.0);
+        host.on_response(
+            {route, is_new, 1, is_bad ? response_quality::failed : response_quality::good, false},
+            start);
+        if (ticks)
+        {
+            host.tick(start);
+        }
+        if (host.get_phase() == rollout_phase::rolled_back)
+        {
+            CHECK(host.get_cause() == rollback_cause::bad_version);
+            return counts;
+        }
+    }
+    FAIL("not rolled back");
+    return counts;
+}
+
 } // namespace
 
 TEST_CASE("a good version is complete before its deadline, within the exposure budget until then")
@@ -143,6 +189,104 @@
     CHECK(fleet.sent_to_new == sent);
 }
 
+TEST_CASE("the bad response that completes the evidence rolls back, without a tick")
+{
+    // Guards against a version that plainly fails and gets requests until the next tick: the faster
+    // they arrive, the more of them fail.
+    for (const auto share_bad : {1.0, 0.5, 0.2})
+    {
+        for (unsigned seed = 1; seed <= 20; ++seed)
+        {
+            CAPTURE(share_bad, seed);
+            const auto counts = roll_back_at_one_moment(seed, share_bad, false);
+            const auto looked_at_each = roll_back_at_one_moment(seed, share_bad, true);
+            CHECK(counts.bad <= certain_bad_responses);
+            // The evidence may be completed by a good response of the old version.
+            CHECK(counts.bad <= looked_at_each.bad + 1);
+        }
+    }
+}
+
+TEST_CASE("slow and interrupted responses roll back without a tick, too")
+{
+    // Guards against evidence that is counted and then not looked at.
+    for (const auto is_slow : {true, false})
+    {
+        rollout::service_rollout host(make_order(60s), {0.1, 50.0, 5s}, start);
+        host.set_hosts({{1, 0, true}, false});
+        std::uint64_t bad = 0;
+        auto now = start;
+        while (host.get_phase() != rollout_phase::rolled_back && bad <= certain_bad_responses)
+        {
+            for (int count = 0; count < 10; ++count)
+            {
+                host.on_response({route, false, 1, response_quality::good, false}, now);
+            }
+            ++bad;
+            const auto quality = is_slow ? response_quality::good : response_quality::interrupted;
+            // Interruptions at one upstream within 1.5 s count as one.
+            host.on_response({route, true, static_cast<std::uint32_t>(bad), quality, is_slow}, now);
+            now += 1ms;
+        }
+        CAPTURE(is_slow);
+        CHECK(host.get_phase() == rollout_phase::rolled_back);
+        CHECK(bad < certain_bad_responses);
+    }
+}
+
+TEST_CASE("verdicts on single responses roll back at most one in a hundred good versions")
+{
+    // Guards against looks at the worst moments that raise the error rate.
+    int wrong = 0;
+    for (unsigned seed = 0; seed < 300; ++seed)
+    {
+        std::mt19937 random{seed};
+        const auto share_bad = 0.02 * (seed % 4);
+        rollout::service_rollout host(make_order(60s), {0.5, 50.0, 5s}, start);
+        host.set_hosts({{1, 0, true}, false});
+        auto now = start;
+        for (int requests = 0; requests < 4000; ++requests, now += 10ms)
+        {
+            host.on_request(route);
+            const auto is_new = host.choose(route, false) != version_choice::old_version;
+            if (is_new)
+            {
+                host.on_sent_to_new(route);
+            }
+            const auto is_bad = std::bernoulli_distribution(share_bad)(random);
+            const auto is_slow = std::bernoulli_distribution(0.05)(random);
+            host.on_response({route, is_new, 1,
+                              is_bad ? response_quality::failed : response_quality::good, is_slow},
+                             now);
+            if (requests % 5 == 0)
+            {
+                host.tick(now);
+            }
+        }
+        wrong += host.get_cause() == rollback_cause::bad_version ? 1 : 0;
+    }
+    CHECK(wrong <= 3);
+}
+
+TEST_CASE("verdicts before the tick stay few however many responses are bad")
+{
+    // Guards against a look at all hosts' counters for each of many bad responses.
+    early_verdicts early;
+    int verdicts = 0;
+    int last = 0;
+    for (int bad = 1; bad <= 100'000; ++bad)
+    {
+        if (!early.is_due_at_bad_response())
+        {
+            continue;
+        }
+        ++verdicts;
+        REQUIRE(bad - last <= std::max(1, last / 8));
+        last = bad;
+    }
+    CHECK(verdicts <= 120); // 50 + 9 ln(100,000 / 50) + 1
+}
+
 TEST_CASE("exposure keeps its bound although evidence of a bad version never arrives")
 {
     // Guards against a budget that depends on the verdict.
--- a/src/traffic/rollout_controller.cpp
+++ b/src/traffic/rollout_controller.cpp
@@ -337,9 +337,18 @@
         return;
     }
     state->current->on_response(
-        {key_of(send.route.name), is_new_version, send.upstream, *quality, slow});
+        {key_of(send.route.name), is_new_version, send.upstream, *quality, slow}, send.ended_at);
     const auto is_bad = *quality != rollout::response_quality::good || slow.value_or(false);
     this->bad_responses += is_new_version && is_bad ? 1 : 0;
+    if (is_final(state->current->get_phase()))
+    {
+        // The response has ended the roll-out. Placement follows the phase at once; the standings
+        // of the upstreams are set by the next tick.
+        const std::string service(send.service);
+        this->settle(service, *state, send.ended_at);
+        this->write_due_state(service, *state, send.ended_at);
+        this->publish(send.ended_at);
+    }
 }
 
 auto rollout_controller::take_messages(time_point now) -> void
@@ -411,6 +420,16 @@
     }
 }
 
+auto rollout_controller::write_due_state(const std::string& service, service_state& state,
+                                         time_point now) -> void
+{
+    auto& current = *state.current;
+    if (const auto write = current.take_due_write(now))
+    {
+        this->mailbox.add_task({service, current.get_order().to, *write});
+    }
+}
+
 auto rollout_controller::advance(const std::string& service, service_state& state, time_point now)
     -> void
 {
@@ -420,10 +439,7 @@
     current.tick(now);
     this->standings_changed = this->standings_changed || share != current.get_canary_share();
     this->settle(service, state, now);
-    if (const auto write = current.take_due_write(now))
-    {
-        this->mailbox.add_task({service, current.get_order().to, *write});
-    }
+    this->write_due_state(service, state, now);
     if (current.take_due_read(now))
     {
         this->mailbox.add_task({service, current.get_order().to, std::nullopt});
--- a/src/traffic/rollout_controller.hpp
+++ b/src/traffic/rollout_controller.hpp
@@ -73,6 +73,7 @@
     auto take_messages(time_point now) -> void;
     auto advance(const std::string& service, service_state& state, time_point now) -> void;
     auto settle(const std::string& service, service_state& state, time_point now) -> void;
+    auto write_due_state(const std::string& service, service_state& state, time_point now) -> void;
     auto log_phase(const std::string& service, const service_state& state) -> void;
     auto publish(time_point now) -> void;
     [[nodiscard]] auto classify_speed(service_state& state, const finished_send& send,
--- a/tests/rollout_path_test.cpp
+++ b/tests/rollout_path_test.cpp
@@ -59,6 +59,13 @@
                 }
             });
     }
+    /// The host has decided that the new version is bad.
+    static auto is_rolled_back(router& host) -> bool
+    {
+        const auto local = host.mailbox.get_rollouts().get_local();
+        return !local.reports.empty() &&
+               local.reports.front().phase == rollout::rollout_phase::rolled_back;
+    }
     /// Stores the states that the host writes, as the platform's store does.
     auto serve_store(router& host) -> void
     {
@@ -138,19 +145,27 @@
     host.service.set_view(fixture.make_view(true, true));
     std::this_thread::sleep_for(20ms);
     int sent = 0;
+    std::optional<int> bad_at_decision;
     for (; sent < 600 && fixture.stored != rollout::rollout_phase::rolled_back; ++sent)
     {
         REQUIRE(status_line_of(host.fetch("/safe/x")) == "HTTP/1.1 200");
+        // The exposure bound of the view: half of the requests and 50 more.
+        REQUIRE(fixture.fresh.requests <= 0.5 * (sent + 1) + 50.0);
+        if (!bad_at_decision && fixture.is_rolled_back(host))
+        {
+            bad_at_decision = fixture.fresh.requests.load();
+        }
         fixture.serve_store(host);
     }
     REQUIRE(fixture.stored == rollout::rollout_phase::rolled_back);
+    REQUIRE(bad_at_decision);
+    // The evidence decides, not the tick: the number depends on no speed.
     CHECK(fixture.fresh.requests < 50);
-    const auto bad_before = fixture.fresh.requests.load();
     for (int number = 0; number < 50; ++number)
     {
         REQUIRE(status_line_of(host.fetch("/safe/x")) == "HTTP/1.1 200");
     }
-    CHECK(fixture.fresh.requests == bad_before);
+    CHECK(fixture.fresh.requests == *bad_at_decision);
     auto operators = connect_to(host.status_address);
     operators.send("GET /status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     const auto page = operators.read_to_end(1s);
