Test fixtures keep the ports that they have asked for

Cause: free_address closed its port before it told it. Both ports of a router fixture could be one, and any socket could get one of them before the router opened: "a silent host's running work" failed once in 14 runs of the suite with service.open() false.

Adds: the port stays bound, without a listener and with reuse of addresses, until 64 later ones have been asked for. The kernel then gives it to no socket that asks for any port, and the router can still open on it.

That the failure seen once was this one stays suspected.

--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <deque>
+#include <mutex>
+
 #include <poll.h>
 
 namespace poplardrift::tests
@@ -19,6 +22,8 @@
 
 asio::io_context client_io;
 constexpr auto read_timeout = 5000ms;
+/// Reserved at the same time; far more than one test asks for.
+constexpr std::size_t max_reserved_addresses = 64;
 
 } // namespace
 
@@ -186,8 +191,20 @@
 
 auto free_address() -> asio::ip::tcp::endpoint
 {
-    asio::ip::tcp::acceptor acceptor(client_io, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint();
+    // Bound, but not listening: the kernel gives the port to no other socket that asks for any
+    // port, while a listener that reuses addresses may still open on it.
+    static std::mutex mutex;
+    static std::deque<asio::ip::tcp::acceptor> reserved;
+    const std::lock_guard lock(mutex);
+    auto& acceptor = reserved.emplace_back(client_io, asio::ip::tcp::v4());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    const auto address = acceptor.local_endpoint();
+    if (reserved.size() > max_reserved_addresses)
+    {
+        reserved.pop_front();
+    }
+    return address;
 }
 
 } // namespace poplardrift::tests
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -95,7 +95,8 @@
 /// Connects to a loopback address; the connection is not open if that fails.
 [[nodiscard]] auto connect_to(const boost::asio::ip::tcp::endpoint& address) -> peer_connection;
 
-/// Returns a loopback address without a listener. Another process may take its port later.
+/// Returns a loopback address without a listener. Its port is kept from sockets that ask for any
+/// port, in this process and in others, until 64 later addresses have been asked for.
 [[nodiscard]] auto free_address() -> boost::asio::ip::tcp::endpoint;
 
 } // namespace poplardrift::tests
