Releases from quarantine say why, by what, and against which marks

The event prompt-part-released had the part only, so an answer that had begun well, another host's refutation, another part and requests in quarantine could not be told apart.

It now has `reason`, `explained_by` and the open marks at that moment; the listener gets the same as a value.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -38,6 +38,22 @@
 
 } // namespace
 
+auto to_text(release_reason reason) -> std::string_view
+{
+    switch (reason)
+    {
+    case release_reason::harmless_answer:
+        return "harmless answer";
+    case release_reason::other_host:
+        return "other host";
+    case release_reason::other_part:
+        return "other part";
+    case release_reason::requests:
+        return "requests";
+    }
+    return "";
+}
+
 auto quarantine_time(int level) -> duration
 {
     auto time = first_quarantine;
@@ -111,14 +127,18 @@
 
 auto prompt_quarantine::note_upstream(part_case& suspect, upstream_instance upstream) -> void
 {
-    auto& noted = suspect.upstreams;
-    if (noted.size() < max_upstreams_noted &&
-        std::find(noted.begin(), noted.end(), upstream) == noted.end())
+    if (suspect.upstreams.size() < max_upstreams_noted && !has_noted(suspect, upstream))
     {
-        noted.push_back(upstream);
+        suspect.upstreams.push_back(upstream);
     }
 }
 
+auto prompt_quarantine::has_noted(const part_case& suspect, upstream_instance upstream) -> bool
+{
+    return std::find(suspect.upstreams.begin(), suspect.upstreams.end(), upstream) !=
+           suspect.upstreams.end();
+}
+
 auto prompt_quarantine::add_mark(prompt_part_id part, std::size_t depth, const crash_mark& mark)
     -> void
 {
@@ -175,6 +195,7 @@
     }
     auto& suspect = found->second;
     const auto was_quarantined = suspect.evidence.is_quarantined();
+    const auto marks = suspect.evidence.open_marks();
     if (suspect.evidence.refute(began_at))
     {
         suspect.interrupted = routing::sliding_counter(chance_window);
@@ -182,7 +203,7 @@
     }
     if (was_quarantined && !suspect.evidence.is_quarantined())
     {
-        this->listener.on_released(suspect.evidence, true);
+        this->listener.on_released(suspect.evidence, {release_reason::harmless_answer, {}, marks});
     }
 }
 
@@ -221,6 +242,7 @@
             }
         }
         const auto former_level = known->evidence.is_quarantined() ? known->evidence.level : 0;
+        const auto marks = known->evidence.open_marks();
         if (!known->evidence.merge(received))
         {
             continue;
@@ -233,7 +255,7 @@
         }
         else if (level < former_level)
         {
-            this->listener.on_released(known->evidence, false);
+            this->listener.on_released(known->evidence, {release_reason::other_host, {}, marks});
         }
     }
     this->evaluate(now);
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -13,12 +13,34 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace poplardrift::quarantine
 {
 
+/// Why a part is no longer refused.
+enum class release_reason : std::uint8_t
+{
+    harmless_answer, ///< an answer to a prompt with the part has begun well
+    other_host,      ///< another host's evidence refutes the marks
+    other_part,      ///< another part in quarantine explains the marks
+    requests,        ///< requests in quarantine explain the marks
+};
+
+[[nodiscard]] auto to_text(release_reason reason) -> std::string_view;
+
+/// A release and what it is based on.
+struct part_release
+{
+    release_reason reason = release_reason::harmless_answer;
+    /// The part or the requests that explain the marks.
+    std::vector<routing::prompt_part_id> explained_by;
+    /// The open marks at the time of the release.
+    std::vector<crash_mark> marks;
+};
+
 /// Receives the decisions of a prompt_quarantine, inside the call that led to them.
 class quarantine_listener
 {
@@ -30,8 +52,9 @@
 
     /// Requests with the part are refused from now on. `is_own` is false if another host decided.
     virtual auto on_quarantined(const part_evidence& evidence, bool is_own) -> void = 0;
-    /// The part was not the cause. `is_own` is false if another host found that.
-    virtual auto on_released(const part_evidence& evidence, bool is_own) -> void = 0;
+    /// Requests with the part are served again.
+    virtual auto on_released(const part_evidence& evidence, const part_release& release)
+        -> void = 0;
 };
 
 /// Why a request is refused, and for how long.
@@ -133,6 +156,9 @@
     [[nodiscard]] auto is_trial_due(const part_evidence& evidence, const routing::host_group& hosts,
                                     time_point now) const -> bool;
     static auto note_upstream(part_case& suspect, upstream_instance upstream) -> void;
+    /// True if the part was at this end of an upstream.
+    [[nodiscard]] static auto has_noted(const part_case& suspect, upstream_instance upstream)
+        -> bool;
     auto evaluate(time_point now) -> void;
     [[nodiscard]] auto find_most_suspect(time_point now) -> part_case*;
     /// Open marks that nothing in quarantine explains; empty if they are too few, or too new, to
@@ -153,10 +179,16 @@
     [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
     /// Notes the ends of upstreams at which something in quarantine was, which explains them.
     auto update_explained() -> void;
-    /// True if another part in quarantine was at all ends at which the suspect was, and at more.
-    [[nodiscard]] auto is_explained_by_part(const part_case& suspect) const -> bool;
-    /// True if requests in quarantine were at all ends at which the suspect was.
-    [[nodiscard]] auto is_explained_by_requests(const part_case& suspect) const -> bool;
+    /// Another part in quarantine that was at all ends at which the suspect was, and at more.
+    [[nodiscard]] auto find_explaining_part(const part_case& suspect) const
+        -> std::optional<routing::prompt_part_id>;
+    /// Requests in quarantine that were together at all ends at which the suspect was; empty if
+    /// there are none.
+    [[nodiscard]] auto find_explaining_requests(const part_case& suspect) const
+        -> std::vector<routing::prompt_part_id>;
+    /// The release of a part whose marks something else in quarantine explains.
+    [[nodiscard]] auto find_explanation(const part_case& suspect) const
+        -> std::optional<part_release>;
     /// Releases parts whose marks something else in quarantine explains better.
     auto release_explained(time_point now) -> void;
     auto quarantine(part_case& found, duration time, time_point now) -> void;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -23,12 +23,14 @@
     {
         this->quarantined.push_back(evidence.part);
     }
-    auto on_released(const part_evidence& evidence, bool) -> void override
+    auto on_released(const part_evidence& evidence, const part_release& release) -> void override
     {
         this->released.push_back(evidence.part);
+        this->release_reasons.push_back(release.reason);
     }
     std::vector<routing::prompt_part_id> quarantined;
     std::vector<routing::prompt_part_id> released;
+    std::vector<release_reason> release_reasons;
 };
 
 using part_list = std::vector<routing::prompt_part>;
@@ -262,7 +264,8 @@
     {
         host.answer({common, session, fatal});
         CHECK_FALSE(host.is_refused({fatal}));
-        CHECK(host.recorded.released.size() == 1);
+        CHECK(host.recorded.release_reasons ==
+              std::vector<release_reason>{release_reason::harmless_answer});
     }
 }
 
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -253,33 +254,64 @@
     this->release_explained(now);
 }
 
-auto prompt_quarantine::is_explained_by_part(const part_case& suspect) const -> bool
+auto prompt_quarantine::find_explaining_part(const part_case& suspect) const
+    -> std::optional<prompt_part_id>
 {
     const auto rank_of = [](const part_case& it)
     { return std::pair(it.upstreams.size(), it.evidence.depth); };
     const auto marks = suspect.evidence.open_marks();
-    return std::any_of(this->quarantined.begin(), this->quarantined.end(),
-                       [&](prompt_part_id part)
-                       {
-                           const auto& other = this->cases.at(part);
-                           const auto& noted = other.upstreams;
-                           return part != suspect.evidence.part &&
-                                  !other.evidence.is_on_request() &&
-                                  rank_of(other) > rank_of(suspect) &&
-                                  std::all_of(marks.begin(), marks.end(),
-                                              [&](const crash_mark& mark) {
-                                                  return std::find(noted.begin(), noted.end(),
-                                                                   mark.upstream) != noted.end();
-                                              });
-                       });
+    const auto found =
+        std::find_if(this->quarantined.begin(), this->quarantined.end(),
+                     [&](prompt_part_id part)
+                     {
+                         const auto& other = this->cases.at(part);
+                         return part != suspect.evidence.part && !other.evidence.is_on_request() &&
+                                rank_of(other) > rank_of(suspect) &&
+                                std::all_of(marks.begin(), marks.end(),
+                                            [&](const crash_mark& mark)
+                                            { return has_noted(other, mark.upstream); });
+                     });
+    return found == this->quarantined.end() ? std::nullopt : std::optional(*found);
 }
 
-auto prompt_quarantine::is_explained_by_requests(const part_case& suspect) const -> bool
+auto prompt_quarantine::find_explaining_requests(const part_case& suspect) const
+    -> std::vector<prompt_part_id>
 {
     const auto marks = suspect.evidence.open_marks();
-    return std::all_of(marks.begin(), marks.end(),
-                       [&](const crash_mark& mark)
-                       { return this->explained_by_request.contains(mark.upstream); });
+    const auto is_explained = std::all_of(
+        marks.begin(), marks.end(),
+        [&](const crash_mark& mark) { return this->explained_by_request.contains(mark.upstream); });
+    std::vector<prompt_part_id> requests;
+    if (!is_explained)
+    {
+        return requests;
+    }
+    std::copy_if(this->quarantined.begin(), this->quarantined.end(), std::back_inserter(requests),
+                 [&](prompt_part_id part)
+                 {
+                     const auto& other = this->cases.at(part);
+                     return other.evidence.is_on_request() &&
+                            std::any_of(marks.begin(), marks.end(),
+                                        [&](const crash_mark& mark)
+                                        { return has_noted(other, mark.upstream); });
+                 });
+    return requests;
+}
+
+auto prompt_quarantine::find_explanation(const part_case& suspect) const
+    -> std::optional<part_release>
+{
+    if (const auto part = this->find_explaining_part(suspect))
+    {
+        return part_release{release_reason::other_part, {*part}, suspect.evidence.open_marks()};
+    }
+    auto requests = this->find_explaining_requests(suspect);
+    if (requests.empty())
+    {
+        return std::nullopt;
+    }
+    return part_release{release_reason::requests, std::move(requests),
+                        suspect.evidence.open_marks()};
 }
 
 auto prompt_quarantine::release_explained(time_point now) -> void
@@ -290,12 +322,13 @@
     {
         auto& suspect = this->cases.at(candidate);
         // A request stays: refusing it costs one caller, and the part may be the wrong one.
-        if (!suspect.evidence.is_on_request() &&
-            (this->is_explained_by_part(suspect) || this->is_explained_by_requests(suspect)))
+        const auto release =
+            suspect.evidence.is_on_request() ? std::nullopt : this->find_explanation(suspect);
+        if (release)
         {
             suspect.evidence.refute(now);
             this->on_changed(suspect, now);
-            this->listener.on_released(suspect.evidence, true);
+            this->listener.on_released(suspect.evidence, *release);
         }
     }
 }
--- a/src/traffic/traffic_findings.cpp
+++ b/src/traffic/traffic_findings.cpp
@@ -112,10 +112,21 @@
                       });
 }
 
-auto traffic_service::on_released(const quarantine::part_evidence& evidence, bool is_own) -> void
+auto traffic_service::on_released(const quarantine::part_evidence& evidence,
+                                  const quarantine::part_release& release) -> void
 {
+    const auto is_own = release.reason != quarantine::release_reason::other_host;
+    auto explained_by = nlohmann::json::array();
+    for (const auto part : release.explained_by)
+    {
+        explained_by.push_back(to_text(part));
+    }
     this->log.write(event_code::prompt_part_released,
-                    {{"part", to_text(evidence.part)}, {"own_decision", is_own}});
+                    {{"part", to_text(evidence.part)},
+                     {"own_decision", is_own},
+                     {"reason", quarantine::to_text(release.reason)},
+                     {"explained_by", std::move(explained_by)},
+                     {"marks", to_json(release.marks, boot_clock_now())}});
     if (is_own && !evidence.is_on_request())
     {
         this->mailbox.add_decided_part(evidence);
--- a/src/traffic/traffic_service.hpp
+++ b/src/traffic/traffic_service.hpp
@@ -158,7 +158,8 @@
 
 private:
     auto on_quarantined(const quarantine::part_evidence& evidence, bool is_own) -> void override;
-    auto on_released(const quarantine::part_evidence& evidence, bool is_own) -> void override;
+    auto on_released(const quarantine::part_evidence& evidence,
+                     const quarantine::part_release& release) -> void override;
     auto sync_evidence(time_point now) -> void;
     /// Time for evidence to reach all hosts and their answer to come back. A single host has none
     /// to wait for; beyond a mesh the hosts of other cells are reached through several of one's
