A part that ends engines isn't released for the sound requests that were beside it

Cause: release_explained took any requests in quarantine as an explanation of a part, as long as they had been at its ends together. A sound request that waited beside the part is sent from one ended engine to the next and repeated by its caller, so it is at three of these ends and is quarantined too. Hosts decide on their own; when the two verdicts met, 50 ms later, each host released the part.

Fix: a request explains the marks of a part only if it also ended an upstream at which the part was not; otherwise the part explains the request. Only a request that has the part itself and was at all of its ends may be the cause as well, and is preferred, since refusing it costs one caller. The same rule replaces the union of all requests where a part is judged.

The test "a part stays in quarantine when a sound request was at all ends of engines beside it" failed before: both hosts served the part again.

--- a/src/quarantine/part_evidence.hpp
+++ b/src/quarantine/part_evidence.hpp
@@ -19,6 +19,12 @@
 /// own, a hash of the caller's id for this attempt.
 using request_key = strong_type<struct request_key_tag, std::uint32_t>;
 
+/// The key of a whole request in the evidence on the parts that it shares.
+[[nodiscard]] inline auto key_of(routing::prompt_part_id whole) -> request_key
+{
+    return request_key(static_cast<std::uint32_t>(whole.value()));
+}
+
 /// An upstream ended while a request with the part waited there for the first output.
 struct crash_mark
 {
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -177,7 +177,7 @@
     {
         this->add_mark(*prompt.whole, part_evidence::request_depth, mark);
         // For a shared part all attempts of one request are the same request.
-        mark.request = request_key(static_cast<std::uint32_t>(prompt.whole->value()));
+        mark.request = key_of(*prompt.whole);
     }
     for (std::size_t depth = 0; depth < prompt.shared.size(); ++depth)
     {
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -182,9 +182,11 @@
     /// Another part in quarantine that was at all ends at which the suspect was, and at more.
     [[nodiscard]] auto find_explaining_part(const part_case& suspect) const
         -> std::optional<routing::prompt_part_id>;
-    /// Requests in quarantine that were together at all ends at which the suspect was; empty if
-    /// there are none.
-    [[nodiscard]] auto find_explaining_requests(const part_case& suspect) const
+    /// Requests in quarantine that explain all these marks of the suspect; empty if there are
+    /// none. Either one request with the part was at all of the ends, or several were that ended
+    /// other upstreams without the part, too.
+    [[nodiscard]] auto find_explaining_requests(const part_case& suspect,
+                                                const std::vector<crash_mark>& marks) const
         -> std::vector<routing::prompt_part_id>;
     /// The release of a part whose marks something else in quarantine explains.
     [[nodiscard]] auto find_explanation(const part_case& suspect) const
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -551,6 +551,41 @@
     CHECK_FALSE(first.is_request_refused({common, session}, 81));
 }
 
+TEST_CASE("a part stays in quarantine when a sound request was at all ends of engines beside it")
+{
+    // Guards against the release of a part for requests that end because of it (review/6).
+    constexpr std::uint64_t sound = 81;
+    one_host first;
+    one_host second;
+    const auto pass = [&](duration time)
+    {
+        first.pass(time);
+        second.pass(time);
+    };
+    first.answer({common, session});
+    // A request with the part and a sound one are both sent from the first engine to the second.
+    for (std::uint32_t upstream = 1; upstream <= 2; ++upstream)
+    {
+        first.interrupt_request({common, fatal}, 71, upstream);
+        first.interrupt_request({common, session}, sound, upstream);
+        pass(50ms);
+        second.merge_from(first);
+        pass(200ms);
+    }
+    // The caller of the sound one repeats it, beside another request with the part.
+    first.interrupt_request({common, session}, sound, 3);
+    second.interrupt_request({common, fatal}, 72, 3);
+    REQUIRE(first.is_request_refused({common, session}, sound));
+    REQUIRE(second.is_refused({fatal}));
+    pass(50ms);
+    const auto evidence_of_first = first.decisions.evidence_to_share(first.now).parts;
+    first.merge_from(second);
+    second.decisions.merge(evidence_of_first, second.now);
+    CHECK(first.is_refused({fatal}));
+    CHECK(second.is_refused({fatal}));
+    CHECK_FALSE(first.is_refused({common, session}));
+}
+
 TEST_CASE("a request is refused when it has ended three engines, though many beside it are "
           "interrupted")
 {
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -103,14 +103,16 @@
     auto marks = evidence.open_marks();
     std::erase_if(marks, [&](const crash_mark& mark)
                   { return this->explained_by_part.contains(mark.upstream); });
-    auto unexplained = marks;
-    std::erase_if(unexplained, [&](const crash_mark& mark)
-                  { return this->explained_by_request.contains(mark.upstream); });
-    // A request in quarantine may have ended its upstreams by a part that others have, too. Only a
-    // part that has never been harmless is suspected of that, and only after a further end.
-    if (evidence.was_harmless || unexplained.empty())
+    if (evidence.was_harmless)
     {
-        marks = std::move(unexplained);
+        std::erase_if(marks, [&](const crash_mark& mark)
+                      { return this->explained_by_request.contains(mark.upstream); });
+    }
+    else if (!this->find_explaining_requests(suspect, marks).empty())
+    {
+        // Requests that end upstreams by a part that others have, too, are followed by a further
+        // end that they do not explain.
+        return std::nullopt;
     }
     const auto summary = summarize(std::move(marks));
     // An upstream that the registry has not yet shown as restarted may end under a request twice.
@@ -274,28 +276,44 @@
     return found == this->quarantined.end() ? std::nullopt : std::optional(*found);
 }
 
-auto prompt_quarantine::find_explaining_requests(const part_case& suspect) const
+auto prompt_quarantine::find_explaining_requests(const part_case& suspect,
+                                                 const std::vector<crash_mark>& marks) const
     -> std::vector<prompt_part_id>
 {
-    const auto marks = suspect.evidence.open_marks();
-    const auto is_explained = std::all_of(
-        marks.begin(), marks.end(),
-        [&](const crash_mark& mark) { return this->explained_by_request.contains(mark.upstream); });
-    std::vector<prompt_part_id> requests;
-    if (!is_explained)
+    std::vector<prompt_part_id> independent;
+    absl::flat_hash_set<upstream_instance> explained;
+    for (const auto part : this->quarantined)
     {
-        return requests;
+        const auto& request = this->cases.at(part);
+        if (!request.evidence.is_on_request())
+        {
+            continue;
+        }
+        const auto was_at = [&](const crash_mark& mark)
+        { return has_noted(request, mark.upstream); };
+        // Of a request with the part and the part itself, with the same ends, either may be the
+        // cause. Refusing the request costs one caller.
+        const auto has_part =
+            std::any_of(marks.begin(), marks.end(),
+                        [&](const crash_mark& mark) { return mark.request == key_of(part); });
+        if (has_part && std::all_of(marks.begin(), marks.end(), was_at))
+        {
+            return {part};
+        }
+        // The part explains the ends of a request that was beside it each time, not the reverse.
+        const auto is_independent =
+            std::any_of(request.upstreams.begin(), request.upstreams.end(),
+                        [&](upstream_instance upstream) { return !has_noted(suspect, upstream); });
+        if (is_independent && std::any_of(marks.begin(), marks.end(), was_at))
+        {
+            independent.push_back(part);
+            explained.insert(request.upstreams.begin(), request.upstreams.end());
+        }
     }
-    std::copy_if(this->quarantined.begin(), this->quarantined.end(), std::back_inserter(requests),
-                 [&](prompt_part_id part)
-                 {
-                     const auto& other = this->cases.at(part);
-                     return other.evidence.is_on_request() &&
-                            std::any_of(marks.begin(), marks.end(),
-                                        [&](const crash_mark& mark)
-                                        { return has_noted(other, mark.upstream); });
-                 });
-    return requests;
+    const auto is_explained =
+        std::all_of(marks.begin(), marks.end(),
+                    [&](const crash_mark& mark) { return explained.contains(mark.upstream); });
+    return is_explained ? independent : std::vector<prompt_part_id>{};
 }
 
 auto prompt_quarantine::find_explanation(const part_case& suspect) const
@@ -305,7 +323,7 @@
     {
         return part_release{release_reason::other_part, {*part}, suspect.evidence.open_marks()};
     }
-    auto requests = this->find_explaining_requests(suspect);
+    auto requests = this->find_explaining_requests(suspect, suspect.evidence.open_marks());
     if (requests.empty())
     {
         return std::nullopt;
