A part that something else explains keeps its marks and is refused again when that fails

Cause: the release called part_evidence::refute, as an answer that has begun well does. It dropped the marks, noted the part as harmless although no such answer had come, and both went to all hosts. A part known as harmless needs five marks that nothing explains, is not held for being at nearly all ends, and does not keep an interrupted request from being sent on.

Fix: only answers refute. Whether another part or requests explain a part is derived by each host from the evidence that all of them share, whenever that changes: the part is served while the explanation holds, its marks and its level stay, and the next end that the explanation does not cover, or an answer that proves the other one harmless, puts the quarantine in force again.

Related paths, all in the evidence on prompts: the release for another part had the same cause and has the same fix. Merges and answers refute only by answers now.

The tests "a part that a request explains is refused again after an end without that request" and "a part that another part explains is refused again when that one proves harmless" failed before.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -113,6 +113,7 @@
 {
     changed.changed_at = now;
     changed.was_held = changed.was_held || changed.evidence.is_quarantined();
+    changed.is_explained = changed.is_explained && changed.evidence.is_quarantined();
     const auto listed =
         std::find(this->quarantined.begin(), this->quarantined.end(), changed.evidence.part);
     if (changed.evidence.is_quarantined() && listed == this->quarantined.end())
@@ -155,7 +156,7 @@
         evidence.depth = std::max(evidence.depth, depth);
         this->on_changed(*suspect, mark.at);
     }
-    if (evidence.is_quarantined() && mark.at >= evidence.quarantined_until)
+    if (is_in_force(*suspect) && mark.at >= evidence.quarantined_until)
     {
         // A trial request was interrupted.
         this->quarantine(*suspect, quarantine_time(evidence.level + 1), mark.at);
@@ -186,25 +187,28 @@
     this->evaluate(now);
 }
 
-auto prompt_quarantine::refute(prompt_part_id part, time_point began_at, time_point now) -> void
+auto prompt_quarantine::refute(prompt_part_id part, time_point began_at, time_point now) -> bool
 {
     const auto found = this->cases.find(part);
     if (found == this->cases.end())
     {
-        return;
+        return false;
     }
     auto& suspect = found->second;
-    const auto was_quarantined = suspect.evidence.is_quarantined();
-    const auto marks = suspect.evidence.open_marks();
+    const auto was_in_force = is_in_force(suspect);
+    // Most answers refute nothing: no copy is made for them.
+    const auto marks = was_in_force ? suspect.evidence.open_marks() : std::vector<crash_mark>{};
     if (suspect.evidence.refute(began_at))
     {
         suspect.interrupted = routing::sliding_counter(chance_window);
         this->on_changed(suspect, now);
     }
-    if (was_quarantined && !suspect.evidence.is_quarantined())
+    const auto is_released = was_in_force && !suspect.evidence.is_quarantined();
+    if (is_released)
     {
         this->listener.on_released(suspect.evidence, {release_reason::harmless_answer, {}, marks});
     }
+    return is_released;
 }
 
 auto prompt_quarantine::on_harmless(const judged_prompt& prompt, time_point began_at,
@@ -212,14 +216,19 @@
 {
     this->begun.add(now);
     ++this->begun_in_all;
+    auto has_released = false;
     for (const auto& part : prompt.shared)
     {
         this->harmless.add(part.id);
-        this->refute(part.id, began_at, now);
+        has_released = this->refute(part.id, began_at, now) || has_released;
     }
     if (prompt.whole)
     {
-        this->refute(*prompt.whole, began_at, now);
+        has_released = this->refute(*prompt.whole, began_at, now) || has_released;
+    }
+    if (has_released)
+    {
+        this->update_explanations(now);
     }
 }
 
@@ -242,6 +251,7 @@
             }
         }
         const auto former_level = known->evidence.is_quarantined() ? known->evidence.level : 0;
+        const auto was_explained = known->is_explained;
         const auto marks = known->evidence.open_marks();
         if (!known->evidence.merge(received))
         {
@@ -249,6 +259,10 @@
         }
         this->on_changed(*known, now);
         const auto level = known->evidence.is_quarantined() ? known->evidence.level : 0;
+        if (was_explained)
+        {
+            continue; // reported as released, and its level is of no use until that changes
+        }
         if (level > former_level)
         {
             this->listener.on_quarantined(known->evidence, false);
@@ -272,7 +286,7 @@
     const auto visit_if_quarantined = [&](prompt_part_id part)
     {
         const auto found = this->cases.find(part);
-        if (found != this->cases.end() && found->second.evidence.is_quarantined())
+        if (found != this->cases.end() && is_in_force(found->second))
         {
             visit(found->second.evidence);
         }
@@ -412,7 +426,11 @@
     std::vector<part_evidence> parts;
     for (const auto part : this->quarantined)
     {
-        parts.push_back(this->cases.at(part).evidence);
+        const auto& it = this->cases.at(part);
+        if (is_in_force(it))
+        {
+            parts.push_back(it.evidence);
+        }
     }
     return parts;
 }
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -117,7 +117,7 @@
     /// Evidence for the other hosts: on parts with changes within the last seconds, those most
     /// suspect first, and then on the others in quarantine.
     [[nodiscard]] auto evidence_to_share(time_point now) const -> shared_evidence;
-    /// Parts in quarantine, for the operators' pages.
+    /// Parts whose quarantine is in force, for the operators' pages.
     [[nodiscard]] auto quarantined_parts() const -> std::vector<part_evidence>;
     /// Forgets old evidence. Call about every second.
     auto forget_old(time_point now) -> void;
@@ -132,6 +132,9 @@
         time_point opened_at{};
         time_point changed_at{};
         bool was_held = false; ///< has been in quarantine
+        /// Something else in quarantine explains its marks at present, so it is not refused. The
+        /// marks remain: this is no proof that the part is harmless.
+        bool is_explained = false;
         /// Upstreams that ended, the first ones, including those of marks that were dropped.
         std::vector<upstream_instance> upstreams;
         /// This host's interrupted requests with the part.
@@ -141,14 +144,25 @@
     };
     using case_map = absl::flat_hash_map<routing::prompt_part_id, part_case>;
 
+    /// True if requests with the part are refused.
+    [[nodiscard]] static auto is_in_force(const part_case& it) -> bool
+    {
+        return it.evidence.is_quarantined() && !it.is_explained;
+    }
+    /// Order in which parts may explain each other.
+    [[nodiscard]] static auto rank_of(const part_case& it) -> std::pair<std::size_t, std::size_t>
+    {
+        return {it.upstreams.size(), it.evidence.depth};
+    }
     auto find_or_open(routing::prompt_part_id part, time_point now) -> part_case*;
     auto add_mark(routing::prompt_part_id part, std::size_t depth, const crash_mark& mark) -> void;
-    auto refute(routing::prompt_part_id part, time_point began_at, time_point now) -> void;
+    /// True if this ends a quarantine.
+    auto refute(routing::prompt_part_id part, time_point began_at, time_point now) -> bool;
     /// Makes room for new cases; false if all parts are in quarantine.
     auto drop_least_suspect() -> bool;
     auto on_changed(part_case& changed, time_point now) -> void;
-    /// Calls `visit` with the evidence on each part of the prompt, and on the whole, that is in
-    /// quarantine.
+    /// Calls `visit` with the evidence on each part of the prompt, and on the whole, whose
+    /// quarantine is in force.
     template <class Visitor>
     auto for_each_quarantined(const routing::judged_prompt& prompt, const Visitor& visit) const
         -> void;
@@ -179,7 +193,8 @@
     [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
     /// Notes the ends of upstreams at which something in quarantine was, which explains them.
     auto update_explained() -> void;
-    /// Another part in quarantine that was at all ends at which the suspect was, and at more.
+    /// Another part whose quarantine is in force that was at all ends at which the suspect was, and
+    /// at more.
     [[nodiscard]] auto find_explaining_part(const part_case& suspect) const
         -> std::optional<routing::prompt_part_id>;
     /// Requests in quarantine that explain all these marks of the suspect; empty if there are
@@ -191,8 +206,10 @@
     /// The release of a part whose marks something else in quarantine explains.
     [[nodiscard]] auto find_explanation(const part_case& suspect) const
         -> std::optional<part_release>;
-    /// Releases parts whose marks something else in quarantine explains better.
-    auto release_explained(time_point now) -> void;
+    /// Releases parts whose marks something else in quarantine explains better, and refuses them
+    /// again once it does not. Decided by each host on its own, from the evidence that all share.
+    auto update_explanations(time_point now) -> void;
+    auto resume_quarantine(part_case& suspect, time_point now) -> void;
     auto quarantine(part_case& found, duration time, time_point now) -> void;
     /// Usual share of requests that are interrupted without the part being the cause.
     [[nodiscard]] auto chance_of_interruption(part_case& without, time_point now) -> double;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -586,6 +586,77 @@
     CHECK_FALSE(first.is_refused({common, session}));
 }
 
+TEST_CASE("a part that a request explains is refused again after an end without that request")
+{
+    // Guards against taking an explanation for a proof that the part is harmless (review/6).
+    constexpr std::uint64_t whole = 77;
+    one_host first;
+    one_host second;
+    const auto pass = [&](duration time)
+    {
+        first.pass(time);
+        second.pass(time);
+    };
+    first.interrupt_request({common, fatal}, whole, 1);
+    second.interrupt_request({common, fatal}, 78, 1);
+    pass(200ms);
+    first.interrupt_request({common, fatal}, whole, 2);
+    first.answer({common, 500});
+    pass(200ms);
+    first.interrupt_request({common, fatal}, whole, 3);
+    REQUIRE(first.is_request_refused({common, fatal}, whole));
+    auto evidence = first.decisions.evidence_to_share(first.now).parts;
+    std::erase_if(evidence, [](const part_evidence& item)
+                  { return item.part != routing::prompt_part_id(fatal); });
+    second.decisions.merge(evidence, second.now);
+    REQUIRE(second.is_refused({fatal}));
+    second.merge_from(first);
+    first.merge_from(second);
+    REQUIRE(second.recorded.release_reasons ==
+            std::vector<release_reason>{release_reason::requests});
+    CHECK_FALSE(second.is_refused({fatal}));
+    SECTION("an end without the request")
+    {
+        pass(100ms);
+        second.interrupt_request({common, fatal}, 79, 4);
+        CHECK(second.is_refused({fatal}));
+        first.merge_from(second);
+        CHECK(first.is_refused({fatal}));
+    }
+    SECTION("an answer with the part")
+    {
+        pass(100ms);
+        second.answer({common, fatal});
+        second.interrupt_request({common, fatal}, 79, 4);
+        CHECK_FALSE(second.is_refused({fatal}));
+    }
+}
+
+TEST_CASE("a part that another part explains is refused again when that one proves harmless")
+{
+    // Guards against losing the evidence on the cause to a part that was only beside it.
+    one_host host;
+    host.answer({common, fatal}); // so the other part is taken for the cause first
+    for (std::uint32_t number = 1; number <= 3; ++number)
+    {
+        host.interrupt({common, fatal, session}, number, number);
+        host.pass(200ms);
+        host.answer({common, 500U + number});
+    }
+    REQUIRE(host.is_refused({session}));
+    for (std::uint32_t number = 4; number <= 9; ++number)
+    {
+        host.interrupt({common, fatal}, number, number);
+        host.pass(400ms);
+        host.answer({common, 500U + number});
+    }
+    REQUIRE(host.is_refused({fatal}));
+    REQUIRE_FALSE(host.is_refused({session}));
+    host.answer({common, fatal});
+    CHECK_FALSE(host.is_refused({fatal}));
+    CHECK(host.is_refused({session}));
+}
+
 TEST_CASE("a request is refused when it has ended three engines, though many beside it are "
           "interrupted")
 {
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -63,6 +63,10 @@
     for (const auto part : this->quarantined)
     {
         const auto& cause = this->cases.at(part);
+        if (!is_in_force(cause))
+        {
+            continue;
+        }
         auto& explained =
             cause.evidence.is_on_request() ? this->explained_by_request : this->explained_by_part;
         explained.insert(cause.upstreams.begin(), cause.upstreams.end());
@@ -253,14 +257,12 @@
     {
         this->quarantine(*found, provisional_quarantine, now);
     }
-    this->release_explained(now);
+    this->update_explanations(now);
 }
 
 auto prompt_quarantine::find_explaining_part(const part_case& suspect) const
     -> std::optional<prompt_part_id>
 {
-    const auto rank_of = [](const part_case& it)
-    { return std::pair(it.upstreams.size(), it.evidence.depth); };
     const auto marks = suspect.evidence.open_marks();
     const auto found =
         std::find_if(this->quarantined.begin(), this->quarantined.end(),
@@ -332,22 +334,41 @@
                         suspect.evidence.open_marks()};
 }
 
-auto prompt_quarantine::release_explained(time_point now) -> void
+auto prompt_quarantine::resume_quarantine(part_case& suspect, time_point now) -> void
 {
-    this->update_explained();
-    const auto candidates = this->quarantined;
-    for (const auto candidate : candidates)
+    suspect.is_explained = false;
+    if (now >= suspect.evidence.quarantined_until)
     {
-        auto& suspect = this->cases.at(candidate);
-        // A request stays: refusing it costs one caller, and the part may be the wrong one.
-        const auto release =
-            suspect.evidence.is_on_request() ? std::nullopt : this->find_explanation(suspect);
-        if (release)
+        this->quarantine(suspect, quarantine_time(suspect.evidence.level + 1), now);
+        return;
+    }
+    this->listener.on_quarantined(suspect.evidence, true);
+}
+
+auto prompt_quarantine::update_explanations(time_point now) -> void
+{
+    // A request stays: refusing it costs one caller, and the part may be the wrong one.
+    std::vector<prompt_part_id> parts;
+    std::copy_if(this->quarantined.begin(), this->quarantined.end(), std::back_inserter(parts),
+                 [&](prompt_part_id part)
+                 { return !this->cases.at(part).evidence.is_on_request(); });
+    // A part explains those of lower rank only.
+    std::sort(parts.begin(), parts.end(),
+              [&](prompt_part_id left, prompt_part_id right)
+              { return rank_of(this->cases.at(left)) > rank_of(this->cases.at(right)); });
+    for (const auto part : parts)
+    {
+        auto& suspect = this->cases.at(part);
+        const auto release = this->find_explanation(suspect);
+        if (release && !suspect.is_explained)
         {
-            suspect.evidence.refute(now);
-            this->on_changed(suspect, now);
+            suspect.is_explained = true;
             this->listener.on_released(suspect.evidence, *release);
         }
+        else if (!release && suspect.is_explained)
+        {
+            this->resume_quarantine(suspect, now);
+        }
     }
 }
 
--- a/src/traffic/traffic_findings.cpp
+++ b/src/traffic/traffic_findings.cpp
@@ -129,7 +129,10 @@
                      {"marks", to_json(release.marks, boot_clock_now())}});
     if (is_own && !evidence.is_on_request())
     {
-        this->mailbox.add_decided_part(evidence);
+        // A part that another one explains still has its marks; its record ends all the same.
+        auto released = evidence;
+        released.level = 0;
+        this->mailbox.add_decided_part(std::move(released));
     }
 }
 
