A status that no response can have is malformed, for every reader of responses

What callers saw: an upstream in trouble sent an answer with status 000, and the caller got it as an answer.

Cause: the parser takes any three digits for a status, and nothing looked at them afterwards. Below 500 and with a seal it counted as an error that concerns the request itself, and was forwarded as it came; so were 600 and more, as failures of the upstream. A 101, which nobody asks for, was skipped like any interim response, and the bytes of another protocol would have been read as the response.

Fix: response_reader rejects what is not 100 to 599, and 101. All data of the router is read through it: responses, streams, resumed ones, probes, the store's answers and records of other hosts. The request then goes on as after any bytes that are no response: sent again if it may be, else 502. The older daemon has another client, which takes such a status too; its chats, services and forwarded requests now check it.

The tests "a response with a status that no response to the request can have is malformed" and "a response with an invalid status is no answer: the request is sent again if it may be" failed before; "the client of the daemon takes no head with an invalid status for a response" is new with the check.

--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -306,6 +306,11 @@
 
 auto chat_relay::on_headers(const httplib::Response& response) -> bool
 {
+    if (!has_valid_head(response))
+    {
+        this->mismatched = true;
+        return false;
+    }
     this->status = response.status;
     if (this->forward_target)
     {
--- a/src/daemon/service_relay.cpp
+++ b/src/daemon/service_relay.cpp
@@ -122,7 +122,7 @@
     const auto answered = connection.client->send(request, response, error);
     const auto echoed = response.get_header_value("x-request-id");
     const auto id_matches = echoed.empty() || echoed == this->original.caller.id;
-    if (!answered || !id_matches)
+    if (!answered || !id_matches || !has_valid_head(response))
     {
         this->context.on_upstream_result(this->upstream, false);
         return answered || !proves_request_not_sent(error) ? exchange_end::unknown
@@ -252,7 +252,7 @@
     request.body = this->original.body;
     httplib::Response response;
     auto error = httplib::Error::Success;
-    if (!connection.client->send(request, response, error))
+    if (!connection.client->send(request, response, error) || !has_valid_head(response))
     {
         this->fail_with_refusal(transaction_refusal::owner_gone);
         return;
--- a/src/daemon/upstream_connections.cpp
+++ b/src/daemon/upstream_connections.cpp
@@ -1,5 +1,6 @@
 #include "daemon/upstream_connections.hpp"
 
+#include "http/message.hpp"
 #include "net/clock.hpp"
 
 namespace poplardrift
@@ -27,6 +28,12 @@
            error == httplib::Error::BindIPAddress;
 }
 
+auto has_valid_head(const httplib::Response& response) -> bool
+{
+    constexpr int lowest_final_status = 200;
+    return response.status >= lowest_final_status && http::is_valid_status(response.status);
+}
+
 auto upstream_connections::take_connection(const std::string& address, std::uint16_t port,
                                            const exchange_timeouts& timeouts, bool dial_new)
     -> upstream_connection
--- /dev/null
+++ b/src/daemon/upstream_connections_test.cpp
@@ -0,0 +1,47 @@
+#include "daemon/upstream_connections.hpp"
+
+#include "scripted_peers.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace poplardrift;
+
+namespace
+{
+
+/// True if the head of this response, as the client library reads it, is valid.
+auto is_head_valid(const std::string& response_text) -> bool
+{
+    tests::scripted_server server(
+        [&](tests::peer_connection& peer)
+        {
+            static_cast<void>(peer.read_request());
+            peer.send(response_text);
+            peer.close();
+        });
+    upstream_connections connections("127.0.0.1");
+    auto connection = connections.take_connection("127.0.0.1", server.address().port(), {}, true);
+    httplib::Request request;
+    request.method = "GET";
+    request.path = "/";
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    return connection.client->send(request, response, error) && has_valid_head(response);
+}
+
+} // namespace
+
+TEST_CASE("the client of the daemon takes no head with an invalid status for a response")
+{
+    // Guards against status 000 of an upstream in trouble reaching the caller.
+    const std::string rest = " Any\r\nContent-Length: 2\r\n\r\nok";
+    for (const auto* const status : {"000", "099", "103", "600"})
+    {
+        CAPTURE(status);
+        CHECK_FALSE(is_head_valid(std::string("HTTP/1.1 ") + status + rest));
+    }
+    CHECK(is_head_valid("HTTP/1.1 200" + rest));
+    CHECK(is_head_valid("HTTP/1.1 599" + rest));
+}
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -95,6 +95,14 @@
 /// Parses a non-negative decimal number without sign or whitespace; nullopt for any other text.
 [[nodiscard]] auto parse_number(std::string_view text) -> std::optional<std::uint64_t>;
 
+/// True for a status that a response may have here: 100 to 599 (RFC 9110, section 15) except 101,
+/// since no request asks for another protocol.
+[[nodiscard]] constexpr auto is_valid_status(int status) -> bool
+{
+    constexpr int switching_protocols = 101;
+    return status >= 100 && status <= 599 && status != switching_protocols;
+}
+
 /// How the end of a body is determined.
 enum class body_framing : std::uint8_t
 {
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -52,10 +52,16 @@
             this->head.reads_chunks = version >= 11;
         }
     }
-    auto on_response_impl(int status, text reason, int, code&) -> void override
+    auto on_response_impl(int status, text reason, int, code& error) -> void override
     {
         if constexpr (!IsRequest)
         {
+            // The parser accepts any three digits.
+            if (!is_valid_status(status))
+            {
+                error = beast::http::error::bad_status;
+                return;
+            }
             this->head.status = status;
             this->head.reason = to_view(reason);
         }
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -167,6 +167,33 @@
     CHECK(reader.head().status == 200);
 }
 
+TEST_CASE("a response with a status that no response to the request can have is malformed")
+{
+    // Guards against forwarding, as an answer, the head of an upstream that is in trouble.
+    for (const auto* const status : {"000", "001", "099", "101", "600", "999"})
+    {
+        for (const auto* const before : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+        {
+            response_reader reader;
+            reader.next(false);
+            reader.feed(std::string(before) + "HTTP/1.1 " + status +
+                        " Unknown\r\nContent-Length: 2\r\n\r\nok");
+            CAPTURE(status, before);
+            CHECK(reader.error() == read_error::malformed);
+            CHECK_FALSE(reader.has_head());
+            CHECK_FALSE(reader.is_complete());
+        }
+    }
+    for (const auto* const status : {"200", "299", "421", "599"})
+    {
+        response_reader reader;
+        reader.next(false);
+        reader.feed(std::string("HTTP/1.1 ") + status + " Any\r\nContent-Length: 2\r\n\r\nok");
+        CAPTURE(status);
+        CHECK(reader.is_complete());
+    }
+}
+
 TEST_CASE("bytes after the end of a response are counted as bytes ahead")
 {
     response_reader reader;
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -65,6 +65,29 @@
     }
 }
 
+TEST_CASE("a response with an invalid status is no answer: the request is sent again if it may be")
+{
+    // Guards against status 000 of an upstream in trouble reaching the caller.
+    for (const auto* const status : {"000", "099", "600"})
+    {
+        const auto invalid = std::string("HTTP/1.1 ") + status + " Unknown\r\n" + seal +
+                             "Content-Length: 4\r\n\r\noops";
+        std::atomic<int> requests{0};
+        scripted_server one(respond_first_then(requests, invalid, ok_response("again"), true));
+        scripted_server two(respond_first_then(requests, invalid, ok_response("again"), true));
+        router host({one.address(), two.address()});
+        CAPTURE(status);
+        CHECK(status_line_of(host.fetch("/safe/x")) == "HTTP/1.1 200");
+        CHECK(requests == 2);
+        requests = 0;
+        CHECK(status_line_of(host.fetch("/once/x")) == "HTTP/1.1 502");
+        CHECK(requests == 1);
+        requests = 0;
+        CHECK(status_line_of(host.fetch("/stream-once/x")) == "HTTP/1.1 502");
+        CHECK(requests == 1);
+    }
+}
+
 TEST_CASE("a declined request is sent to another upstream, and gets 503 when all upstreams decline")
 {
     scripted_server full(respond_always(declined_response));
