A response that is reset while the request is still written is broken, not ended

Cause: the reset is reported to the write in progress, which takes the error off the socket. byte_stream::on_flushed then reads once more, in case a response came first; the socket has no error left, so that read returns the end of the stream, which completes a body that is framed by the end of its connection. A peer that acknowledges nothing during an upload took the same path, as its timeout is reported to the write, too.

Fix: after a failed write the end of the stream counts as what the write reported. A broken pipe is the exception: the system reports it only if the peer had ended its side before the reset, so the response had ended by then. What has arrived is read to its end, not up to the first 64 KiB, so an early response with a length is still whole.

The same code reads for all: requests, streams (whose end at the border of an event counted as their end), resumed ones, probes, the store and the records of other hosts.

--- a/src/http/byte_stream.cpp
+++ b/src/http/byte_stream.cpp
@@ -85,16 +85,16 @@
                                 self->read_pending = false;
                                 if (!error && self->reading)
                                 {
-                                    self->read_available();
+                                    static_cast<void>(self->read_available());
                                 }
                             });
 }
 
-auto byte_stream::read_available() -> void
+auto byte_stream::read_available() -> bool
 {
     if (!this->socket.is_open())
     {
-        return;
+        return false;
     }
     error_code error;
     auto& buffer = read_buffer();
@@ -102,18 +102,21 @@
     if (error == asio::error::would_block || error == asio::error::interrupted)
     {
         this->wait_readable();
-        return;
+        return false;
     }
     if (error)
     {
-        this->fail(error == asio::error::eof ? close_kind::end_of_stream : to_close_kind(error));
-        return;
+        this->fail(error == asio::error::eof
+                       ? this->end_after_write_failure.value_or(close_kind::end_of_stream)
+                       : to_close_kind(error));
+        return false;
     }
     if (!this->closing && this->listener != nullptr)
     {
         this->listener->on_bytes(std::string_view(buffer.data(), count));
     }
     this->wait_readable();
+    return true;
 }
 
 auto byte_stream::set_reading(bool wanted) -> void
@@ -183,9 +186,7 @@
     this->shared_in_write = nullptr;
     if (error)
     {
-        // The peer may have sent a response before it stopped reading.
-        this->read_available();
-        this->fail(to_close_kind(error));
+        this->on_write_failed(error);
         return;
     }
     this->flush();
@@ -203,6 +204,19 @@
     }
 }
 
+auto byte_stream::on_write_failed(const error_code& error) -> void
+{
+    // The failed write has taken the error off the socket: reads return the end of the stream now,
+    // whatever has happened. The error is a broken pipe only if the peer had ended its side before.
+    this->end_after_write_failure =
+        error == asio::error::broken_pipe ? close_kind::end_of_stream : to_close_kind(error);
+    // The peer may have sent a response before it stopped reading.
+    while (this->read_available() && this->reading)
+    {
+    }
+    this->fail(to_close_kind(error));
+}
+
 auto byte_stream::fail(close_kind kind) -> void
 {
     if (!this->socket.is_open())
--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -70,7 +71,7 @@
     /// can use.
     auto set_read_limit(std::size_t bytes) -> void { this->read_limit = bytes; }
     /// Delivers bytes that have arrived but have not been read yet.
-    auto poll() -> void { this->read_available(); }
+    auto poll() -> void { static_cast<void>(this->read_available()); }
     /// Closes immediately. The listener is not called again.
     auto close() -> void;
     /// Closes immediately with a reset, so that the peer cannot mistake it for the end of a
@@ -100,9 +101,11 @@
 
 private:
     auto wait_readable() -> void;
-    auto read_available() -> void;
+    /// Reads once. True if bytes were delivered.
+    auto read_available() -> bool;
     auto flush() -> void;
     auto on_flushed(const boost::system::error_code& error, std::size_t written) -> void;
+    auto on_write_failed(const boost::system::error_code& error) -> void;
     auto fail(close_kind kind) -> void;
     auto finish_closing() -> void;
 
@@ -115,6 +118,8 @@
     std::shared_ptr<void> kept_until_closed;
     std::shared_ptr<void> kept_until_written;
     std::size_t read_limit = static_cast<std::size_t>(-1);
+    /// How the connection ended if reading reaches its end after a write has failed.
+    std::optional<close_kind> end_after_write_failure;
     bool writing = false;
     bool reading = true;
     bool read_pending = false;
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -133,6 +133,12 @@
     this->socket.close(ignored_error);
 }
 
+auto peer_connection::shut_down_sending() -> void
+{
+    error_code ignored_error;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored_error);
+}
+
 auto peer_connection::reset() -> void
 {
     error_code ignored_error;
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -50,6 +50,8 @@
     /// False when the connection has ended.
     auto send(const std::string& bytes) -> bool;
     auto close() -> void;
+    /// Ends the sending side only.
+    auto shut_down_sending() -> void;
     /// Closes the connection with a TCP reset.
     auto reset() -> void;
     /// Bytes read so far and not yet returned by a call.
