A response with a line that continues a field, or with an invalid name, is malformed

What callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank or a control byte; the caller got it as an answer, with that line passed on or with a body that was not the upstream's.

Cause: a blank or tab before a name makes the line a continuation of the one before it. The parser joins the two, so the line is passed on inside the value before it, and a length in it is lost: the body is read by another framing. A blank or control byte inside a name, or before the colon, was rejected by the parser already. The older daemon's client takes all of these.

Fix: response_reader rejects heads with continued lines, the final one and interim ones; the parser reads a head by itself for this, not together with the first bytes of a body. The daemon checks the names of the fields. Requests are as before: their continued lines are joined, as RFC 9112 has it for servers.

The tests "a response with a field name that holds a blank or a control byte is malformed", "a response with an invalid field name is no answer" and "the client of the daemon takes no head with an invalid field name for a response" failed before, the first two for the continued lines.

--- a/src/daemon/upstream_connections.cpp
+++ b/src/daemon/upstream_connections.cpp
@@ -3,6 +3,8 @@
 #include "http/message.hpp"
 #include "net/clock.hpp"
 
+#include <algorithm>
+
 namespace poplardrift
 {
 
@@ -31,7 +33,9 @@
 auto has_valid_head(const httplib::Response& response) -> bool
 {
     constexpr int lowest_final_status = 200;
-    return response.status >= lowest_final_status && http::is_valid_status(response.status);
+    return response.status >= lowest_final_status && http::is_valid_status(response.status) &&
+           std::all_of(response.headers.begin(), response.headers.end(),
+                       [](const auto& field) { return http::is_valid_field_name(field.first); });
 }
 
 auto upstream_connections::take_connection(const std::string& address, std::uint16_t port,
--- a/src/daemon/upstream_connections_test.cpp
+++ b/src/daemon/upstream_connections_test.cpp
@@ -45,3 +45,16 @@
     CHECK(is_head_valid("HTTP/1.1 200" + rest));
     CHECK(is_head_valid("HTTP/1.1 599" + rest));
 }
+
+TEST_CASE("the client of the daemon takes no head with an invalid field name for a response")
+{
+    // Guards against a body that another framing would have.
+    for (const auto* const line :
+         {" X: a", "\tX: a", "Content-Length : 2", "Content Length: 2", "X\x01: a", "X\x7f: a"})
+    {
+        CAPTURE(line);
+        CHECK_FALSE(is_head_valid(std::string("HTTP/1.1 200 OK\r\nX-Before: a\r\n") + line +
+                                  "\r\nContent-Length: 2\r\n\r\nok"));
+        CHECK_FALSE(is_head_valid(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\n\r\nhello"));
+    }
+}
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
@@ -103,6 +104,18 @@
     return status >= 100 && status <= 599 && status != switching_protocols;
 }
 
+/// True for a field name that consists of token characters only (RFC 9110, section 5.6.2).
+[[nodiscard]] constexpr auto is_valid_field_name(std::string_view name) -> bool
+{
+    const auto is_token = [](char letter)
+    {
+        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+               (letter >= '0' && letter <= '9') || marks.find(letter) != std::string_view::npos;
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), is_token);
+}
+
 /// How the end of a body is determined.
 enum class body_framing : std::uint8_t
 {
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -155,6 +155,14 @@
     std::size_t consumed = 0;
 };
 
+/// True if a line of these fields continues the one before it. The parser joins such lines, so a
+/// name that begins with a blank becomes part of the value before it.
+auto has_continued_line(std::string_view fields) -> bool
+{
+    return fields.find("\n ") != std::string_view::npos ||
+           fields.find("\n\t") != std::string_view::npos;
+}
+
 /// Feeds the bytes of a source to a parser. What it does not take stays in the source.
 template <class Parser, class Source>
 auto advance(Parser& parser, Source& source) -> read_error
@@ -162,9 +170,16 @@
     while (!source.empty() && !parser.is_done())
     {
         beast::error_code code;
+        // A parser that is not eager takes no bytes of the body together with the last fields.
+        const auto is_in_fields = !parser.eager();
         const auto consumed =
             parser.put(boost::asio::const_buffer(source.data(), source.size()), code);
+        if (is_in_fields && has_continued_line({source.data(), consumed}))
+        {
+            return read_error::malformed;
+        }
         source.consume(consumed);
+        parser.eager(is_in_fields ? parser.head_done : true);
         if (code == beast::http::error::need_more)
         {
             return source.size() <= max_element_bytes ? read_error::none : read_error::malformed;
@@ -354,7 +369,7 @@
     auto restart() -> void
     {
         this->parser.emplace();
-        this->parser->eager(true);
+        this->parser->eager(false);
         this->parser->header_limit(max_response_head_bytes);
         this->parser->body_limit(unbounded_body);
         this->parser->skip(this->to_head_request);
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -67,7 +67,8 @@
 };
 
 /// Incremental parser for HTTP/1.x responses. Interim responses (1xx) are skipped, as long as they
-/// are together no larger than one head may be. Not thread-safe.
+/// are together no larger than one head may be. Fields that continue on a further line (obs-fold)
+/// are malformed, as RFC 9112, section 5.2, allows a gateway. Not thread-safe.
 class response_reader final
 {
 public:
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -194,6 +194,71 @@
     }
 }
 
+TEST_CASE("a response with a field name that holds a blank or a control byte is malformed")
+{
+    // Guards against a line that is passed on as part of the field before it, or framing that is
+    // not the upstream's (RFC 9112, section 5).
+    using namespace std::string_literals;
+    const std::vector<std::string> lines = {" Content-Length: 2",
+                                            "\tContent-Length: 2",
+                                            " X: y",
+                                            "\tX: y",
+                                            " ",
+                                            "Content-Length : 2",
+                                            "Content-Length\t: 2",
+                                            "Content Length: 2",
+                                            "Transfer-Encoding : chunked",
+                                            "X\x01: y",
+                                            "X\x7f: y",
+                                            "X\0: y"s,
+                                            "\x0bX: y",
+                                            "Content-Length\r: 2",
+                                            ": y",
+                                            "X\x80: y",
+                                            "Poplardrift\x1f-Seal: s"};
+    for (const auto& line : lines)
+    {
+        for (const auto& head :
+             {"X-Before: a\r\n" + line + "\r\nContent-Length: 4\r\n",
+              "X-Before: a\r\n" + line + "\r\n", line + "\r\nContent-Length: 4\r\n"})
+        {
+            const auto bytes = "HTTP/1.1 200 OK\r\n" + head + "\r\nbody";
+            CAPTURE(bytes);
+            response_reader whole;
+            whole.next(false);
+            whole.feed(bytes);
+            whole.feed_end();
+            CHECK(whole.error() == read_error::malformed);
+            CHECK_FALSE(whole.is_complete());
+            response_reader in_bytes;
+            in_bytes.next(false);
+            for (const auto byte : bytes)
+            {
+                in_bytes.feed(std::string(1, byte));
+            }
+            in_bytes.feed_end();
+            CHECK(in_bytes.error() == read_error::malformed);
+        }
+        response_reader interim;
+        interim.next(false);
+        interim.feed("HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line +
+                     "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CHECK(interim.error() == read_error::malformed);
+    }
+}
+
+TEST_CASE("bytes of a body that look like a continued field change nothing")
+{
+    const std::string body = "a\r\n b\n\tc";
+    response_reader reader;
+    reader.next(false);
+    reader.feed("HTTP/1.1 200 OK\r\nX: a  b\tc\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body);
+    REQUIRE(reader.is_complete());
+    CHECK(reader.take_body() == body);
+    CHECK(reader.head().fields.find("X") == "a  b\tc");
+}
+
 TEST_CASE("bytes after the end of a response are counted as bytes ahead")
 {
     response_reader reader;
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -88,6 +88,34 @@
     }
 }
 
+TEST_CASE("a response with an invalid field name is no answer")
+{
+    // Guards against passing on such a line, or a body that another framing would have.
+    for (const auto* const line :
+         {" Content-Length: 2", "\tX-Note: a", "Content-Length : 2", "X\x01Note: a"})
+    {
+        CAPTURE(line);
+        const auto plain = "HTTP/1.1 200 OK\r\n" + seal + line + "\r\n\r\nhello";
+        const auto stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal + line +
+                            "\r\n\r\n" + event_text(1) + event_text(2);
+        const auto respond_and_close = [](const std::string& response)
+        {
+            return [=](peer_connection& peer)
+            {
+                static_cast<void>(peer.read_request());
+                peer.send(response);
+                peer.close();
+            };
+        };
+        scripted_server plain_server(respond_and_close(plain));
+        router host({plain_server.address()});
+        CHECK(status_line_of(host.fetch("/once/x")) == "HTTP/1.1 502");
+        scripted_server stream_server(respond_and_close(stream));
+        router other({stream_server.address()});
+        CHECK(status_line_of(other.fetch("/stream-once/x")) == "HTTP/1.1 502");
+    }
+}
+
 TEST_CASE("a declined request is sent to another upstream, and gets 503 when all upstreams decline")
 {
     scripted_server full(respond_always(declined_response));
