--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -586,6 +586,32 @@
     CHECK_FALSE(first.is_refused({common, session}));
 }
 
+TEST_CASE("a sound part beside requests that end engines without it, too, is served")
+{
+    // Guards against holding what all callers share for what two requests did.
+    one_host first;
+    one_host second;
+    for (std::uint32_t upstream = 1; upstream <= 6; ++upstream)
+    {
+        first.interrupt_request({common}, upstream <= 3 ? 77 : 78, upstream);
+        if (upstream == 1 || upstream == 4 || upstream == 5)
+        {
+            second.interrupt_request({common, session}, 80 + upstream / 2, upstream);
+        }
+        first.pass(200ms);
+        second.pass(200ms);
+        second.answer({common, 500U + upstream});
+        first.answer({common, 500U + upstream});
+    }
+    REQUIRE(first.is_request_refused({common}, 77));
+    REQUIRE(first.is_request_refused({common}, 78));
+    REQUIRE(second.is_refused({session}));
+    second.merge_from(first);
+    first.merge_from(second);
+    CHECK_FALSE(second.is_refused({session}));
+    CHECK_FALSE(first.is_refused({session}));
+}
+
 TEST_CASE("a part that a request explains is refused again after an end without that request")
 {
     // Guards against taking an explanation for a proof that the part is harmless (review/6).
