Of requests with the same ends of engines one is held, and only parts in force explain others

From reading the change: the new rule for parts also judged whole requests, so sound requests that had been at the same three ends as one in quarantine were refused, too, where before the first one explained the others. And a part that something else explains could still explain another part.

Requests are judged as before; a part explains others only while its own quarantine is in force. What is cheap to see, too few or too new marks, is looked at before what explains them.

The test "of two requests that were at the same ends of engines one is refused" failed before.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -179,7 +179,7 @@
             return read_error::malformed;
         }
         source.consume(consumed);
-        parser.eager(is_in_fields ? parser.head_done : true);
+        parser.eager(!is_in_fields || parser.head_done);
         if (code == beast::http::error::need_more)
         {
             return source.size() <= max_element_bytes ? read_error::none : read_error::malformed;
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -203,6 +203,10 @@
     [[nodiscard]] auto find_explaining_requests(const part_case& suspect,
                                                 const std::vector<crash_mark>& marks) const
         -> std::vector<routing::prompt_part_id>;
+    /// True if requests in quarantine are enough to explain these marks of the suspect, so that it
+    /// is not judged.
+    [[nodiscard]] auto is_explained_by_requests(const part_case& suspect,
+                                                const std::vector<crash_mark>& marks) const -> bool;
     /// The release of a part whose marks something else in quarantine explains.
     [[nodiscard]] auto find_explanation(const part_case& suspect) const
         -> std::optional<part_release>;
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -586,6 +586,21 @@
     CHECK_FALSE(first.is_refused({common, session}));
 }
 
+TEST_CASE("of two requests that were at the same ends of engines one is refused")
+{
+    // Guards against refusing all sound requests beside one that ends engines.
+    one_host host;
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream)
+    {
+        host.interrupt_request({common}, 77, upstream);
+        host.interrupt_request({common, session}, 78, upstream);
+        host.pass(200ms);
+        host.answer({common, 500U + upstream});
+    }
+    CHECK(host.is_request_refused({common}, 77));
+    CHECK_FALSE(host.is_request_refused({common, session}, 78));
+}
+
 TEST_CASE("a sound part beside requests that end engines without it, too, is served")
 {
     // Guards against holding what all callers share for what two requests did.
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -96,6 +96,22 @@
         });
 }
 
+auto prompt_quarantine::is_explained_by_requests(const part_case& suspect,
+                                                 const std::vector<crash_mark>& marks) const -> bool
+{
+    if (suspect.evidence.is_on_request())
+    {
+        // Of requests with the same ends one is held.
+        return std::all_of(marks.begin(), marks.end(),
+                           [&](const crash_mark& mark)
+                           { return this->explained_by_request.contains(mark.upstream); });
+    }
+    // Requests that end upstreams by a part that others have, too, are followed by a further end
+    // that they do not explain. A part that has been harmless is not suspected of that.
+    return !suspect.evidence.was_harmless &&
+           !this->find_explaining_requests(suspect, marks).empty();
+}
+
 auto prompt_quarantine::judgeable_marks(const part_case& suspect, time_point now) const
     -> std::optional<mark_summary>
 {
@@ -112,13 +128,7 @@
         std::erase_if(marks, [&](const crash_mark& mark)
                       { return this->explained_by_request.contains(mark.upstream); });
     }
-    else if (!this->find_explaining_requests(suspect, marks).empty())
-    {
-        // Requests that end upstreams by a part that others have, too, are followed by a further
-        // end that they do not explain.
-        return std::nullopt;
-    }
-    const auto summary = summarize(std::move(marks));
+    const auto summary = summarize(marks);
     // An upstream that the registry has not yet shown as restarted may end under a request twice.
     const auto ends = evidence.is_on_request() ? summary.marks : summary.upstreams;
     const auto is_enough = ends >= min_upstreams && summary.requests >= min_requests &&
@@ -127,7 +137,11 @@
         now - suspect.opened_at < this->settling_time ||
         (evidence.was_harmless &&
          (summary.span < min_span_of_harmless_part || summary.marks < min_marks_of_harmless_part));
-    return is_enough && !is_too_soon ? std::optional(summary) : std::nullopt;
+    if (!is_enough || is_too_soon)
+    {
+        return std::nullopt;
+    }
+    return this->is_explained_by_requests(suspect, marks) ? std::nullopt : std::optional(summary);
 }
 
 auto prompt_quarantine::is_beyond_chance(part_case& suspect, time_point now) -> bool
@@ -269,7 +283,7 @@
                      [&](prompt_part_id part)
                      {
                          const auto& other = this->cases.at(part);
-                         return part != suspect.evidence.part && !other.evidence.is_on_request() &&
+                         return is_in_force(other) && !other.evidence.is_on_request() &&
                                 rank_of(other) > rank_of(suspect) &&
                                 std::all_of(marks.begin(), marks.end(),
                                             [&](const crash_mark& mark)
