--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -867,3 +867,49 @@
         host.answer({common, 500U});
     }
 }
+
+TEST_CASE(
+    "the end of an engine is taken in within the lag that callers accept, though many requests "
+    "are in quarantine")
+{
+    // Guards against weighing all requests in quarantine for each part that is judged.
+    one_host host;
+    constexpr std::uint64_t held = 100;
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream)
+    {
+        for (std::uint64_t request = 0; request < held; ++request)
+        {
+            const auto own = static_cast<std::uint32_t>(1000 + 10 * request) + upstream;
+            host.interrupt_request({common}, 100'000 + request, own);
+            for (int answer = 0; answer < 5; ++answer)
+            {
+                host.answer({common, 500U});
+            }
+        }
+        host.pass(300ms);
+    }
+    REQUIRE(host.is_request_refused({common}, 100'000));
+    REQUIRE(host.is_request_refused({common}, 100'000 + held - 1));
+    constexpr std::uint64_t parts = 400;
+    part_list shared;
+    for (std::uint64_t number = 0; number < parts; ++number)
+    {
+        shared.push_back({number, 10, routing::prompt_part_id(10'000 + number)});
+    }
+    for (std::uint32_t upstream = 1; upstream <= 4; ++upstream)
+    {
+        const auto take_in = [&]
+        {
+            for (std::uint32_t request = 0; request < 64; ++request)
+            {
+                host.decisions.on_interrupted(
+                    {shared, routing::prompt_part_id(200'000 + 100 * upstream + request)},
+                    upstream_instance(upstream), request_key(1000 * upstream + request), host.now);
+            }
+        };
+        CAPTURE(upstream);
+        CHECK(tests::cpu_time_of(take_in) <= tests::max_time_for_one_read);
+        host.pass(300ms);
+        host.answer({common, 500U});
+    }
+}
