--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -77,7 +77,7 @@
          "Engines ended when they began to answer prompts with this part; requests with it are "
          "refused."},
         {prompt_part_released, info, "prompt-part-released",
-         "A prompt part was not what ended engines; requests with it are served again."},
+         "Requests with a prompt part are served again; `reason` and `explained_by` say why."},
         {upstream_paused, info, "upstream-paused",
          "An upstream turned a request away and asked this host for a pause; it gets nothing until "
          "the end of it."},
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -228,7 +228,7 @@
     }
     if (has_released)
     {
-        this->update_explanations(now);
+        this->apply_explanations(now);
     }
 }
 
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -79,6 +79,9 @@
 /// A request as a whole is judged like a part that no other request has, so that repeats by its
 /// caller, at any host, are refused once it has ended several engines.
 ///
+/// What is in quarantine may explain the marks of a part. That part is served while this holds, but
+/// keeps its marks: only an answer refutes them.
+///
 /// After a time that doubles with each quarantine, one request at one host at a time may try; if it
 /// begins well the part is released.
 ///
@@ -191,8 +194,8 @@
     /// True if a deeper part that may be the cause has most of the suspect's marks. It is in fewer
     /// other prompts, so it is judged first.
     [[nodiscard]] auto has_deeper_rival(const part_case& suspect) const -> bool;
-    /// Notes the ends of upstreams at which something in quarantine was, which explains them.
-    auto update_explained() -> void;
+    /// Collects the ends of upstreams at which something in quarantine was, which explains them.
+    auto collect_explained_ends() -> void;
     /// Another part whose quarantine is in force that was at all ends at which the suspect was, and
     /// at more.
     [[nodiscard]] auto find_explaining_part(const part_case& suspect) const
@@ -212,7 +215,7 @@
         -> std::optional<part_release>;
     /// Releases parts whose marks something else in quarantine explains better, and refuses them
     /// again once it does not. Decided by each host on its own, from the evidence that all share.
-    auto update_explanations(time_point now) -> void;
+    auto apply_explanations(time_point now) -> void;
     auto resume_quarantine(part_case& suspect, time_point now) -> void;
     auto quarantine(part_case& found, duration time, time_point now) -> void;
     /// Usual share of requests that are interrupted without the part being the cause.
--- a/src/quarantine/prompt_verdict.cpp
+++ b/src/quarantine/prompt_verdict.cpp
@@ -56,7 +56,7 @@
     return (lost + 1.0) / (lost + begun_well + 2.0);
 }
 
-auto prompt_quarantine::update_explained() -> void
+auto prompt_quarantine::collect_explained_ends() -> void
 {
     this->explained_by_part.clear();
     this->explained_by_request.clear();
@@ -257,7 +257,7 @@
 
 auto prompt_quarantine::evaluate(time_point now) -> void
 {
-    this->update_explained();
+    this->collect_explained_ends();
     // One at a time: a part in quarantine explains the marks of those that were with it.
     while (auto* const found = this->find_most_suspect(now))
     {
@@ -265,13 +265,13 @@
                          this->has_comparison(*found) ? quarantine_time(found->evidence.level + 1)
                                                       : provisional_quarantine,
                          now);
-        this->update_explained();
+        this->collect_explained_ends();
     }
     if (auto* const found = this->find_common_to_ends(now))
     {
         this->quarantine(*found, provisional_quarantine, now);
     }
-    this->update_explanations(now);
+    this->apply_explanations(now);
 }
 
 auto prompt_quarantine::find_explaining_part(const part_case& suspect) const
@@ -359,7 +359,7 @@
     this->listener.on_quarantined(suspect.evidence, true);
 }
 
-auto prompt_quarantine::update_explanations(time_point now) -> void
+auto prompt_quarantine::apply_explanations(time_point now) -> void
 {
     // A request stays: refusing it costs one caller, and the part may be the wrong one.
     std::vector<prompt_part_id> parts;
