Test: the number of releases is checked again, beside their reasons

The one on reasons is as strict, since both lists grow together, but nothing in the test shows that: both stand.

--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -264,6 +264,7 @@
     {
         host.answer({common, session, fatal});
         CHECK_FALSE(host.is_refused({fatal}));
+        CHECK(host.recorded.released.size() == 1);
         CHECK(host.recorded.release_reasons ==
               std::vector<release_reason>{release_reason::harmless_answer});
     }
