--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -674,6 +674,38 @@
     }
 }
 
+TEST_CASE("a part that is itself explained explains no other")
+{
+    // Guards against serving a part for one that is served, too.
+    constexpr std::uint64_t whole = 77;
+    one_host host;
+    const auto evidence_on = [&](std::uint64_t part, std::size_t depth)
+    {
+        part_evidence evidence;
+        evidence.part = routing::prompt_part_id(part);
+        evidence.depth = depth;
+        evidence.level = 1;
+        evidence.quarantined_until = host.now + 60s;
+        return evidence;
+    };
+    const auto mark_of = [&](std::uint32_t upstream, std::uint32_t request) {
+        return crash_mark{upstream_instance(upstream), request_key(request), host.now};
+    };
+    auto request = evidence_on(whole, part_evidence::request_depth);
+    auto of_request = evidence_on(fatal, 2);
+    auto beside = evidence_on(session, 1);
+    for (std::uint32_t upstream = 1; upstream <= 3; ++upstream)
+    {
+        request.marks.push_back(mark_of(upstream, 900 + upstream));
+        of_request.marks.push_back(mark_of(upstream, whole));
+        beside.marks.push_back(mark_of(upstream, 80 + upstream / 2));
+    }
+    host.decisions.merge({request, of_request, beside}, host.now);
+    REQUIRE(host.is_request_refused({common}, whole));
+    CHECK_FALSE(host.is_refused({fatal}));
+    CHECK(host.is_refused({session}));
+}
+
 TEST_CASE("a part that another part explains is refused again when that one proves harmless")
 {
     // Guards against losing the evidence on the cause to a part that was only beside it.
