--- a/src/emulator/answer_text.hpp
+++ b/src/emulator/answer_text.hpp
@@ -8,7 +8,7 @@
 namespace poplardrift::emulator
 {
 
-/// The n-th word of the stand-in's answer to a prompt, so that a caller can check every answer.
+/// Word `number` of the answer to a prompt. Callers compute it, too, to verify answers.
 [[nodiscard]] inline auto token_text(std::uint64_t prompt, std::int64_t number) -> std::string
 {
     return "w" + std::to_string(hash_pair_64(prompt, static_cast<std::uint64_t>(number)) % 1000) +
--- a/src/emulator/engine.cpp
+++ b/src/emulator/engine.cpp
@@ -479,7 +479,7 @@
                             {"leaving", this->faults.leaving.load()}};
     const std::lock_guard lock(this->mutex);
     fresh["model"] = this->model;
-    // With a lag, what is told is what was true then.
+    // A report is kept until it is older than the lag that is simulated.
     const auto now = wall_clock_ms();
     if (this->lagged_report.is_null() ||
         now - this->lagged_at_ms >= this->faults.report_lag_ms.load())
