--- a/review/stand_in_3/deployment.cpp
+++ b/review/stand_in_3/deployment.cpp
@@ -178,6 +178,12 @@
     this->behave = std::move(next);
 }
 
+auto plain_runner::set_writer(writer next) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->write_response = std::move(next);
+}
+
 auto plain_runner::entry(std::uint64_t sequence) const -> std::string
 {
     return json{{"service", this->service},
@@ -209,9 +215,11 @@
     while (const auto request = link.read(60s, false))
     {
         behaviour current;
+        writer current_writer;
         {
             const std::lock_guard lock(this->mutex);
             current = this->behave;
+            current_writer = this->write_response;
         }
         std::optional<std::string> text;
         if (request->field("poplardrift-expect-runner") != this->id)
@@ -221,6 +229,14 @@
                                 request->field("poplardrift-attempt-id") + "\r\n",
                             "");
         }
+        else if (current_writer && current_writer(*request, link))
+        {
+            if (!link.is_open())
+            {
+                return;
+            }
+            continue;
+        }
         else if (current)
         {
             text = current(*request);
--- a/review/stand_in_3/deployment.hpp
+++ b/review/stand_in_3/deployment.hpp
@@ -86,11 +86,14 @@
 public:
     /// Returns the response to a request, or nothing for the usual one.
     using behaviour = std::function<std::optional<std::string>(const message&)>;
+    /// Writes the response to a request itself; false if it leaves the request to `behaviour`.
+    using writer = std::function<bool(const message&, connection&)>;
 
     plain_runner(record_file& record, std::string id, std::string service, const std::string& zone,
                  int address);
 
     auto set_behaviour(behaviour next) -> void;
+    auto set_writer(writer next) -> void;
     /// Entry of the runner in the registry.
     [[nodiscard]] auto entry(std::uint64_t sequence) const -> std::string;
     [[nodiscard]] auto get_id() const -> const std::string& { return this->id; }
@@ -109,6 +112,7 @@
     std::int64_t born;
     mutable std::mutex mutex;
     behaviour behave;
+    writer write_response;
     std::vector<run_entry> entries;
     server listener;
 };
