--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,11 +1,13 @@
-// After a drill of the store, configurations that it acknowledges do not come into force.
+// During a planned stop a sound stream is ended because its runner was silent for a moment.
 
 #include "../stand_in_3/deployment.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <csignal>
+#include <cstdio>
 #include <cstdlib>
-#include <iostream>
 
 using namespace review;
 using namespace std::chrono_literals;
@@ -14,58 +16,62 @@
 namespace
 {
 
-constexpr auto contact_time = 3000ms;     // bounds.contact_ms
-constexpr auto config_time = 2000ms;      // bounds.config_ms
-constexpr auto judged_time = 10'000ms;    // requests are judged for this long
-constexpr auto sending_allowance = 500ms; // beyond config_ms, for the machine of the test
+constexpr int events_of_stream = 24;
+constexpr int events_before_pause = 8;
+constexpr auto event_interval = 100ms;
+/// Time in which the runner reads a preempted request in again. The clients abandon a stream after
+/// a gap of 2.4 s: eight times the route's itl_target_ms.
+constexpr auto preemption = 1200ms;
+constexpr auto abandon_after = 2400ms;
+constexpr int stream_count = 6;
+constexpr auto stop_after = 400ms; ///< the streams have begun
+constexpr int deadline_ms = 12'000;
 
-/// Each version adds an idle route. `withdrawn` is without the key of the second tenant.
-auto configuration(int version, bool withdrawn) -> std::string
+auto configuration() -> std::string
 {
-    json routes = json::array();
-    const auto add_route = [&](const std::string& name)
-    {
-        routes.push_back({{"name", name},
-                          {"hostname", "site.example"},
-                          {"path_prefix", "/" + name + "/"},
-                          {"route_kind", "idempotent"},
-                          {"timeout_ms", 1500},
-                          {"slo_ms", 150},
-                          {"priority", 2},
-                          {"max_attempts", 2},
-                          {"anonymous", false},
-                          {"sticky", false},
-                          {"resumable", false},
-                          {"service", "passes-app"}});
-    };
-    add_route("reserva");
-    for (int number = 2; number <= version; ++number)
-    {
-        add_route("idle-" + std::to_string(number));
-    }
-    json tenants = {{{"name", "first"}, {"api_keys", {"key-of-first"}}}};
-    if (!withdrawn)
-    {
-        tenants.push_back({{"name", "second"}, {"api_keys", {"key-of-second"}}});
-    }
-    return json{{"version", version},
-                {"routes", routes},
+    return json{{"version", 1},
+                {"routes",
+                 {{{"name", "roteiro-dia"},
+                   {"hostname", "site.example"},
+                   {"path_prefix", "/roteiro/"},
+                   {"route_kind", "streaming"},
+                   {"timeout_ms", 12000},
+                   {"slo_ms", 600},
+                   {"itl_target_ms", 300},
+                   {"priority", 1},
+                   {"max_attempts", 2},
+                   {"anonymous", false},
+                   {"sticky", true},
+                   {"resumable", true},
+                   {"service", "assistente-llm"}}}},
                 {"services",
-                 {{{"name", "passes-app"},
+                 {{{"name", "assistente-llm"},
                    {"health_path", "/healthz"},
-                   {"max_conns", 110},
+                   {"max_conns", 370},
                    {"protocol", "h1"},
-                   {"cold_start_s", 0.0},
-                   {"cold_per_s", 0.0}}}},
+                   {"cold_start_s", 3.0},
+                   {"cold_per_s", 18.0},
+                   {"engine",
+                    {{"slots", 64},
+                     {"kv_capacity", 624037},
+                     {"kv_bytes", 327680},
+                     {"link_mbps", 550000.0}}}}}},
                 {"limits",
                  {{"max_header_bytes", 16384},
                   {"max_body_bytes", 4194304},
                   {"header_timeout_ms", 3000},
                   {"idle_timeout_ms", 15000}}},
-                {"tenants", tenants}}
+                {"tenants", {{{"name", "first"}, {"api_keys", {"key-of-first"}}}}}}
         .dump();
 }
 
+auto chunk(const std::string& bytes) -> std::string
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -74,117 +80,136 @@
     const std::string scratch = argc > 2 ? argv[2] : "/tmp";
     record_file record(folder + "/record.txt");
     const auto trouble = has_trouble();
-    record.write(trouble ? "with the drill" : "without the drill");
+    record.write(trouble ? "requests are preempted, the other runner is full"
+                         : "requests are not preempted");
 
     platform_store store(own_address(200));
-    plain_runner one(record, "i-one", "passes-app", "poa-a", 101);
-    plain_runner two(record, "i-two", "passes-app", "poa-b", 102);
-    heartbeats beats(store, {&one, &two});
-    static_cast<void>(store.put("keyed.op", "config", configuration(1, false)));
-
-    const std::vector<std::string> addresses = {own_address(1), own_address(2)};
-    const auto ports = free_ports(addresses, 20);
-    std::vector<std::unique_ptr<router_process>> routers;
-    for (std::size_t number = 0; number < addresses.size(); ++number)
-    {
-        router_settings settings;
-        settings.name = "edge-" + std::to_string(number + 1);
-        settings.address = addresses[number];
-        settings.zone = number == 0 ? "poa-a" : "poa-b";
-        settings.callers = ports;
-        settings.readiness = static_cast<std::uint16_t>(ports + 1);
-        settings.first_port = static_cast<std::uint16_t>(ports + 4);
-        settings.seeds = addresses[0] + ":" + std::to_string(ports + 2) + "," + addresses[1] + ":" +
-                         std::to_string(ports + 2);
-        settings.store = own_address(200) + ":" + std::to_string(store.port());
-        settings.bounds = small_bounds;
-        routers.push_back(std::make_unique<router_process>(settings, scratch));
-        routers.back()->start();
-    }
-    for (const auto& router : routers)
+    plain_runner one(record, "i-one", "assistente-llm", "poa-a", 101);
+    plain_runner two(record, "i-two", "assistente-llm", "poa-a", 102);
+    std::atomic<int> finished_by_runner{0};
+    const auto stream = [&](const std::string& runner)
     {
-        if (!router->wait_until_ready(15s))
+        return [&, runner](const message& request, connection& link)
         {
-            record.write(router->get_settings().name + " isn't ready");
-            return not_run;
-        }
-    }
-    const auto status_of = [&](const router_process& router, const std::string& key)
-    {
-        const auto id = new_attempt_id();
-        const auto answer = ask(router.get_settings().address, router.get_settings().callers,
-                                client_request("GET", "/reserva/1", id, key, 1500), 3s);
-        const auto status = answer && answer->is_complete ? answer->status() : 0;
-        record.write("client sent " + id + " with " + key + " to " + router.get_settings().name +
-                     " -> " + std::to_string(status));
-        return status;
+            const auto id = request.field("poplardrift-attempt-id");
+            if (!request.field("last-event-id").empty())
+            {
+                record.write("runner " + runner + " is full, turns " + id + " away");
+                return link.write(response(503,
+                                           "Poplardrift-Attempt-Id: " + id +
+                                               "\r\nPoplardrift-Not-Executed: 1\r\n",
+                                           "")) ||
+                       true;
+            }
+            record.write("runner " + runner + " runs " + id);
+            auto connected = link.write("HTTP/1.1 200 OK\r\n" + plain_runner::seal_fields(request) +
+                                        "Content-Type: text/event-stream\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n");
+            for (int event = 1; connected && event <= events_of_stream; ++event)
+            {
+                if (trouble && event == events_before_pause + 1)
+                {
+                    record.write("runner " + runner + " preempts " + id + " and reads it in again");
+                    std::this_thread::sleep_for(preemption);
+                }
+                std::this_thread::sleep_for(event_interval);
+                connected =
+                    link.write(chunk("id: " + std::to_string(event) + "\ndata: " + id + "\n\n"));
+            }
+            connected = connected && link.write("0\r\n\r\n");
+            record.write("runner " + runner +
+                         (connected ? " has finished " : " lost its caller of ") + id);
+            finished_by_runner += connected ? 1 : 0;
+            if (!connected)
+            {
+                link.close();
+            }
+            return true;
+        };
     };
-    std::this_thread::sleep_for(3s);
-    for (const auto& router : routers)
-    {
-        if (status_of(*router, "key-of-first") != 200 || status_of(*router, "key-of-second") != 200)
-        {
-            record.write("not served before the drill");
-            return not_run;
-        }
-    }
+    one.set_writer(stream("i-one"));
+    two.set_writer(stream("i-two"));
+    heartbeats beats(store, {&one, &two});
+    static_cast<void>(store.put("keyed.op", "config", configuration()));
 
-    // Three changes in the last seconds before the drill.
-    store.take_copy();
-    for (int version = 2; version <= 4; ++version)
+    const auto address = own_address(1);
+    const auto ports = free_ports({address}, 20);
+    router_settings settings;
+    settings.name = "edge-1";
+    settings.address = address;
+    settings.zone = "poa-a";
+    settings.callers = ports;
+    settings.readiness = static_cast<std::uint16_t>(ports + 1);
+    settings.first_port = static_cast<std::uint16_t>(ports + 4);
+    settings.seeds = address + ":" + std::to_string(ports + 2);
+    settings.store = own_address(200) + ":" + std::to_string(store.port());
+    settings.bounds = small_bounds;
+    router_process router(settings, scratch);
+    router.start();
+    if (!router.wait_until_ready(15s))
     {
-        static_cast<void>(store.put("keyed.op", "config", configuration(version, false)));
-        record.write("operator wrote version " + std::to_string(version));
-        std::this_thread::sleep_for(1200ms);
-    }
-    if (trouble)
-    {
-        store.set_away(true);
-        record.write("the store is away");
-        std::this_thread::sleep_for(1s);
-        store.restore();
-        store.set_away(false);
-        record.write("the store is back from a copy that is 4 s old");
-        static_cast<void>(store.put("keyed.op", "config", configuration(4, false)));
-        beats.write_all();
-        record.write("operator and runners have written again what they wrote");
+        record.write("the router isn't ready");
+        return not_run;
     }
-    // The store is stable again, and all machines are in touch.
-    std::this_thread::sleep_for(contact_time + 3s);
-    for (const auto& router : routers)
+    std::this_thread::sleep_for(4s); // bounds.contact_ms and more
+
+    std::atomic<int> complete{0};
+    std::atomic<int> cut{0};
+    std::atomic<int> other{0};
+    std::vector<std::thread> clients;
+    for (int number = 0; number < stream_count; ++number)
     {
-        if (status_of(*router, "key-of-first") != 200)
-        {
-            record.write("not served after the drill");
-            return not_run;
-        }
+        clients.emplace_back(
+            [&, number]
+            {
+                const auto id = new_attempt_id();
+                const auto session = std::to_string(number);
+                const auto request =
+                    "POST /roteiro/1 HTTP/1.1\r\nHost: site.example\r\nPoplardrift-Attempt-Id: " +
+                    id + "\r\nPoplardrift-Model: m\r\nPoplardrift-Token-Usage: 1460,80\r\n" +
+                    "Poplardrift-Prompt-Prefix: 5c1e07a" + session + ":800,91bd3f0" + session +
+                    ":410,e4402b7" + session +
+                    ":250\r\nPoplardrift-Deadline-Ms: " + std::to_string(deadline_ms) +
+                    "\r\nX-Api-Key: key-of-first\r\nContent-Length: 0\r\n\r\n";
+                const auto link = connect_to(address, settings.callers);
+                if (!link || !link->write(request))
+                {
+                    ++other;
+                    return;
+                }
+                record.write("client sent " + id);
+                const auto answer = link->read(abandon_after, true);
+                const auto status = answer ? answer->status() : 0;
+                const auto is_complete = answer && answer->is_complete;
+                std::size_t events = 0;
+                for (auto at = answer ? answer->body.find("id: ") : std::string::npos;
+                     at != std::string::npos; at = answer->body.find("id: ", at + 1))
+                {
+                    ++events;
+                }
+                record.write("client read of " + id + ": status " + std::to_string(status) + ", " +
+                             std::to_string(events) + " of " + std::to_string(events_of_stream) +
+                             " events, " + (is_complete ? "complete" : "cut off"));
+                auto& outcome = status != 200 ? other : is_complete ? complete : cut;
+                ++outcome;
+            });
     }
-    static_cast<void>(store.put("keyed.op", "config", configuration(5, true)));
-    record.write("operator wrote version 5, without key-of-second: acknowledged");
-    std::this_thread::sleep_for(config_time + sending_allowance);
-    const auto end = clock::now() + judged_time;
-    int run_with_removed_key = 0;
-    int refused = 0;
-    while (clock::now() < end)
+    std::this_thread::sleep_for(stop_after);
+    record.write("SIGTERM");
+    router.send_signal(SIGTERM);
+    for (auto& client : clients)
     {
-        for (const auto& router : routers)
-        {
-            const auto status = status_of(*router, "key-of-second");
-            run_with_removed_key += status == 200 ? 1 : 0;
-            refused += status == 401 ? 1 : 0;
-        }
-        std::this_thread::sleep_for(250ms);
+        client.join();
     }
-    record.write("requests with the removed key: " + std::to_string(run_with_removed_key) +
-                 " run, " + std::to_string(refused) +
-                 " refused with 401; reads answered 410: " + std::to_string(store.expired_reads()) +
-                 ", 429: " + std::to_string(store.rejected_calls()));
-    routers.clear();
-    if (run_with_removed_key == 0 && refused == 0)
+    record.write(router.wait_for_end(10s) ? "the router has ended" : "the router runs on");
+    record.write(std::to_string(complete.load()) + " streams complete, " +
+                 std::to_string(cut.load()) + " cut off, " + std::to_string(other.load()) +
+                 " others");
+    router.kill();
+    if (other > 0)
     {
-        record.write("no request was answered as one of the versions asks");
         return not_run;
     }
-    record.write(run_with_removed_key > 0 ? "CONFIG is broken" : "CONFIG held");
-    std::_Exit(run_with_removed_key > 0 ? rule_broken : rule_held);
+    record.write(cut > 0 ? "LOST is broken" : "LOST held");
+    std::_Exit(cut > 0 ? rule_broken : rule_held);
 }
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,11 +1,11 @@
-// A pause that a runner has asked for is forgotten when its registry entry lapses in an outage of
-// the store.
+// After a drill of the store, configurations that it acknowledges do not come into force.
 
 #include "../stand_in_3/deployment.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
+#include <iostream>
 
 using namespace review;
 using namespace std::chrono_literals;
@@ -14,30 +14,42 @@
 namespace
 {
 
-constexpr double pause_seconds = 20.0;   // Retry-After of the runner's 503
-constexpr double allowed_after = 0.5;    // requests may still arrive for so long
-constexpr int allowed_requests = 2;      // from one machine, afterwards
-constexpr auto outage = 4500ms;          // of the store
-constexpr auto renewal_of_busy = 2000ms; // after its return
-constexpr auto renewal_of_other = 500ms;
-constexpr auto request_interval = 50ms;
+constexpr auto contact_time = 3000ms;     // bounds.contact_ms
+constexpr auto config_time = 2000ms;      // bounds.config_ms
+constexpr auto judged_time = 10'000ms;    // requests are judged for this long
+constexpr auto sending_allowance = 500ms; // beyond config_ms, for the machine of the test
 
-auto configuration() -> std::string
+/// Each version adds an idle route. `withdrawn` is without the key of the second tenant.
+auto configuration(int version, bool withdrawn) -> std::string
 {
-    return json{{"version", 1},
-                {"routes",
-                 {{{"name", "reserva"},
-                   {"hostname", "site.example"},
-                   {"path_prefix", "/reserva/"},
-                   {"route_kind", "idempotent"},
-                   {"timeout_ms", 1500},
-                   {"slo_ms", 150},
-                   {"priority", 2},
-                   {"max_attempts", 2},
-                   {"anonymous", false},
-                   {"sticky", false},
-                   {"resumable", false},
-                   {"service", "passes-app"}}}},
+    json routes = json::array();
+    const auto add_route = [&](const std::string& name)
+    {
+        routes.push_back({{"name", name},
+                          {"hostname", "site.example"},
+                          {"path_prefix", "/" + name + "/"},
+                          {"route_kind", "idempotent"},
+                          {"timeout_ms", 1500},
+                          {"slo_ms", 150},
+                          {"priority", 2},
+                          {"max_attempts", 2},
+                          {"anonymous", false},
+                          {"sticky", false},
+                          {"resumable", false},
+                          {"service", "passes-app"}});
+    };
+    add_route("reserva");
+    for (int number = 2; number <= version; ++number)
+    {
+        add_route("idle-" + std::to_string(number));
+    }
+    json tenants = {{{"name", "first"}, {"api_keys", {"key-of-first"}}}};
+    if (!withdrawn)
+    {
+        tenants.push_back({{"name", "second"}, {"api_keys", {"key-of-second"}}});
+    }
+    return json{{"version", version},
+                {"routes", routes},
                 {"services",
                  {{{"name", "passes-app"},
                    {"health_path", "/healthz"},
@@ -50,7 +62,7 @@
                   {"max_body_bytes", 4194304},
                   {"header_timeout_ms", 3000},
                   {"idle_timeout_ms", 15000}}},
-                {"tenants", {{{"name", "first"}, {"api_keys", {"key-of-first"}}}}}}
+                {"tenants", tenants}}
         .dump();
 }
 
@@ -62,13 +74,13 @@
     const std::string scratch = argc > 2 ? argv[2] : "/tmp";
     record_file record(folder + "/record.txt");
     const auto trouble = has_trouble();
-    record.write(trouble ? "with the outage of the store" : "without the outage of the store");
+    record.write(trouble ? "with the drill" : "without the drill");
 
     platform_store store(own_address(200));
-    plain_runner busy(record, "i-busy", "passes-app", "poa-a", 101);
-    plain_runner other(record, "i-other", "passes-app", "poa-a", 102);
-    heartbeats beats(store, {&busy, &other});
-    static_cast<void>(store.put("keyed.op", "config", configuration()));
+    plain_runner one(record, "i-one", "passes-app", "poa-a", 101);
+    plain_runner two(record, "i-two", "passes-app", "poa-b", 102);
+    heartbeats beats(store, {&one, &two});
+    static_cast<void>(store.put("keyed.op", "config", configuration(1, false)));
 
     const std::vector<std::string> addresses = {own_address(1), own_address(2)};
     const auto ports = free_ports(addresses, 20);
@@ -78,7 +90,7 @@
         router_settings settings;
         settings.name = "edge-" + std::to_string(number + 1);
         settings.address = addresses[number];
-        settings.zone = "poa-a";
+        settings.zone = number == 0 ? "poa-a" : "poa-b";
         settings.callers = ports;
         settings.readiness = static_cast<std::uint16_t>(ports + 1);
         settings.first_port = static_cast<std::uint16_t>(ports + 4);
@@ -97,95 +109,82 @@
             return not_run;
         }
     }
-
-    // The path of a request names the machine that takes it.
-    std::atomic<bool> stopping{false};
-    std::vector<std::thread> clients;
+    const auto status_of = [&](const router_process& router, const std::string& key)
+    {
+        const auto id = new_attempt_id();
+        const auto answer = ask(router.get_settings().address, router.get_settings().callers,
+                                client_request("GET", "/reserva/1", id, key, 1500), 3s);
+        const auto status = answer && answer->is_complete ? answer->status() : 0;
+        record.write("client sent " + id + " with " + key + " to " + router.get_settings().name +
+                     " -> " + std::to_string(status));
+        return status;
+    };
+    std::this_thread::sleep_for(3s);
     for (const auto& router : routers)
     {
-        clients.emplace_back(
-            [&, machine = router->get_settings()]
-            {
-                while (!stopping)
-                {
-                    const auto id = new_attempt_id();
-                    const auto answer = ask(
-                        machine.address, machine.callers,
-                        client_request("GET", "/reserva/" + machine.name, id, "key-of-first", 1500),
-                        3s);
-                    record.write("client sent " + id + " to " + machine.name + " -> " +
-                                 std::to_string(answer ? answer->status() : 0));
-                    std::this_thread::sleep_for(request_interval);
-                }
-            });
+        if (status_of(*router, "key-of-first") != 200 || status_of(*router, "key-of-second") != 200)
+        {
+            record.write("not served before the drill");
+            return not_run;
+        }
     }
-    std::this_thread::sleep_for(4s);
 
-    // The runner turns one request of each machine away and asks for a pause.
-    std::mutex mutex;
-    std::map<std::string, double> paused_at;
-    busy.set_behaviour(
-        [&](const message& request) -> std::optional<std::string>
-        {
-            const std::lock_guard lock(mutex);
-            if (!paused_at.try_emplace(request.target(), record.seconds()).second)
-            {
-                return std::nullopt;
-            }
-            return response(503,
-                            "Poplardrift-Attempt-Id: " + request.field("poplardrift-attempt-id") +
-                                "\r\nPoplardrift-Not-Executed: 1\r\nRetry-After: " +
-                                std::to_string(static_cast<int>(pause_seconds)) + "\r\n",
-                            "");
-        });
-    std::this_thread::sleep_for(3s);
+    // Three changes in the last seconds before the drill.
+    store.take_copy();
+    for (int version = 2; version <= 4; ++version)
+    {
+        static_cast<void>(store.put("keyed.op", "config", configuration(version, false)));
+        record.write("operator wrote version " + std::to_string(version));
+        std::this_thread::sleep_for(1200ms);
+    }
     if (trouble)
     {
-        beats.hold(busy, true);
-        beats.hold(other, true);
         store.set_away(true);
         record.write("the store is away");
-        std::this_thread::sleep_for(outage);
-        store.expire_keys("keyed.servers", {busy.get_id(), other.get_id()});
+        std::this_thread::sleep_for(1s);
+        store.restore();
         store.set_away(false);
-        record.write("the store is back; the entries of the runners have expired meanwhile");
-        std::this_thread::sleep_for(renewal_of_other);
-        beats.hold(other, false);
-        std::this_thread::sleep_for(renewal_of_busy - renewal_of_other);
-        beats.hold(busy, false);
-        record.write("the entries of the runners are back");
-    }
-    else
-    {
-        std::this_thread::sleep_for(outage + renewal_of_busy);
+        record.write("the store is back from a copy that is 4 s old");
+        static_cast<void>(store.put("keyed.op", "config", configuration(4, false)));
+        beats.write_all();
+        record.write("operator and runners have written again what they wrote");
     }
-    std::this_thread::sleep_for(7s);
-    stopping = true;
-    for (auto& client : clients)
-    {
-        client.join();
-    }
-
-    auto is_broken = false;
-    if (paused_at.size() != routers.size())
+    // The store is stable again, and all machines are in touch.
+    std::this_thread::sleep_for(contact_time + 3s);
+    for (const auto& router : routers)
     {
-        record.write("not every machine was asked for a pause");
-        return not_run;
+        if (status_of(*router, "key-of-first") != 200)
+        {
+            record.write("not served after the drill");
+            return not_run;
+        }
     }
-    for (const auto& [path, at] : paused_at)
+    static_cast<void>(store.put("keyed.op", "config", configuration(5, true)));
+    record.write("operator wrote version 5, without key-of-second: acknowledged");
+    std::this_thread::sleep_for(config_time + sending_allowance);
+    const auto end = clock::now() + judged_time;
+    int run_with_removed_key = 0;
+    int refused = 0;
+    while (clock::now() < end)
     {
-        int late = 0;
-        for (const auto& run : busy.runs())
+        for (const auto& router : routers)
         {
-            late += run.path == path && run.at > at + allowed_after && run.at < at + pause_seconds
-                        ? 1
-                        : 0;
+            const auto status = status_of(*router, "key-of-second");
+            run_with_removed_key += status == 200 ? 1 : 0;
+            refused += status == 401 ? 1 : 0;
         }
-        record.write(path + ": 503 with Retry-After at " + std::to_string(at) + " s, " +
-                     std::to_string(late) + " requests reached the runner in its pause");
-        is_broken = is_broken || late > allowed_requests;
+        std::this_thread::sleep_for(250ms);
     }
-    record.write(is_broken ? "BUDGET is broken" : "BUDGET held");
+    record.write("requests with the removed key: " + std::to_string(run_with_removed_key) +
+                 " run, " + std::to_string(refused) +
+                 " refused with 401; reads answered 410: " + std::to_string(store.expired_reads()) +
+                 ", 429: " + std::to_string(store.rejected_calls()));
     routers.clear();
-    std::_Exit(is_broken ? rule_broken : rule_held);
+    if (run_with_removed_key == 0 && refused == 0)
+    {
+        record.write("no request was answered as one of the versions asks");
+        return not_run;
+    }
+    record.write(run_with_removed_key > 0 ? "CONFIG is broken" : "CONFIG held");
+    std::_Exit(run_with_removed_key > 0 ? rule_broken : rule_held);
 }
--- a/review/stand_in_3/deployment.cpp
+++ b/review/stand_in_3/deployment.cpp
@@ -64,7 +64,8 @@
 
 router_process::router_process(router_settings chosen, const std::string& folder)
     : settings(std::move(chosen)), settings_path(folder + "/" + this->settings.name + ".conf"),
-      log_path(folder + "/" + this->settings.name + ".log")
+      log_path(folder + "/" + this->settings.name + ".log"),
+      pid_path(folder + "/" + this->settings.name + ".pid")
 {
     std::ofstream file(this->settings_path);
     file << "node_name=" << this->settings.name << "\nrole=router\nmachine_class=edge\n"
@@ -114,6 +115,10 @@
         this->process = -1;
     }
     ::posix_spawn_file_actions_destroy(&files);
+    if (this->process > 0)
+    {
+        std::ofstream(this->pid_path) << this->process;
+    }
 }
 
 auto router_process::send_signal(int signal) const -> void
@@ -131,7 +136,13 @@
     {
         ::waitpid(this->process, nullptr, 0);
     }
+    this->forget();
+}
+
+auto router_process::forget() -> void
+{
     this->process = -1;
+    static_cast<void>(std::remove(this->pid_path.c_str()));
 }
 
 auto router_process::wait_for_end(milliseconds limit) -> bool
@@ -145,7 +156,7 @@
         }
         std::this_thread::sleep_for(5ms);
     }
-    this->process = -1;
+    this->forget();
     return true;
 }
 
--- a/review/stand_in_3/deployment.hpp
+++ b/review/stand_in_3/deployment.hpp
@@ -66,9 +66,12 @@
     [[nodiscard]] auto get_settings() const -> const router_settings& { return this->settings; }
 
 private:
+    auto forget() -> void;
+
     router_settings settings;
     std::string settings_path;
     std::string log_path;
+    std::string pid_path; ///< exists while the process runs, for run.sh
     pid_t process = -1;
 };
 
