--- a/review/stand_in_3/deployment.cpp
+++ b/review/stand_in_3/deployment.cpp
@@ -33,6 +33,15 @@
                                  "bounds.recover_s=12\nbounds.event_lag_ms=120\n"
                                  "bounds.retry_after_s=10\nbounds.cap_factor=2\n";
 
+const char* const grown_bounds =
+    "bounds.seed_lag_s=3\nbounds.reuse_after_s=2\nbounds.contact_ms=4000\nbounds.ack_ms=6000\n"
+    "bounds.catch_up_s=6\nbounds.drain_ms=3000\nbounds.grace_s=8\nbounds.loss_slack_ms=200\n"
+    "bounds.config_ms=3000\nbounds.downgrade_ms=250\nbounds.partition_ms=6000\n"
+    "bounds.revoke_strict=false\nbounds.revoke_ms=5000\nbounds.retry_ratio=0.2\n"
+    "bounds.retry_window_s=10\nbounds.retry_slack=208\nbounds.cold_multiplier=1.5\n"
+    "bounds.cold_start_slack=5\nbounds.evacuate_ms=5000\nbounds.recover_s=15\n"
+    "bounds.event_lag_ms=200\nbounds.retry_after_s=10\nbounds.cap_factor=2\n";
+
 auto record_file::seconds() const -> double
 {
     return std::chrono::duration<double>(clock::now() - this->started).count();
--- a/review/stand_in_3/deployment.hpp
+++ b/review/stand_in_3/deployment.hpp
@@ -42,6 +42,8 @@
 
 /// Bounds of the small deployments, as `fleetbench wire` prints them.
 extern const char* const small_bounds;
+/// The same of the deployments of `demands/`.
+extern const char* const grown_bounds;
 
 /// A process of the router, started as the deploy file says: the program of its `run`, in the root
 /// of the repository, with the settings file in POPLARDRIFT_BOOT.
