--- a/review/stand_in_3/deployment.hpp
+++ b/review/stand_in_3/deployment.hpp
@@ -39,6 +39,10 @@
     std::string store;
     std::string bounds; ///< lines of the settings file; see small_bounds
     int memory_mb = 520;
+    int descriptors = 8200;
+    std::string region = "sul-br";
+    std::string contracts =
+        "base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform";
 };
 
 /// Bounds of the small deployments, as `fleetbench wire` prints them.
