Statuses and field names that HTTP does not have: shown at a router process

Change: tests only. broken_responses_tests has a scripted upstream send such responses, whole and byte by byte, to a router process, for requests that must not be repeated: statuses 000, 099 and 600; names with a blank, a tab or a control byte in front, inside and before the colon. The test of the reader covers every control byte at these three places. The deployment of one router process has moved from untrusted_callers_test.cpp to router_deployment, and has routes of all three kinds.

--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -199,23 +199,34 @@
     // Guards against a line that is passed on as part of the field before it, or framing that is
     // not the upstream's (RFC 9112, section 5).
     using namespace std::string_literals;
-    const std::vector<std::string> lines = {" Content-Length: 2",
-                                            "\tContent-Length: 2",
-                                            " X: y",
-                                            "\tX: y",
-                                            " ",
-                                            "Content-Length : 2",
-                                            "Content-Length\t: 2",
-                                            "Content Length: 2",
-                                            "Transfer-Encoding : chunked",
-                                            "X\x01: y",
-                                            "X\x7f: y",
-                                            "X\0: y"s,
-                                            "\x0bX: y",
-                                            "Content-Length\r: 2",
-                                            ": y",
-                                            "X\x80: y",
-                                            "Poplardrift\x1f-Seal: s"};
+    std::vector<std::string> lines = {" Content-Length: 2",
+                                      "\tContent-Length: 2",
+                                      " X: y",
+                                      "\tX: y",
+                                      " ",
+                                      "Content-Length : 2",
+                                      "Content-Length\t: 2",
+                                      "Content Length: 2",
+                                      "Transfer-Encoding : chunked",
+                                      "X\x01: y",
+                                      "X\x7f: y",
+                                      "X\0: y"s,
+                                      "\x0bX: y",
+                                      "Content-Length\r: 2",
+                                      ": y",
+                                      "X\x80: y",
+                                      "Poplardrift\x1f-Seal: s"};
+    for (int code = 0; code <= 0x7f; ++code)
+    {
+        const std::string byte(1, static_cast<char>(code));
+        if (code <= ' ' || code == 0x7f)
+        {
+            lines.insert(lines.end(),
+                         {byte + "X-Note: y", "X-" + byte + "Note: y", "X-Note" + byte + ": y",
+                          byte + "Content-Length: 2", "Content-" + byte + "Length: 2",
+                          "Content-Length" + byte + ": 2"});
+        }
+    }
     for (const auto& line : lines)
     {
         for (const auto& head :
--- /dev/null
+++ b/tests/callers/broken_responses_test.cpp
@@ -0,0 +1,158 @@
+// Responses that break HTTP/1.1 (RFC 9112), sent by an upstream to a router process. A caller must
+// never get one as an answer: its status, its fields or a body other than the upstream's.
+
+#include "router_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+
+using namespace poplardrift::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string seal = "Poplardrift-Runner-Seal: s\r\n";
+const std::string whole_response = "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 5\r\n\r\nwhole";
+
+/// An upstream that answers each request with the bytes that the test sets, in one piece or byte by
+/// byte, and then closes the connection.
+class replaying_upstream final
+{
+public:
+    replaying_upstream() : server([this](peer_connection& peer) { this->serve(peer); }) {}
+
+    auto set_response(std::string bytes, bool in_pieces) -> void
+    {
+        const std::lock_guard lock(this->mutex);
+        this->response = std::move(bytes);
+        this->is_in_pieces = in_pieces;
+    }
+    [[nodiscard]] auto address() const -> boost::asio::ip::tcp::endpoint
+    {
+        return this->server.address();
+    }
+    [[nodiscard]] auto requests() const -> int { return this->request_count; }
+
+private:
+    auto serve(peer_connection& peer) -> void
+    {
+        if (peer.read_request().empty())
+        {
+            return;
+        }
+        ++this->request_count;
+        std::string bytes;
+        bool in_pieces = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            bytes = this->response;
+            in_pieces = this->is_in_pieces;
+        }
+        if (!in_pieces)
+        {
+            peer.send(bytes);
+        }
+        for (std::size_t at = 0; in_pieces && at < bytes.size(); ++at)
+        {
+            peer.send(bytes.substr(at, 1));
+            std::this_thread::sleep_for(200us);
+        }
+        peer.close();
+    }
+
+    std::mutex mutex;
+    std::string response = whole_response;
+    bool is_in_pieces = false;
+    std::atomic<int> request_count{0};
+    scripted_server server;
+};
+
+/// A router process with one such upstream.
+class replaying_deployment final
+{
+public:
+    replaying_deployment() : fleet({this->upstream.address()}, {}) { this->await_whole_answer(); }
+
+    auto fetch(const std::string& path) -> received_response
+    {
+        auto caller = connect_to(this->fleet.router.callers);
+        caller.send("GET " + path + " HTTP/1.1\r\n" + caller_fields + "Connection: close\r\n\r\n");
+        return caller.read_response(4000ms);
+    }
+    /// Asks until a whole response is answered, so that faults of earlier responses are forgotten.
+    auto await_whole_answer() -> void
+    {
+        constexpr int attempts = 100;
+        this->upstream.set_response(whole_response, false);
+        for (int attempt = 0; attempt < attempts; ++attempt)
+        {
+            const auto answer = this->fetch("/safe/x");
+            if (answer.status == 200 && answer.body == "whole")
+            {
+                return;
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        FAIL("no whole response is answered");
+    }
+    /// Has the upstream send these bytes to a request that must not be repeated.
+    auto check_is_no_answer(const std::string& bytes, const std::string& path) -> void
+    {
+        for (const auto in_pieces : {false, true})
+        {
+            this->await_whole_answer();
+            this->upstream.set_response(bytes, in_pieces);
+            const auto requests_before = this->upstream.requests();
+            const auto answer = this->fetch(path);
+            CAPTURE(bytes, path, in_pieces);
+            CHECK(answer.status == 502);
+            CHECK(this->upstream.requests() == requests_before + 1);
+        }
+    }
+    auto check_is_no_answer(const std::string& bytes) -> void
+    {
+        this->check_is_no_answer(bytes, "/once/x");
+        this->check_is_no_answer(bytes, "/stream/x");
+    }
+
+    replaying_upstream upstream;
+    router_deployment fleet;
+};
+
+} // namespace
+
+TEST_CASE("a status that HTTP does not have reaches no caller")
+{
+    replaying_deployment host;
+    for (const auto* const status : {"000", "099", "600"})
+    {
+        host.check_is_no_answer(std::string("HTTP/1.1 ") + status + " Unknown\r\n" + seal +
+                                "Content-Length: 4\r\n\r\noops");
+    }
+}
+
+TEST_CASE("a field name with a blank or a control byte reaches no caller")
+{
+    replaying_deployment host;
+    std::vector<std::string> lines = {" X-Note: a", "\tX-Note: a", " Content-Length: 2",
+                                      "X Note: a",  "X-Note : a",  "Content-Length : 2"};
+    constexpr char delete_byte = 0x7f;
+    for (const auto byte : {'\0', '\x01', '\t', '\v', '\x1f', delete_byte})
+    {
+        const std::string control(1, byte);
+        lines.push_back("X-Note" + control + ": a");
+        lines.push_back("X" + control + "Note: a");
+        lines.push_back(control + "X-Note: a");
+    }
+    for (const auto& line : lines)
+    {
+        host.check_is_no_answer(
+            "HTTP/1.1 200 OK\r\n" + seal + line + "\r\nContent-Length: 4\r\n\r\noops", "/once/x");
+    }
+    host.check_is_no_answer("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
+                                " X-Note: a\r\n\r\nid: 1\ndata: a\n\n",
+                            "/stream/x");
+}
--- a/tests/callers/untrusted_callers_test.cpp
+++ b/tests/callers/untrusted_callers_test.cpp
@@ -4,25 +4,19 @@
 // request is answered while the crowd is still connected.
 
 #include "caller_crowd.hpp"
-#include "router_process.hpp"
-#include "scripted_peers.hpp"
-#include "store_stand_in.hpp"
+#include "router_deployment.hpp"
 
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
 
 #include <iostream>
 
 using namespace poplardrift::tests;
 using namespace std::chrono_literals;
-using nlohmann::json;
 
 namespace
 {
 
 constexpr std::size_t bytes_per_mb = 1'000'000;
-constexpr std::size_t max_body_bytes = 4'194'304;
-constexpr std::size_t max_header_bytes = 16'384;
 /// Time without any progress after which a crowd counts as settled, and the longest wait for that.
 /// They bound the test, not the router.
 constexpr auto quiet_time = 1500ms;
@@ -33,14 +27,13 @@
 /// Descriptors enough for a thousand callers, so that what each of them holds counts.
 constexpr process_limits many_descriptors{48, 4100};
 
-const std::string fields = "Host: h.example\r\nPoplardrift-Attempt-Id: i\r\nX-Api-Key: k\r\n";
 const std::string chunked_post =
-    "POST /safe/x HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
+    "POST /safe/x HTTP/1.1\r\n" + caller_fields + "Transfer-Encoding: chunked\r\n\r\n";
 
 auto post_with_length(std::size_t length) -> std::string
 {
-    return "POST /safe/x HTTP/1.1\r\n" + fields + "Content-Length: " + std::to_string(length) +
-           "\r\n\r\n";
+    return "POST /safe/x HTTP/1.1\r\n" + caller_fields +
+           "Content-Length: " + std::to_string(length) + "\r\n\r\n";
 }
 
 auto hexadecimal(std::size_t number) -> std::string
@@ -67,36 +60,9 @@
 class deployment final
 {
 public:
-    explicit deployment(process_limits limits = {}) : upstream(serve)
+    explicit deployment(process_limits limits = {})
+        : upstream(serve), fleet({this->upstream.address()}, limits), router(this->fleet.router)
     {
-        const json route = {{"name", "safe"},          {"hostname", "h.example"},
-                            {"path_prefix", "/safe/"}, {"route_kind", "idempotent"},
-                            {"resumable", false},      {"timeout_ms", 2500},
-                            {"slo_ms", 150},           {"itl_target_ms", 300},
-                            {"max_attempts", 3},       {"service", "s"}};
-        const json configuration = {{"version", 1},
-                                    {"routes", {route}},
-                                    {"services", {{{"name", "s"}}}},
-                                    {"tenants", {{{"name", "w"}, {"api_keys", {"k"}}}}},
-                                    {"limits",
-                                     {{"max_header_bytes", max_header_bytes},
-                                      {"max_body_bytes", max_body_bytes},
-                                      {"header_timeout_ms", 3000},
-                                      {"idle_timeout_ms", 15'000}}}};
-        this->store.put("keyed.op", "config", configuration.dump());
-        const auto address = this->upstream.address();
-        const json entry = {
-            {"service", "s"},
-            {"address", address.address().to_string() + ":" + std::to_string(address.port())},
-            {"zone", "z-a"},
-            {"version", "v1"},
-            {"slots", 64},
-            {"state", "ready"},
-            {"cold_left_ms", 0},
-            {"sequence", 1},
-            {"born", 1}};
-        this->store.put("keyed.servers", "u0", entry.dump());
-        this->router = std::make_unique<router_process>(this->store.port(), limits);
         REQUIRE(this->answers_ordinary_request());
     }
 
@@ -105,7 +71,7 @@
         const auto request = post_with_length(1000) + std::string(1000, 'b');
         for (int attempt = 0; attempt < ordinary_attempts; ++attempt)
         {
-            auto caller = connect_to(this->router->callers);
+            auto caller = connect_to(this->router.callers);
             caller.send(request);
             if (caller.read_response(3000ms).status == 200)
             {
@@ -121,10 +87,10 @@
     {
         caller_crowd crowd(target, connections, script);
         crowd.run(quiet_time, crowd_time);
-        const auto is_alive = this->router->is_running();
+        const auto is_alive = this->router.is_running();
         const auto is_serving = is_alive && this->answers_ordinary_request();
-        const auto peak = this->router->peak();
-        const auto& limits = this->router->limits;
+        const auto peak = this->router.peak();
+        const auto& limits = this->router.limits;
         std::cout << Catch::getResultCapture().getCurrentTestName() << ": alive " << is_alive
                   << ", ordinary request answered " << is_serving << ", peak memory "
                   << peak.resident_bytes / bytes_per_mb << " of " << limits.memory_mb
@@ -137,8 +103,8 @@
     }
 
     scripted_server upstream;
-    store_stand_in store;
-    std::unique_ptr<router_process> router;
+    router_deployment fleet;
+    router_process& router;
 };
 
 } // namespace
@@ -146,10 +112,10 @@
 TEST_CASE("an idle router process is well within its limits")
 {
     deployment host;
-    const auto peak = host.router->peak();
+    const auto peak = host.router.peak();
     std::cout << "idle: peak memory " << peak.resident_bytes / bytes_per_mb << " MB, descriptors "
               << peak.descriptors << std::endl;
-    CHECK(peak.resident_bytes < host.router->limits.memory_mb * bytes_per_mb / 2);
+    CHECK(peak.resident_bytes < host.router.limits.memory_mb * bytes_per_mb / 2);
 }
 
 TEST_CASE("bodies in the largest chunks that stop just short of their end")
@@ -159,7 +125,7 @@
     script.begin = chunked_post + hexadecimal(max_body_bytes) + "\r\n";
     script.unit = "x";
     script.unit_count = max_body_bytes - 1;
-    host.check_withstands(host.router->callers, 40, script);
+    host.check_withstands(host.router.callers, 40, script);
 }
 
 TEST_CASE("bodies in chunks of one byte that stop just short of their end")
@@ -169,7 +135,7 @@
     script.begin = chunked_post;
     script.unit = "1\r\nx\r\n";
     script.unit_count = 600'000;
-    host.check_withstands(host.router->callers, 150, script);
+    host.check_withstands(host.router.callers, 150, script);
 }
 
 TEST_CASE("bodies with a length that stop just short of their end")
@@ -179,7 +145,7 @@
     script.begin = post_with_length(max_body_bytes);
     script.unit = "x";
     script.unit_count = max_body_bytes - 1;
-    host.check_withstands(host.router->callers, 60, script);
+    host.check_withstands(host.router.callers, 60, script);
 }
 
 TEST_CASE("whole bodies of the largest size, many at a time")
@@ -190,7 +156,7 @@
     script.unit = "x";
     script.unit_count = max_body_bytes;
     script.reconnects = 1;
-    host.check_withstands(host.router->callers, 40, script);
+    host.check_withstands(host.router.callers, 40, script);
 }
 
 TEST_CASE("bodies announced to be far over the limit, sent again and again")
@@ -201,7 +167,7 @@
     script.unit = std::string(1000, 'x');
     script.unit_count = 100;
     script.reconnects = 10;
-    host.check_withstands(host.router->callers, 300, script);
+    host.check_withstands(host.router.callers, 300, script);
 }
 
 TEST_CASE("bodies far over the limit that are just sent")
@@ -212,7 +178,7 @@
     script.unit = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
     script.unit_count = 3200;
     script.reconnects = 2;
-    host.check_withstands(host.router->callers, 40, script);
+    host.check_withstands(host.router.callers, 40, script);
 }
 
 TEST_CASE("chunk extensions without end")
@@ -222,7 +188,7 @@
     script.begin = chunked_post + "1;";
     script.unit = "a=b;";
     script.unit_count = 16'000;
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("trailers without end")
@@ -232,35 +198,35 @@
     script.begin = chunked_post + "1\r\nx\r\n0\r\n";
     script.unit = "a: b\r\n";
     script.unit_count = 10'000;
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("heads of very many fields that stop just short of their end")
 {
     deployment host(many_descriptors);
     crowd_script script;
-    script.begin = "GET /safe/x HTTP/1.1\r\n" + fields;
+    script.begin = "GET /safe/x HTTP/1.1\r\n" + caller_fields;
     script.unit = "a:\r\n";
     script.unit_count = 4000;
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("header fields without end")
 {
     deployment host;
     crowd_script script;
-    script.begin = "GET /safe/x HTTP/1.1\r\n" + fields;
+    script.begin = "GET /safe/x HTTP/1.1\r\n" + caller_fields;
     script.unit = "a: b\r\n";
     script.unit_count = 1'000'000;
     script.reconnects = 3;
-    host.check_withstands(host.router->callers, 300, script);
+    host.check_withstands(host.router.callers, 300, script);
 }
 
 TEST_CASE("bodies after heads of very many fields that stop just short of their end")
 {
     deployment host(many_descriptors);
     crowd_script script;
-    std::string head = "POST /safe/x HTTP/1.1\r\n" + fields + "Content-Length: 100\r\n";
+    std::string head = "POST /safe/x HTTP/1.1\r\n" + caller_fields + "Content-Length: 100\r\n";
     for (int field = 0; field < 3900; ++field)
     {
         head += "a:\r\n";
@@ -268,27 +234,27 @@
     script.begin = head + "\r\n";
     script.unit = "x";
     script.unit_count = 99;
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("heads at a byte at a time")
 {
     deployment host;
     crowd_script script;
-    script.begin = "GET /safe/x HTTP/1.1\r\n" + fields;
+    script.begin = "GET /safe/x HTTP/1.1\r\n" + caller_fields;
     script.byte_interval = 1000ms;
     script.reconnects = 2;
-    host.check_withstands(host.router->callers, 1500, script);
+    host.check_withstands(host.router.callers, 1500, script);
 }
 
 TEST_CASE("pipelined requests whose answers nobody reads")
 {
     deployment host;
     crowd_script script;
-    script.unit = "GET /safe/large HTTP/1.1\r\n" + fields + "\r\n";
+    script.unit = "GET /safe/large HTTP/1.1\r\n" + caller_fields + "\r\n";
     script.unit_count = 2000;
     script.reads = false;
-    host.check_withstands(host.router->callers, 100, script);
+    host.check_withstands(host.router.callers, 100, script);
 }
 
 // Listed in KNOWN-RED.txt.
@@ -296,33 +262,33 @@
 {
     deployment host(many_descriptors);
     crowd_script script;
-    script.begin = "GET /safe/large HTTP/1.1\r\n" + fields + "\r\n";
+    script.begin = "GET /safe/large HTTP/1.1\r\n" + caller_fields + "\r\n";
     script.unit = post_with_length(4'000'000);
     script.unit_count = 20'000;
     script.reads = false;
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("thousands of connections that send nothing")
 {
     deployment host;
-    host.check_withstands(host.router->callers, 3000, {});
+    host.check_withstands(host.router.callers, 3000, {});
 }
 
 TEST_CASE("connections that expect 100-continue and send no body")
 {
     deployment host;
     crowd_script script;
-    script.begin = "POST /safe/x HTTP/1.1\r\n" + fields +
+    script.begin = "POST /safe/x HTTP/1.1\r\n" + caller_fields +
                    "Expect: 100-continue\r\nContent-Length: 4000000\r\n\r\n";
-    host.check_withstands(host.router->callers, 1000, script);
+    host.check_withstands(host.router.callers, 1000, script);
 }
 
 TEST_CASE("the ports for status, metrics and peers, to which connections send nothing")
 {
     deployment host;
     const auto port = GENERATE(0, 1, 2);
-    const std::vector targets = {host.router->status, host.router->metrics, host.router->peers};
+    const std::vector targets = {host.router.status, host.router.metrics, host.router.peers};
     CAPTURE(port);
     host.check_withstands(targets[static_cast<std::size_t>(port)], 3000, {});
 }
@@ -331,11 +297,11 @@
 {
     deployment host;
     crowd_script script;
-    script.begin = "GET /status HTTP/1.1\r\n" + fields;
+    script.begin = "GET /status HTTP/1.1\r\n" + caller_fields;
     script.unit = "a:\r\n";
     script.unit_count = 1900;
     const auto port = GENERATE(0, 1);
-    const std::vector targets = {host.router->status, host.router->peers};
+    const std::vector targets = {host.router.status, host.router.peers};
     CAPTURE(port);
     host.check_withstands(targets[static_cast<std::size_t>(port)], 600, script);
 }
@@ -348,7 +314,7 @@
     script.unit = "x";
     script.unit_count = 0xfff0 - 1;
     const auto port = GENERATE(0, 1);
-    const std::vector targets = {host.router->status, host.router->peers};
+    const std::vector targets = {host.router.status, host.router.peers};
     CAPTURE(port);
     host.check_withstands(targets[static_cast<std::size_t>(port)], 600, script);
 }
@@ -357,11 +323,11 @@
 {
     deployment host;
     crowd_script script;
-    script.unit = "GET /metrics HTTP/1.1\r\n" + fields + "\r\n";
+    script.unit = "GET /metrics HTTP/1.1\r\n" + caller_fields + "\r\n";
     script.unit_count = 5000;
     script.reads = false;
     const auto port = GENERATE(0, 1);
-    const std::vector targets = {host.router->status, host.router->peers};
+    const std::vector targets = {host.router.status, host.router.peers};
     CAPTURE(port);
     host.check_withstands(targets[static_cast<std::size_t>(port)], 400, script);
 }
