The end of a stream proves nothing while a begun write has not reported

Cause: the write in progress takes the reset off the socket, but a read whose handler is queued before that write's handler finds the end of the stream and no error, which completes a body that is framed by the end of its connection.

Fix: while a write is in progress, byte_stream takes the end of the stream for one only in state CLOSE_WAIT, where nothing has failed yet. Else it waits for the write's report, which is certain as the connection is closed: a broken pipe if the peer had ended its side before, else the failure. An answer that ends in order is still delivered at once when its upstream reads no more.

The same code reads for streams, resumed ones, repeats, the store and hosts among themselves.

--- a/src/http/byte_stream.cpp
+++ b/src/http/byte_stream.cpp
@@ -56,6 +56,17 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
+/// True if the peer has ended its sending side and the connection is otherwise intact. After a
+/// reset or another error the connection is closed (TCP_CLOSE), even if the peer had ended its side
+/// before.
+auto is_half_closed_by_peer(int socket) -> bool
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 } // namespace
 
 byte_stream::byte_stream(asio::ip::tcp::socket socket, stream_listener* listener)
@@ -74,7 +85,7 @@
 
 auto byte_stream::wait_readable() -> void
 {
-    if (this->read_pending || !this->reading || !this->socket.is_open())
+    if (this->read_pending || !this->reading || this->end_awaits_write || !this->socket.is_open())
     {
         return;
     }
@@ -104,11 +115,14 @@
         this->wait_readable();
         return false;
     }
+    if (error == asio::error::eof)
+    {
+        this->on_end_of_stream();
+        return false;
+    }
     if (error)
     {
-        this->fail(error == asio::error::eof
-                       ? this->end_after_write_failure.value_or(close_kind::end_of_stream)
-                       : to_close_kind(error));
+        this->fail(to_close_kind(error));
         return false;
     }
     if (!this->closing && this->listener != nullptr)
@@ -119,6 +133,19 @@
     return true;
 }
 
+auto byte_stream::on_end_of_stream() -> void
+{
+    // The write in progress may have taken an error off the socket that its handler has not
+    // reported yet.
+    const auto may_hide_error = this->writing && !this->closing && !this->end_after_write_failure;
+    if (may_hide_error && !is_half_closed_by_peer(this->socket.native_handle()))
+    {
+        this->end_awaits_write = true;
+        return;
+    }
+    this->fail(this->end_after_write_failure.value_or(close_kind::end_of_stream));
+}
+
 auto byte_stream::set_reading(bool wanted) -> void
 {
     this->reading = wanted;
@@ -198,6 +225,10 @@
     {
         this->finish_closing();
     }
+    else if (std::exchange(this->end_awaits_write, false))
+    {
+        static_cast<void>(this->read_available());
+    }
     else if (this->listener != nullptr)
     {
         this->listener->on_written();
--- a/src/http/byte_stream.hpp
+++ b/src/http/byte_stream.hpp
@@ -103,6 +103,10 @@
     auto wait_readable() -> void;
     /// Reads once. True if bytes were delivered.
     auto read_available() -> bool;
+    /// Reads return the end of the stream also after a write has taken a reset off the socket.
+    /// While a write is in progress, the end counts only if the connection's state shows it; else
+    /// it is decided by what the write reports.
+    auto on_end_of_stream() -> void;
     auto flush() -> void;
     auto on_flushed(const boost::system::error_code& error, std::size_t written) -> void;
     auto on_write_failed(const boost::system::error_code& error) -> void;
@@ -123,6 +127,7 @@
     bool writing = false;
     bool reading = true;
     bool read_pending = false;
+    bool end_awaits_write = false; ///< the end was read; its kind depends on the write in progress
     bool closing = false;
     duration linger{};
 };
--- a/src/http/upstream_connection_test.cpp
+++ b/src/http/upstream_connection_test.cpp
@@ -4,8 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace poplardrift;
 using namespace poplardrift::http;
@@ -25,14 +30,25 @@
     auto on_request_sent() -> void override {}
     auto on_response_head(const response_head&) -> void override {}
     auto on_response_body(std::string bytes) -> void override { this->body += bytes; }
-    auto on_response_end() -> void override { this->is_complete = true; }
+    auto on_response_end() -> void override
+    {
+        this->is_complete = true;
+        this->ended_at = std::chrono::steady_clock::now();
+    }
     auto on_response_failed(transport_failure why) -> void override { this->failure = why; }
 
     std::string body;
     bool is_complete = false;
+    std::chrono::steady_clock::time_point ended_at;
     std::optional<transport_failure> failure;
 };
 
+auto upload_head(std::size_t body_bytes) -> std::string
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) +
+           "\r\n\r\n";
+}
+
 /// Uploads a long body to a server that runs this script.
 auto upload_to(const tests::scripted_server::script& serve, recorded_response& response) -> void
 {
@@ -40,10 +56,9 @@
     boost::asio::io_context io{1};
     const auto connection =
         std::make_shared<upstream_connection>(io, server.address(), connection_settings{1s, 2s});
-    const auto head =
-        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload_bytes) +
-        "\r\n\r\n";
-    connection->send({head, std::string(upload_bytes, 'x'), nullptr, false, "", ""}, &response);
+    connection->send(
+        {upload_head(upload_bytes), std::string(upload_bytes, 'x'), nullptr, false, "", ""},
+        &response);
     for (int rounds = 0; rounds < 400 && !response.is_complete && !response.failure; ++rounds)
     {
         io.run_for(10ms);
@@ -52,6 +67,66 @@
     connection->abandon();
 }
 
+constexpr int uploads_at_once = 24;
+constexpr int upload_rounds = 16;
+
+/// How uploads to a server that resets its connections ended.
+struct upload_outcomes
+{
+    int complete = 0;
+    int failed = 0;
+};
+
+/// Uploads to a server that reads a part of each request, sends a response without a length and
+/// resets the connection up to 190 us later, so that the reset meets reads and writes at any point
+/// of their order. With `ends_first` the server ends its sending side before.
+auto upload_to_resetting_server(bool ends_first) -> upload_outcomes
+{
+    constexpr std::size_t body_bytes = 4U << 20U;
+    constexpr std::size_t reset_delays = 20;
+    constexpr auto reset_delay_step = 10us;
+    const auto body = std::make_shared<const std::string>(body_bytes, 'x');
+    std::atomic<std::size_t> accepted{0};
+    tests::scripted_server server(
+        [&](tests::peer_connection& peer)
+        {
+            constexpr std::array<std::size_t, 4> amounts = {0, 65'536, body_bytes / 2,
+                                                            body_bytes - 65'536};
+            const auto number = accepted++;
+            // A connection that ends before its client has seen it established is none.
+            const std::size_t least = ends_first ? 1 : 0;
+            static_cast<void>(
+                peer.read_bytes(std::max(least, amounts[number % amounts.size()]), 2000ms));
+            peer.send(head_without_length + std::string(part_bytes, 'a'));
+            if (ends_first)
+            {
+                peer.shut_down_sending();
+            }
+            peer.wait_busily(number / amounts.size() % reset_delays * reset_delay_step);
+            peer.reset();
+        });
+    upload_outcomes outcomes;
+    for (int round = 0; round < upload_rounds; ++round)
+    {
+        boost::asio::io_context io{1};
+        std::vector<recorded_response> responses(uploads_at_once);
+        std::vector<std::shared_ptr<upstream_connection>> connections;
+        for (auto& response : responses)
+        {
+            connections.push_back(std::make_shared<upstream_connection>(
+                io, server.address(), connection_settings{1s, 2s}));
+            connections.back()->send({upload_head(body_bytes), "", body, false, "", ""}, &response);
+        }
+        io.run_for(5s);
+        for (const auto& response : responses)
+        {
+            outcomes.complete += response.is_complete ? 1 : 0;
+            outcomes.failed += response.failure ? 1 : 0;
+        }
+    }
+    return outcomes;
+}
+
 } // namespace
 
 TEST_CASE("a response without a length that is reset while the request is still written is broken")
@@ -109,3 +184,55 @@
     CHECK(response.is_complete);
     CHECK(response.body.size() == response_bytes);
 }
+
+TEST_CASE("of many responses without a length that are reset in the same moment none is complete")
+{
+    const auto outcomes = upload_to_resetting_server(false);
+    CHECK(outcomes.complete == 0);
+    CHECK(outcomes.failed == uploads_at_once * upload_rounds);
+}
+
+TEST_CASE("of many responses without a length that end and are then reset all are complete")
+{
+    const auto outcomes = upload_to_resetting_server(true);
+    CHECK(outcomes.complete == uploads_at_once * upload_rounds);
+}
+
+TEST_CASE("a response that ends in order is complete at once though its upstream reads no more")
+{
+    constexpr auto bound = 500ms; // the peer timeout of the connection is 2 s
+    recorded_response response;
+    std::chrono::steady_clock::time_point sent_at;
+    upload_to(
+        [&](tests::peer_connection& peer)
+        {
+            static_cast<void>(peer.read_until("\r\n\r\n", 2000ms));
+            peer.send(head_without_length + std::string(part_bytes, 'a'));
+            sent_at = std::chrono::steady_clock::now();
+            peer.shut_down_sending();
+            std::this_thread::sleep_for(1000ms); // neither reads nor closes
+        },
+        response);
+    REQUIRE(response.is_complete);
+    CHECK(response.body.size() == part_bytes);
+    CHECK(response.ended_at - sent_at < bound);
+}
+
+TEST_CASE("a response with a length is complete at once though its upstream reads no more")
+{
+    constexpr auto bound = 500ms;
+    recorded_response response;
+    std::chrono::steady_clock::time_point sent_at;
+    upload_to(
+        [&](tests::peer_connection& peer)
+        {
+            static_cast<void>(peer.read_until("\r\n\r\n", 2000ms));
+            sent_at = std::chrono::steady_clock::now();
+            peer.send("HTTP/1.1 413 Content Too Large\r\nContent-Length: 4\r\n\r\nfull");
+            std::this_thread::sleep_for(1000ms); // neither reads nor closes
+        },
+        response);
+    REQUIRE(response.is_complete);
+    CHECK(response.body == "full");
+    CHECK(response.ended_at - sent_at < bound);
+}
--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
+#include <future>
 #include <mutex>
 
 using namespace poplardrift::tests;
@@ -17,6 +19,9 @@
 const std::string seal = "Poplardrift-Runner-Seal: s\r\n";
 const std::string whole_response = "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 5\r\n\r\nwhole";
 
+/// Room for the bodies of all uploads at once.
+constexpr process_limits upload_limits{1024, 700};
+
 /// An upstream that answers each request with the bytes that the test sets, in one piece or byte by
 /// byte, and then closes the connection.
 class replaying_upstream final
@@ -122,6 +127,46 @@
     router_deployment fleet;
 };
 
+/// An upstream that reads a part of an upload, sends whole events of a response without a length
+/// and resets the connection in the same moment.
+class resetting_upstream final
+{
+public:
+    resetting_upstream() : server([this](peer_connection& peer) { this->serve(peer); }) {}
+
+    [[nodiscard]] auto address() const -> boost::asio::ip::tcp::endpoint
+    {
+        return this->server.address();
+    }
+    [[nodiscard]] auto resets() const -> int { return this->reset_count; }
+    std::atomic<bool> is_sound{true};
+
+private:
+    auto serve(peer_connection& peer) -> void
+    {
+        if (this->is_sound)
+        {
+            static_cast<void>(peer.read_request());
+            peer.send(whole_response);
+            peer.close();
+            return;
+        }
+        constexpr std::array<std::size_t, 4> amounts = {0, 65'536, max_body_bytes / 2,
+                                                        max_body_bytes - 65'536};
+        constexpr std::size_t reset_delays = 20;
+        constexpr auto reset_delay_step = 10us;
+        const auto number = static_cast<std::size_t>(this->reset_count++);
+        static_cast<void>(peer.read_bytes(amounts[number % amounts.size()], 2000ms));
+        peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
+                  "\r\nid: 1\ndata: " + std::string(6000, 'a') + "\n\n");
+        peer.wait_busily(number / amounts.size() % reset_delays * reset_delay_step);
+        peer.reset();
+    }
+
+    std::atomic<int> reset_count{0};
+    scripted_server server;
+};
+
 } // namespace
 
 TEST_CASE("a status that HTTP does not have reaches no caller")
@@ -156,3 +201,52 @@
                                 " X-Note: a\r\n\r\nid: 1\ndata: a\n\n",
                             "/stream/x");
 }
+
+TEST_CASE(
+    "a response without a length that is reset during its upload reaches no caller as a whole one")
+{
+    constexpr int uploads_at_once = 24;
+    constexpr int rounds = 10;
+    resetting_upstream upstream;
+    router_deployment fleet({upstream.address()}, upload_limits);
+    const auto upload = [&](const std::string& path)
+    {
+        auto caller = connect_to(fleet.router.callers);
+        caller.send("POST " + path + " HTTP/1.1\r\n" + caller_fields + "Content-Length: " +
+                    std::to_string(max_body_bytes) + "\r\n\r\n" + std::string(max_body_bytes, 'x'));
+        return caller.read_response(4000ms);
+    };
+    const auto await_whole_answer = [&]
+    {
+        upstream.is_sound = true;
+        for (int attempt = 0; attempt < 100; ++attempt)
+        {
+            if (upload("/once/x").status == 200)
+            {
+                return;
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        FAIL("no whole response is answered");
+    };
+    int taken = 0;
+    for (int round = 0; round < rounds; ++round)
+    {
+        await_whole_answer();
+        upstream.is_sound = false;
+        std::vector<std::future<received_response>> answers;
+        for (int number = 0; number < uploads_at_once; ++number)
+        {
+            const auto* const path = number % 2 == 0 ? "/once/x" : "/stream/x";
+            answers.push_back(std::async(std::launch::async, upload, path));
+        }
+        for (auto& answer : answers)
+        {
+            const auto response = answer.get();
+            taken += response.status == 200 && response.is_complete ? 1 : 0;
+        }
+    }
+    CAPTURE(upstream.resets());
+    CHECK(upstream.resets() >= rounds * uploads_at_once / 2);
+    CHECK(taken == 0);
+}
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -92,6 +92,18 @@
     return true;
 }
 
+auto peer_connection::read_bytes(std::size_t count, std::chrono::milliseconds limit) -> bool
+{
+    while (this->buffer.size() < count)
+    {
+        if (!this->read_some(limit))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 auto peer_connection::read_response(std::chrono::milliseconds limit) -> received_response
 {
     http::response_reader reader;
@@ -126,6 +138,14 @@
     return !error;
 }
 
+auto peer_connection::wait_busily(std::chrono::microseconds time) -> void
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end)
+    {
+    }
+}
+
 auto peer_connection::close() -> void
 {
     error_code ignored_error;
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -39,6 +39,9 @@
     /// Reads until `text` has arrived; false when the connection ended first or nothing arrived for
     /// `limit`.
     [[nodiscard]] auto read_until(const std::string& text, std::chrono::milliseconds limit) -> bool;
+    /// Reads until `count` bytes have arrived in all; false when the connection ended first or
+    /// nothing arrived for `limit`.
+    [[nodiscard]] auto read_bytes(std::size_t count, std::chrono::milliseconds limit) -> bool;
     /// Reads one response; it is incomplete when the connection ended or `limit` passed first.
     [[nodiscard]] auto read_response(std::chrono::milliseconds limit) -> received_response;
     [[nodiscard]] auto is_connected() const -> bool
@@ -49,6 +52,8 @@
     }
     /// False when the connection has ended.
     auto send(const std::string& bytes) -> bool;
+    /// Waits without giving up the processor, for times that are too short to sleep.
+    static auto wait_busily(std::chrono::microseconds time) -> void;
     auto close() -> void;
     /// Ends the sending side only.
     auto shut_down_sending() -> void;
