A response of HTTP/1.0 with a transfer coding is malformed

What callers saw: a response of HTTP/1.0 with a transfer coding was an answer, its body decoded. HTTP/1.0 has no codings; its peers take such a body as it stands, so its framing is ambiguous (RFC 9112, section 6.1: to be treated as faulty).

Cause: the parser decodes chunks whatever the version is, and the reader did not look at it. The reader of requests did.

Fix: response_reader rejects it as malformed. What follows is as after any bytes that are no response. The reader is the one of requests, streams, the store and hosts among themselves.

Tests, on the code before: "a response of HTTP/1.0 with a transfer coding is malformed" failed in 8 of 9 checks, "a response whose framing is faulty reaches no caller" (a router process) got status 200 in 2 of 2 requests that were not a stream. Both pass now.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -36,6 +36,7 @@
     Head head;
     std::string body;
     std::size_t length = 0; ///< of a request's whole body, if the head says so
+    int version = 0;        ///< of a response's HTTP: 10 for HTTP/1.0, 11 for HTTP/1.1
     bool head_done = false;
 
 private:
@@ -52,7 +53,8 @@
             this->head.reads_chunks = version >= 11;
         }
     }
-    auto on_response_impl(int status, text reason, int, code& error) -> void override
+    auto on_response_impl(int status, text reason, int response_version, code& error)
+        -> void override
     {
         if constexpr (!IsRequest)
         {
@@ -64,6 +66,7 @@
             }
             this->head.status = status;
             this->head.reason = to_view(reason);
+            this->version = response_version;
         }
     }
     auto on_field_impl(beast::http::field, text name, text value, code&) -> void override
@@ -415,6 +418,12 @@
             this->failure = read_error::unsupported_coding;
             return;
         }
+        constexpr int version_with_codings = 11; // with one, the framing of HTTP/1.0 is faulty
+        if (framing == body_framing::chunked && this->parser->version < version_with_codings)
+        {
+            this->failure = read_error::malformed;
+            return;
+        }
         head.framing = *framing;
         if (this->parser->need_eof())
         {
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -258,6 +258,29 @@
     }
 }
 
+TEST_CASE("a response of HTTP/1.0 with a transfer coding is malformed")
+{
+    // HTTP/1.0 has no transfer codings, so such framing is faulty (RFC 9112, section 6.1).
+    for (const auto* const fields : {"", "Connection: keep-alive\r\n"})
+    {
+        for (const auto to_head_request : {false, true})
+        {
+            response_reader reader;
+            reader.next(to_head_request);
+            reader.feed(std::string("HTTP/1.0 200 OK\r\n") + fields +
+                        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+            reader.feed_end();
+            CAPTURE(fields, to_head_request);
+            CHECK(reader.error() == read_error::malformed);
+            CHECK_FALSE(reader.is_complete());
+        }
+    }
+    response_reader without_coding;
+    without_coding.next(false);
+    without_coding.feed("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(without_coding.is_complete());
+}
+
 TEST_CASE("bytes of a body that look like a continued field change nothing")
 {
     const std::string body = "a\r\n b\n\tc";
--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -202,6 +202,13 @@
                             "/stream/x");
 }
 
+TEST_CASE("a response whose framing is faulty reaches no caller")
+{
+    replaying_deployment host;
+    host.check_is_no_answer("HTTP/1.0 200 OK\r\n" + seal +
+                            "Transfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n");
+}
+
 TEST_CASE(
     "a response without a length that is reset during its upload reaches no caller as a whole one")
 {
