A response that announces a body with a status that has none is malformed

What callers saw: a 204 with a length above zero or a transfer coding was an answer without the body that its upstream sent. After an interim response (1xx) with such fields, the bytes of its body were read as the response: a caller got what stood in there.

Cause: the parser ends a head with such a status without regard to its fields, as RFC 9112, section 6.3, says for the length of the message. That a server must not send them (section 6.1; RFC 9110, section 8.6) was checked nowhere.

Fix: response_reader rejects 1xx and 204 with a transfer coding or a length above zero. A length of zero, the length of a 304 and of responses to HEAD stay accepted, which the test shows, too.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -390,6 +390,11 @@
             {
                 return;
             }
+            if (this->announces_forbidden_body())
+            {
+                this->failure = read_error::malformed;
+                return;
+            }
             if (this->parser->head.status / 100 == 1)
             {
                 this->interim_bytes += pending_before - this->pending.size();
@@ -407,6 +412,17 @@
         }
     }
 
+    /// True if the fields announce a body although the status has none. What the upstream sends as
+    /// that body would be read as the next response.
+    [[nodiscard]] auto announces_forbidden_body() const -> bool
+    {
+        constexpr int no_content = 204;
+        const auto& head = this->parser->head;
+        const auto has_no_body = head.status / 100 == 1 || head.status == no_content;
+        return has_no_body && (this->parser->content_length().value_or(0) > 0 ||
+                               head.fields.find("Transfer-Encoding"));
+    }
+
     auto check_head() -> void
     {
         this->checked = true;
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -68,8 +68,8 @@
 
 /// Incremental parser for HTTP/1.x responses. Interim responses (1xx) are skipped, as long as they
 /// are together no larger than one head may be. Fields that continue on a further line (obs-fold)
-/// are malformed, as RFC 9112, section 5.2, allows a gateway, and so is a transfer coding of
-/// HTTP/1.0 (section 6.1). Not thread-safe.
+/// are malformed, as RFC 9112, section 5.2, allows a gateway, and so are a transfer coding of
+/// HTTP/1.0 (section 6.1) and the announcement of a body with status 1xx or 204. Not thread-safe.
 class response_reader final
 {
 public:
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -281,6 +281,47 @@
     CHECK(without_coding.is_complete());
 }
 
+TEST_CASE("a response that announces a body with a status that has none is malformed")
+{
+    // Guards against a response without the body that its upstream sent, and against bytes of an
+    // interim response's body that are read as the response (RFC 9112, section 6.1; RFC 9110,
+    // section 8.6).
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const auto* const status : {"100", "103", "204"})
+    {
+        for (const auto& rest :
+             {"Content-Length: 2\r\n\r\nok", chunked.c_str(), "Transfer-Encoding: gzip\r\n\r\n"})
+        {
+            response_reader reader;
+            reader.next(false);
+            reader.feed(std::string("HTTP/1.1 ") + status + " Any\r\n" + rest + ok);
+            CAPTURE(status, rest);
+            CHECK(reader.error() != read_error::none);
+            CHECK_FALSE(reader.is_complete());
+        }
+    }
+    // What announces no body stays accepted, as do the fields of the body that a response to a GET
+    // request would have.
+    for (const auto* const head : {"204 No Content\r\n", "204 No Content\r\nContent-Length: 0\r\n",
+                                   "304 Not Modified\r\nContent-Length: 2\r\n"})
+    {
+        response_reader reader;
+        reader.next(false);
+        reader.feed(std::string("HTTP/1.1 ") + head + "\r\n");
+        CAPTURE(head);
+        CHECK(reader.is_complete());
+    }
+    response_reader to_head_request;
+    to_head_request.next(true);
+    to_head_request.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+    CHECK(to_head_request.is_complete());
+    response_reader interim;
+    interim.next(false);
+    interim.feed("HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + ok);
+    CHECK(interim.is_complete());
+}
+
 TEST_CASE("bytes of a body that look like a continued field change nothing")
 {
     const std::string body = "a\r\n b\n\tc";
--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -207,6 +207,9 @@
     replaying_deployment host;
     host.check_is_no_answer("HTTP/1.0 200 OK\r\n" + seal +
                             "Transfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n");
+    host.check_is_no_answer("HTTP/1.1 204 No Content\r\n" + seal + "Content-Length: 4\r\n\r\noops");
+    host.check_is_no_answer("HTTP/1.1 103 Early Hints\r\nContent-Length: " +
+                            std::to_string(whole_response.size()) + "\r\n\r\n" + whole_response);
 }
 
 TEST_CASE(
