A chunk extension with a control byte makes a response malformed

What callers saw: a body with such extensions was an answer. HTTP forbids control bytes there (RFC 9110, section 5.6.4), and readers that take an LF for the end of the line find other chunks, so the body need not be what the upstream sent.

Cause: the parser takes any byte within a quoted string of an extension.

Fix: the reader of responses looks at the extensions of each chunk. Those of requests are read as before.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace poplardrift::http
@@ -27,6 +28,14 @@
     return {text.data(), text.size()};
 }
 
+/// True for control characters except a tab (RFC 5234, appendix B.1).
+auto is_control(char letter) -> bool
+{
+    constexpr char delete_character = 0x7f;
+    const auto code = static_cast<unsigned char>(letter);
+    return (code < ' ' && letter != '\t') || letter == delete_character;
+}
+
 /// Stores the head and body found by Beast's parser. Fields after the head are trailers and are
 /// dropped.
 template <bool IsRequest, class Head>
@@ -97,7 +106,17 @@
         this->body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
-    auto on_chunk_header_impl(std::uint64_t, text, code&) -> void override {}
+    auto on_chunk_header_impl(std::uint64_t, text extensions, code& error) -> void override
+    {
+        if constexpr (!IsRequest)
+        {
+            // The parser takes any byte within a quoted string.
+            if (std::any_of(extensions.begin(), extensions.end(), is_control))
+            {
+                error = beast::http::error::bad_chunk_extension;
+            }
+        }
+    }
     auto on_chunk_body_impl(std::uint64_t, text bytes, code&) -> std::size_t override
     {
         this->body.append(bytes.data(), bytes.size());
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -322,6 +322,33 @@
     CHECK(interim.is_complete());
 }
 
+TEST_CASE("a chunk extension with a control byte makes a response malformed")
+{
+    // Control bytes are no part of a quoted string (RFC 9110, section 5.6.4); an LF ends the line
+    // for some readers.
+    using namespace std::string_literals;
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto byte : {'\0', '\x01', '\n', '\v', '\x1f', '\x7f'})
+    {
+        const auto extension = ";a=\"b"s + byte + "\"";
+        for (const auto& body :
+             {"2" + extension + "\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0" + extension + "\r\n\r\n"})
+        {
+            response_reader reader;
+            reader.next(false);
+            reader.feed(head + body);
+            CAPTURE(body);
+            CHECK(reader.error() == read_error::malformed);
+            CHECK_FALSE(reader.is_complete());
+        }
+    }
+    response_reader valid;
+    valid.next(false);
+    valid.feed(head + "2;a;b=c;d=\"e \tf\xe4\\\"\"\r\nok\r\n0;g=h\r\n\r\n");
+    REQUIRE(valid.is_complete());
+    CHECK(valid.take_body() == "ok");
+}
+
 TEST_CASE("bytes of a body that look like a continued field change nothing")
 {
     const std::string body = "a\r\n b\n\tc";
