A response whose trailers have a continued line is malformed

What callers saw: a response with a line among its trailers that begins with a blank was an answer, though HTTP forbids such lines (RFC 9112, section 5.2); in a head they made a response malformed already. Trailers are dropped, so nothing of the line was passed on.

Cause: the parser joins continued lines, and only the bytes of heads were looked at.

Fix: the reader of responses looks at the bytes of the trailers, too.

Test, on the code before: "a response with an invalid trailer is malformed" failed in 12 of 36 checks, those of the four continued lines. It passes now.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -47,6 +47,9 @@
     std::size_t length = 0; ///< of a request's whole body, if the head says so
     int version = 0;        ///< of a response's HTTP: 10 for HTTP/1.0, 11 for HTTP/1.1
     bool head_done = false;
+    /// Begin of a response's trailers, after the size and extensions of the last chunk. Set by the
+    /// put that completes the response, and valid until the bytes of that put are consumed.
+    const char* trailers = nullptr;
 
 private:
     using text = beast::string_view;
@@ -106,10 +109,11 @@
         this->body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
-    auto on_chunk_header_impl(std::uint64_t, text extensions, code& error) -> void override
+    auto on_chunk_header_impl(std::uint64_t size, text extensions, code& error) -> void override
     {
         if constexpr (!IsRequest)
         {
+            this->trailers = size == 0 ? extensions.data() + extensions.size() : nullptr;
             // The parser takes any byte within a quoted string.
             if (std::any_of(extensions.begin(), extensions.end(), is_control))
             {
@@ -196,7 +200,12 @@
         const auto is_in_fields = !parser.eager();
         const auto consumed =
             parser.put(boost::asio::const_buffer(source.data(), source.size()), code);
-        if (is_in_fields && has_continued_line({source.data(), consumed}))
+        const auto* const fields = is_in_fields       ? source.data()
+                                   : parser.is_done() ? parser.trailers
+                                                      : nullptr;
+        const auto* const end = source.data() + consumed;
+        if (fields != nullptr &&
+            has_continued_line({fields, static_cast<std::size_t>(end - fields)}))
         {
             return read_error::malformed;
         }
--- a/src/http/message_reader_test.cpp
+++ b/src/http/message_reader_test.cpp
@@ -349,6 +349,36 @@
     CHECK(valid.take_body() == "ok");
 }
 
+TEST_CASE("a response with an invalid trailer is malformed")
+{
+    const std::string body =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (const auto* const trailers :
+         {" X: a", "X: a\r\n Y: b", "X: a\r\n\tY: b", "X: a\r\n ", "X:\r\n a", "X : a", "X\x01: a",
+          "X", "X: \x01", "Transfer-Encoding: chunked", "Content-Length: 2"})
+    {
+        CAPTURE(trailers);
+        response_reader whole;
+        whole.next(false);
+        whole.feed(body + trailers + "\r\n\r\n");
+        CHECK(whole.error() == read_error::malformed);
+        CHECK_FALSE(whole.is_complete());
+        response_reader in_bytes;
+        in_bytes.next(false);
+        for (const auto byte : body + trailers + "\r\n\r\n")
+        {
+            in_bytes.feed(std::string(1, byte));
+        }
+        CHECK(in_bytes.error() == read_error::malformed);
+    }
+    response_reader valid;
+    valid.next(false);
+    valid.feed(body + "X: a  b\tc\r\nY:\r\n\r\n");
+    REQUIRE(valid.is_complete());
+    CHECK(valid.take_body() == "ok");
+    CHECK_FALSE(valid.head().fields.find("X"));
+}
+
 TEST_CASE("bytes of a body that look like a continued field change nothing")
 {
     const std::string body = "a\r\n b\n\tc";
