--- a/src/daemon/upstream_connections_test.cpp
+++ b/src/daemon/upstream_connections_test.cpp
@@ -58,3 +58,38 @@
         CHECK_FALSE(is_head_valid(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\n\r\nhello"));
     }
 }
+
+TEST_CASE("the client of the daemon takes no head with faulty framing for a response")
+{
+    // Guards against a body that the upstream did not send (RFC 9112, section 6).
+    const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const auto& response :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: abc\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok"})
+    {
+        CAPTURE(response);
+        CHECK_FALSE(is_head_valid(response));
+    }
+    for (const auto* const head :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n"})
+    {
+        CAPTURE(head);
+        CHECK_FALSE(is_head_valid(head + chunks));
+    }
+    for (const auto& response :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.0 200 OK\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"})
+    {
+        CAPTURE(response);
+        CHECK(is_head_valid(response));
+    }
+}
