--- a/src/daemon/upstream_connections_test.cpp
+++ b/src/daemon/upstream_connections_test.cpp
@@ -5,7 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <array>
 #include <atomic>
 #include <string>
 
@@ -125,14 +124,8 @@
     tests::scripted_server server(
         [&](tests::peer_connection& peer)
         {
-            constexpr std::array<std::size_t, 4> amounts = {0, 65'536, body_bytes / 2,
-                                                            body_bytes - 65'536};
-            const auto number = accepted++;
-            static_cast<void>(
-                peer.read_bytes(amounts[number % amounts.size()], std::chrono::seconds(2)));
-            peer.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(6000, 'a'));
-            peer.wait_busily(std::chrono::microseconds(number / amounts.size() % 20 * 10));
-            peer.reset();
+            tests::respond_and_reset(peer, "HTTP/1.1 200 OK\r\n\r\n" + std::string(6000, 'a'),
+                                     tests::response_end::reset, body_bytes, accepted++);
         });
     upstream_connections connections("127.0.0.1");
     int taken = 0;
--- a/src/http/upstream_connection_test.cpp
+++ b/src/http/upstream_connection_test.cpp
@@ -4,8 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <optional>
@@ -77,33 +75,17 @@
     int failed = 0;
 };
 
-/// Uploads to a server that reads a part of each request, sends a response without a length and
-/// resets the connection up to 190 us later, so that the reset meets reads and writes at any point
-/// of their order. With `ends_first` the server ends its sending side before.
-auto upload_to_resetting_server(bool ends_first) -> upload_outcomes
+/// Uploads to a server that responds without a length during the uploads and resets them.
+auto upload_to_resetting_server(tests::response_end end) -> upload_outcomes
 {
     constexpr std::size_t body_bytes = 4U << 20U;
-    constexpr std::size_t reset_delays = 20;
-    constexpr auto reset_delay_step = 10us;
     const auto body = std::make_shared<const std::string>(body_bytes, 'x');
     std::atomic<std::size_t> accepted{0};
     tests::scripted_server server(
         [&](tests::peer_connection& peer)
         {
-            constexpr std::array<std::size_t, 4> amounts = {0, 65'536, body_bytes / 2,
-                                                            body_bytes - 65'536};
-            const auto number = accepted++;
-            // A connection that ends before its client has seen it established is none.
-            const std::size_t least = ends_first ? 1 : 0;
-            static_cast<void>(
-                peer.read_bytes(std::max(least, amounts[number % amounts.size()]), 2000ms));
-            peer.send(head_without_length + std::string(part_bytes, 'a'));
-            if (ends_first)
-            {
-                peer.shut_down_sending();
-            }
-            peer.wait_busily(number / amounts.size() % reset_delays * reset_delay_step);
-            peer.reset();
+            tests::respond_and_reset(peer, head_without_length + std::string(part_bytes, 'a'), end,
+                                     body_bytes, accepted++);
         });
     upload_outcomes outcomes;
     for (int round = 0; round < upload_rounds; ++round)
@@ -187,14 +169,14 @@
 
 TEST_CASE("of many responses without a length that are reset in the same moment none is complete")
 {
-    const auto outcomes = upload_to_resetting_server(false);
+    const auto outcomes = upload_to_resetting_server(tests::response_end::reset);
     CHECK(outcomes.complete == 0);
     CHECK(outcomes.failed == uploads_at_once * upload_rounds);
 }
 
 TEST_CASE("of many responses without a length that end and are then reset all are complete")
 {
-    const auto outcomes = upload_to_resetting_server(true);
+    const auto outcomes = upload_to_resetting_server(tests::response_end::end_then_reset);
     CHECK(outcomes.complete == uploads_at_once * upload_rounds);
 }
 
--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -5,7 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <array>
 #include <atomic>
 #include <future>
 #include <mutex>
@@ -151,16 +150,11 @@
             peer.close();
             return;
         }
-        constexpr std::array<std::size_t, 4> amounts = {0, 65'536, max_body_bytes / 2,
-                                                        max_body_bytes - 65'536};
-        constexpr std::size_t reset_delays = 20;
-        constexpr auto reset_delay_step = 10us;
-        const auto number = static_cast<std::size_t>(this->reset_count++);
-        static_cast<void>(peer.read_bytes(amounts[number % amounts.size()], 2000ms));
-        peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
-                  "\r\nid: 1\ndata: " + std::string(6000, 'a') + "\n\n");
-        peer.wait_busily(number / amounts.size() % reset_delays * reset_delay_step);
-        peer.reset();
+        respond_and_reset(peer,
+                          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
+                              "\r\nid: 1\ndata: " + std::string(6000, 'a') + "\n\n",
+                          response_end::reset, max_body_bytes,
+                          static_cast<std::size_t>(this->reset_count++));
     }
 
     std::atomic<int> reset_count{0};
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <deque>
 #include <mutex>
 
@@ -25,6 +27,15 @@
 /// Reserved at the same time; far more than one test asks for.
 constexpr std::size_t max_reserved_addresses = 64;
 
+/// For times that are too short to sleep.
+auto wait_busily(std::chrono::microseconds time) -> void
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end)
+    {
+    }
+}
+
 } // namespace
 
 peer_connection::peer_connection(asio::ip::tcp::socket socket) : socket(std::move(socket))
@@ -138,14 +149,6 @@
     return !error;
 }
 
-auto peer_connection::wait_busily(std::chrono::microseconds time) -> void
-{
-    const auto end = std::chrono::steady_clock::now() + time;
-    while (std::chrono::steady_clock::now() < end)
-    {
-    }
-}
-
 auto peer_connection::close() -> void
 {
     error_code ignored_error;
@@ -207,6 +210,26 @@
     }
 }
 
+auto respond_and_reset(peer_connection& peer, const std::string& response, response_end end,
+                       std::size_t request_bytes, std::size_t number) -> void
+{
+    constexpr std::size_t delays = 20;
+    constexpr auto delay_step = 10us;
+    constexpr std::size_t part_bytes = 65'536;
+    const std::array<std::size_t, 4> parts = {0, part_bytes, request_bytes / 2,
+                                              request_bytes - part_bytes};
+    // A connection that ends before the other side has seen it established is none to that side.
+    const std::size_t least = end == response_end::end_then_reset ? 1 : 0;
+    static_cast<void>(peer.read_bytes(std::max(least, parts[number % parts.size()]), read_timeout));
+    peer.send(response);
+    if (end == response_end::end_then_reset)
+    {
+        peer.shut_down_sending();
+    }
+    wait_busily(number / parts.size() % delays * delay_step);
+    peer.reset();
+}
+
 auto connect_to(const asio::ip::tcp::endpoint& address) -> peer_connection
 {
     asio::ip::tcp::socket socket(client_io);
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -52,8 +52,6 @@
     }
     /// False when the connection has ended.
     auto send(const std::string& bytes) -> bool;
-    /// Waits without giving up the processor, for times that are too short to sleep.
-    static auto wait_busily(std::chrono::microseconds time) -> void;
     auto close() -> void;
     /// Ends the sending side only.
     auto shut_down_sending() -> void;
@@ -99,6 +97,20 @@
     std::thread accept_thread;
 };
 
+/// How respond_and_reset ends a response.
+enum class response_end : std::uint8_t
+{
+    reset,          ///< by the reset
+    end_then_reset, ///< by the end of the sending side, before the reset
+};
+
+/// Reads a part of a request, sends a response and resets the connection. Over consecutive numbers
+/// the part is nothing (one byte with end_then_reset), 64 KB, half and nearly all of
+/// `request_bytes`, and the reset comes at once to 190 us later: it meets the reads and writes of
+/// the other side at any point of their order.
+auto respond_and_reset(peer_connection& peer, const std::string& response, response_end end,
+                       std::size_t request_bytes, std::size_t number) -> void;
+
 /// Connects to a loopback address; the connection is not open if that fails.
 [[nodiscard]] auto connect_to(const boost::asio::ip::tcp::endpoint& address) -> peer_connection;
 
