Every control byte in a field name: shown at a router process

The test at a router process had six of the control bytes; it has all 33 and the blank now, in front of a name, inside and before the colon, each whole and byte by byte.

The comment of response_reader says what it rejects beyond the parser.

--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -67,9 +67,11 @@
 };
 
 /// Incremental parser for HTTP/1.x responses. Interim responses (1xx) are skipped, as long as they
-/// are together no larger than one head may be. Fields that continue on a further line (obs-fold)
-/// are malformed, as RFC 9112, section 5.2, allows a gateway, and so are a transfer coding of
-/// HTTP/1.0 (section 6.1) and the announcement of a body with status 1xx or 204. Not thread-safe.
+/// are together no larger than one head may be. Malformed is also what a server must not send but
+/// the parser would read: fields that continue on a further line (obs-fold), in a head or among
+/// trailers (RFC 9112, section 5.2, allows a gateway to reject them), a transfer coding of HTTP/1.0
+/// (section 6.1), a body that is announced with status 1xx or 204, and control bytes in chunk
+/// extensions. Not thread-safe.
 class response_reader final
 {
 public:
--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -176,15 +176,16 @@
 TEST_CASE("a field name with a blank or a control byte reaches no caller")
 {
     replaying_deployment host;
-    std::vector<std::string> lines = {" X-Note: a", "\tX-Note: a", " Content-Length: 2",
-                                      "X Note: a",  "X-Note : a",  "Content-Length : 2"};
-    constexpr char delete_byte = 0x7f;
-    for (const auto byte : {'\0', '\x01', '\t', '\v', '\x1f', delete_byte})
+    std::vector<std::string> lines = {" Content-Length: 2", "Content-Length : 2"};
+    constexpr int delete_code = 0x7f;
+    for (int code = 0; code <= delete_code; ++code)
     {
-        const std::string control(1, byte);
-        lines.push_back("X-Note" + control + ": a");
-        lines.push_back("X" + control + "Note: a");
-        lines.push_back(control + "X-Note: a");
+        const std::string byte(1, static_cast<char>(code));
+        if (code <= ' ' || code == delete_code)
+        {
+            lines.insert(lines.end(),
+                         {byte + "X-Note: a", "X-" + byte + "Note: a", "X-Note" + byte + ": a"});
+        }
     }
     for (const auto& line : lines)
     {
