Tests of broken responses: the request is under way, and closes are announced

The peer waits for bytes now, unread. - Sound responses did not announce that their connection closes. They announce it now, and each request has to arrive.

--- a/tests/callers/broken_responses_test.cpp
+++ b/tests/callers/broken_responses_test.cpp
@@ -16,7 +16,11 @@
 {
 
 const std::string seal = "Poplardrift-Runner-Seal: s\r\n";
-const std::string whole_response = "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 5\r\n\r\nwhole";
+/// Announced by sound responses, since the upstreams close each connection: a request that must not
+/// be repeated would fail on one that closes at that moment.
+const std::string close_field = "Connection: close\r\n";
+const std::string whole_response =
+    "HTTP/1.1 200 OK\r\n" + seal + close_field + "Content-Length: 5\r\n\r\nwhole";
 
 /// Room for the bodies of all uploads at once.
 constexpr process_limits upload_limits{1024, 700};
@@ -210,12 +214,12 @@
 TEST_CASE("responses that a sound server may send reach the caller")
 {
     replaying_deployment host;
-    const std::string ok = "HTTP/1.1 200 OK\r\n" + seal;
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + seal + close_field;
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n";
     for (const auto& bytes :
          {whole_response, ok + "\r\nwhole", "HTTP/1.0 200 OK\r\n" + seal + "\r\nwhole",
           "HTTP/1.0 200 OK\r\n" + seal + "Content-Length: 5\r\n\r\nwhole",
-          "HTTP/1.1 200 \r\n" + seal + "Content-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 200 \r\n" + seal + close_field + "Content-Length: 5\r\n\r\nwhole",
           ok + "X-Empty:\r\nX-Note: \xe4 a\tb\r\nContent-Length: 5\r\n\r\nwhole",
           chunked + "\r\n5\r\nwhole\r\n0\r\n\r\n",
           chunked + "\r\n2;a=b;c=\"d e\"\r\nwh\r\n3\r\nole\r\n0\r\nX-Trailer: a\r\n\r\n",
@@ -224,8 +228,10 @@
         for (const auto in_pieces : {false, true})
         {
             host.upstream.set_response(bytes, in_pieces);
+            const auto requests_before = host.upstream.requests();
             const auto answer = host.fetch("/once/x");
             CAPTURE(bytes, in_pieces);
+            CHECK(host.upstream.requests() == requests_before + 1);
             CHECK(answer.status == 200);
             CHECK(answer.is_complete);
             CHECK(answer.body == "whole");
--- a/tests/scripted_peers.cpp
+++ b/tests/scripted_peers.cpp
@@ -103,6 +103,12 @@
     return true;
 }
 
+auto peer_connection::await_bytes(std::chrono::milliseconds limit) -> bool
+{
+    pollfd ready{this->socket.native_handle(), POLLIN, 0};
+    return ::poll(&ready, 1, static_cast<int>(limit.count())) > 0;
+}
+
 auto peer_connection::read_bytes(std::size_t count, std::chrono::milliseconds limit) -> bool
 {
     while (this->buffer.size() < count)
@@ -219,8 +225,8 @@
     const std::array<std::size_t, 4> parts = {0, part_bytes, request_bytes / 2,
                                               request_bytes - part_bytes};
     // A connection that ends before the other side has seen it established is none to that side.
-    const std::size_t least = end == response_end::end_then_reset ? 1 : 0;
-    static_cast<void>(peer.read_bytes(std::max(least, parts[number % parts.size()]), read_timeout));
+    static_cast<void>(peer.await_bytes(read_timeout));
+    static_cast<void>(peer.read_bytes(parts[number % parts.size()], read_timeout));
     peer.send(response);
     if (end == response_end::end_then_reset)
     {
--- a/tests/scripted_peers.hpp
+++ b/tests/scripted_peers.hpp
@@ -39,6 +39,8 @@
     /// Reads until `text` has arrived; false when the connection ended first or nothing arrived for
     /// `limit`.
     [[nodiscard]] auto read_until(const std::string& text, std::chrono::milliseconds limit) -> bool;
+    /// Waits until unread bytes have arrived, without reading them.
+    [[nodiscard]] auto await_bytes(std::chrono::milliseconds limit) -> bool;
     /// Reads until `count` bytes have arrived in all; false when the connection ended first or
     /// nothing arrived for `limit`.
     [[nodiscard]] auto read_bytes(std::size_t count, std::chrono::milliseconds limit) -> bool;
@@ -104,10 +106,10 @@
     end_then_reset, ///< by the end of the sending side, before the reset
 };
 
-/// Reads a part of a request, sends a response and resets the connection. Over consecutive numbers
-/// the part is nothing (one byte with end_then_reset), 64 KB, half and nearly all of
-/// `request_bytes`, and the reset comes at once to 190 us later: it meets the reads and writes of
-/// the other side at any point of their order.
+/// Waits for a request, reads a part of it, sends a response and resets the connection. Over
+/// consecutive numbers the part is nothing, 64 KB, half and nearly all of `request_bytes`, and the
+/// reset comes at once to 190 us later: it meets the reads and writes of the other side at any
+/// point of their order.
 auto respond_and_reset(peer_connection& peer, const std::string& response, response_end end,
                        std::size_t request_bytes, std::size_t number) -> void;
 
