Positions in the store's streams have an era: a restored store is followed

What callers saw: after the platform's store came back from a copy that was 4 s old, configurations that it acknowledged were not applied.

Cause: a restore gives offsets out again, and every position was an offset alone. keyed_mirror kept the record at the higher, lost offset; the follower's and the mirror's positions never went back, so reads began beyond the end. Beacons and fetches between hosts carried the same offsets.

Change: record_position is the store's era and the offset, ordered by era first. The store's client reads the era from any response, also an error; the follower lists anew when it sees a later one and uses nothing of an earlier one. Only a listing moves a mirror to a later era. Beacons, fetches and identities of roll-out orders carry the era. For 2 s after the first listing of an era fleet_state applies only what proves its own age (configurations, upstream entries); missing upstreams are served on, zones and roll-outs stay, and upstreams that left or drain do not come back from the copy.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -42,6 +42,8 @@
     log_reachable = 307,
     log_listed_anew = 308,
     record_ignored = 309,
+    store_restored = 310,
+    store_era_rejected = 311,
     zone_out = 400,
     zone_in = 401,
     ownership_taken = 402,
--- a/src/fleet/fleet_chaos_test.cpp
+++ b/src/fleet/fleet_chaos_test.cpp
@@ -331,8 +331,8 @@
         {
             actual.leaving[upstream.entry.name.value()] = upstream.entry.leaving;
         }
-        const auto operators_end = host.state->mirror_of(record_stream::operators).end().value();
-        const auto upstreams_end = host.state->mirror_of(record_stream::upstreams).end().value();
+        const auto operators_end = host.state->mirror_of(record_stream::operators).end().offset();
+        const auto upstreams_end = host.state->mirror_of(record_stream::upstreams).end().offset();
         INFO("positions " << operators_end << " and " << upstreams_end);
         REQUIRE(actual.text() == this->platform.state_at(operators_end, upstreams_end).text());
     }
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -17,10 +17,22 @@
 /// Records of an upstream's former process are delivered at most this long after its restart has
 /// been seen. A lower start number is accepted later, because the upstream's clock may be set back.
 constexpr duration late_record_window = 2500ms;
+/// Operators and upstreams write again what a restore of the store has lost within this time.
+constexpr duration rewrite_time = 2s;
+/// A restored copy is seconds old, so it holds no upstream that has been gone for this long.
+constexpr duration departed_retention = 5min;
 /// The time limit for removals divided by this is reserved for reading the record, which takes
 /// longer in fleets with longer limits, and for requests in flight.
 constexpr int removal_margin_divisor = 4;
 
+/// Identifies an order by the era and the offset of its record.
+auto to_order_position(record_position position) -> rollout::order_position
+{
+    constexpr unsigned offset_bits = 44;
+    return rollout::order_position(
+        static_cast<std::uint64_t>(position.era().value()) << offset_bits | position.offset());
+}
+
 } // namespace
 
 fleet_state::fleet_state(const record_decoder& decoder, decision_log& log)
@@ -69,11 +81,18 @@
 {
     auto& mirror = this->mirrors[static_cast<std::size_t>(stream)];
     this->changed = this->changed || !mirror.is_complete();
+    const auto is_restored = mirror.is_complete() && end.era() > mirror.end().era();
+    if (is_restored)
+    {
+        this->begin_recovery(stream, end, now);
+    }
     this->applies_listing = true;
+    this->applies_restored_listing = is_restored;
     for (const auto& record : mirror.apply_listing(records, end))
     {
         this->apply_record(stream, record, now);
     }
+    this->applies_restored_listing = false;
     this->applies_listing = false;
     // A listing does not show the individual removals before it, but peers may not have applied
     // them yet.
@@ -81,6 +100,85 @@
     change_end = std::max(change_end, end);
 }
 
+auto fleet_state::begin_recovery(record_stream stream, record_position end, time_point now) -> void
+{
+    const auto before = this->mirror_of(stream).end();
+    this->log.write(event_code::store_restored, {{"stream", static_cast<int>(stream)},
+                                                 {"era_before", before.era().value()},
+                                                 {"position_before", before.offset()},
+                                                 {"era", end.era().value()},
+                                                 {"position", end.offset()}});
+    auto& current = this->recoveries[static_cast<std::size_t>(stream)];
+    if (!current)
+    {
+        current.emplace();
+    }
+    current->ends_at = now + rewrite_time;
+    if (stream != record_stream::upstreams)
+    {
+        return;
+    }
+    for (auto& [name, known] : this->upstreams)
+    {
+        if (known.usable_until != time_point::max())
+        {
+            // Its entry may have been written again and lost by this restore.
+            known.usable_until = current->ends_at;
+        }
+    }
+}
+
+auto fleet_state::end_recoveries(time_point now) -> void
+{
+    for (const auto stream : {record_stream::operators, record_stream::upstreams})
+    {
+        auto& current = this->recoveries[static_cast<std::size_t>(stream)];
+        if (!current || now < current->ends_at)
+        {
+            continue;
+        }
+        const auto ended = *std::exchange(current, std::nullopt);
+        this->applies_listing = true;
+        for (const auto& key : ended.deferred_keys)
+        {
+            this->apply_record(stream, this->mirror_of(stream).find(key), now);
+        }
+        this->applies_listing = false;
+    }
+}
+
+auto fleet_state::defers(record_stream stream, const published_record& record) -> bool
+{
+    if (this->applies_restored_listing)
+    {
+        this->recoveries[static_cast<std::size_t>(stream)]->deferred_keys.insert(record.key);
+    }
+    return this->applies_restored_listing;
+}
+
+auto fleet_state::is_outdated(const routing::upstream_entry& entry) const -> bool
+{
+    const auto is_newer_than = [&](std::uint64_t start_number, std::int64_t sequence)
+    {
+        return entry.start_number != start_number ? entry.start_number > start_number
+                                                  : entry.sequence > sequence;
+    };
+    const auto known = this->upstreams.find(entry.name);
+    if (known != this->upstreams.end())
+    {
+        const auto& last = known->second.entry;
+        return !is_newer_than(last.start_number, last.sequence);
+    }
+    const auto gone = this->departed.find(entry.name);
+    return gone != this->departed.end() &&
+           !is_newer_than(gone->second.start_number, gone->second.sequence);
+}
+
+auto fleet_state::forget_upstream(const routing::known_upstream& known, time_point now) -> void
+{
+    this->departed[known.entry.name] = {known.entry.start_number, known.entry.sequence, now};
+}
+
 auto fleet_state::on_platform_reachable(bool reachable, time_point now) -> void
 {
     if (reachable == this->platform_reachable)
@@ -93,8 +191,8 @@
         this->platform_reachable_since = now;
     }
     this->log.write(reachable ? event_code::log_reachable : event_code::log_unreachable,
-                    {{"operators_position", this->mirrors[0].end().value()},
-                     {"upstreams_position", this->mirrors[1].end().value()}});
+                    {{"operators_position", this->mirrors[0].end().offset()},
+                     {"upstreams_position", this->mirrors[1].end().offset()}});
 }
 
 auto fleet_state::on_changes(record_stream stream, const mirror_changes& changes,
@@ -137,7 +235,7 @@
     if (!change)
     {
         this->log.write(event_code::record_ignored, {{"key", record.key},
-                                                     {"position", record.position.value()},
+                                                     {"position", record.position.offset()},
                                                      {"reason", change.failure_reason()}});
         return;
     }
@@ -148,11 +246,29 @@
         const published_record& record;
         time_point now;
         auto operator()(const configuration_published& it) -> void { self.on_configuration(it); }
-        auto operator()(const zone_switched& it) -> void { self.on_zone(it, now); }
+        auto operator()(const zone_switched& it) -> void
+        {
+            if (!self.defers(record_stream::operators, record))
+            {
+                self.on_zone(it, now);
+            }
+        }
         auto operator()(const upstream_announced& it) -> void { self.on_announced(it, now); }
         auto operator()(const upstream_removed& it) -> void { self.on_removed(it, now); }
-        auto operator()(const rollout_ordered& it) -> void { self.on_rollout(it, record, now); }
-        auto operator()(const rollout_withdrawn& it) -> void { self.on_rollout_withdrawn(it); }
+        auto operator()(const rollout_ordered& it) -> void
+        {
+            if (!self.defers(record_stream::operators, record))
+            {
+                self.on_rollout(it, record, now);
+            }
+        }
+        auto operator()(const rollout_withdrawn& it) -> void
+        {
+            if (!self.defers(record_stream::operators, record))
+            {
+                self.on_rollout_withdrawn(it);
+            }
+        }
         auto operator()(const irrelevant_record&) -> void {}
     };
     std::visit(visitor{*this, record, now}, *change);
@@ -161,7 +277,7 @@
     if (this->changed || !record.value || stream == record_stream::operators)
     {
         auto& change_end = this->change_ends[static_cast<std::size_t>(stream)];
-        change_end = std::max(change_end, record_position(record.position.value() + 1));
+        change_end = std::max(change_end, record.position.next());
     }
     this->changed = this->changed || was_changed;
 }
@@ -220,6 +336,10 @@
 auto fleet_state::on_announced(const upstream_announced& announced, time_point now) -> void
 {
     const auto& entry = announced.entry;
+    if (this->applies_restored_listing && this->is_outdated(entry))
+    {
+        return;
+    }
     const auto found = this->upstreams.find(entry.name);
     const auto is_new = found == this->upstreams.end();
     if (!is_new && entry.start_number < found->second.entry.start_number &&
@@ -245,6 +365,7 @@
     {
         this->log.write(event_code::upstream_leaving, {{"upstream", entry.name.value()}});
     }
+    this->departed.erase(entry.name);
     auto& known = this->upstreams[entry.name];
     const auto cold_until = entry.cold_remaining > 0ns ? now + entry.cold_remaining : time_point{};
     const auto same = !is_new && !restarted && known.entry.leaving == entry.leaving &&
@@ -267,6 +388,7 @@
 auto fleet_state::may_have_expired(time_point now) const -> bool
 {
     return !this->platform_reachable ||
+           this->recoveries[static_cast<std::size_t>(record_stream::upstreams)] ||
            (this->platform_reachable_since && now - *this->platform_reachable_since < renewal_time);
 }
 
@@ -282,10 +404,15 @@
     if (this->may_have_expired(now) && !known.entry.leaving)
     {
         const auto limit = this->bounds.leave_within;
-        known.usable_until = now + std::min(limit - limit / removal_margin_divisor, renewal_time);
+        // A restore discards entries that nobody has removed, so no time limit for removals runs.
+        known.usable_until =
+            this->applies_restored_listing
+                ? now + rewrite_time
+                : now + std::min(limit - limit / removal_margin_divisor, renewal_time);
         return;
     }
     this->log.write(event_code::upstream_gone, {{"upstream", removed.name.value()}});
+    this->forget_upstream(known, now);
     this->upstreams.erase(found);
 }
 
@@ -295,12 +422,12 @@
     if (this->configuration && !this->configuration->find_service(ordered.service))
     {
         this->log.write(event_code::record_ignored, {{"key", record.key},
-                                                     {"position", record.position.value()},
+                                                     {"position", record.position.offset()},
                                                      {"reason", "unknown service"}});
         return;
     }
     auto& order = this->rollouts[ordered.service];
-    const auto position = rollout::order_position(record.position.value());
+    const auto position = to_order_position(record.position);
     if (order.to == ordered.to && order.position == position)
     {
         return;
@@ -325,13 +452,17 @@
         }
         this->log.write(event_code::upstream_gone,
                         {{"upstream", item->first.value()}, {"reason", "entry not renewed"}});
+        this->forget_upstream(item->second, now);
         item = this->upstreams.erase(item);
         this->changed = true;
     }
+    std::erase_if(this->departed,
+                  [now](const auto& gone) { return now - gone.second.at > departed_retention; });
 }
 
 auto fleet_state::take_view(time_point now) -> std::shared_ptr<const routing::fleet_view>
 {
+    this->end_recoveries(now);
     this->remove_expired(now);
     if (!this->changed)
     {
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -18,7 +18,11 @@
 
 /// This host's state of the fleet. Applies published records to configuration, zones and upstreams,
 /// and builds the immutable view that the traffic thread reads. Does no I/O; callers pass the time.
-/// Control thread.
+///
+/// After a restore of the platform's store, the first listing may hold records that are older than
+/// what this host has applied, until operators and upstreams have written again what was lost.
+/// Configurations and upstream entries state their own age, so only newer ones take effect. All
+/// other differences take effect when the time for writing again is over. Control thread.
 class fleet_state final
 {
 public:
@@ -66,10 +70,30 @@
     auto on_rollout(const rollout_ordered& ordered, const published_record& record, time_point now)
         -> void;
     auto on_rollout_withdrawn(const rollout_withdrawn& withdrawn) -> void;
+    auto begin_recovery(record_stream stream, record_position end, time_point now) -> void;
+    auto end_recoveries(time_point now) -> void;
+    /// True when the change has to wait until the end of the recovery; it is then made up for.
+    [[nodiscard]] auto defers(record_stream stream, const published_record& record) -> bool;
+    [[nodiscard]] auto is_outdated(const routing::upstream_entry& entry) const -> bool;
+    auto forget_upstream(const routing::known_upstream& known, time_point now) -> void;
     auto mark_zone_cold(const zone_name& zone, time_point now) -> void;
     auto remove_expired(time_point now) -> void;
     [[nodiscard]] auto may_have_expired(time_point now) const -> bool;
 
+    /// A stream whose records are being written again after a restore.
+    struct recovery
+    {
+        time_point ends_at{};
+        std::set<std::string> deferred_keys; ///< whose records in the mirror are not applied yet
+    };
+    /// The last entry of an upstream that is gone, by which an older copy of it is recognized.
+    struct departed_upstream
+    {
+        std::uint64_t start_number = 0;
+        std::int64_t sequence = 0;
+        time_point at{};
+    };
+
     const record_decoder& decoder;
     decision_log& log;
     routing::fleet_bounds bounds;
@@ -78,6 +102,9 @@
     std::array<record_position, 2> change_ends;
     std::shared_ptr<const routing::routing_configuration> configuration;
     std::map<routing::upstream_name, routing::known_upstream> upstreams;
+    std::map<routing::upstream_name, departed_upstream> departed;
+    std::array<std::optional<recovery>, 2> recoveries; ///< by stream
+    bool applies_restored_listing = false;             ///< records may be from before the restore
     std::set<zone_name> zones_out;
     std::map<std::string, rollout::rollout_order> rollouts; ///< by service
     bool applies_listing = false;                           ///< records may be from long ago
--- a/src/fleet/fleet_state_test.cpp
+++ b/src/fleet/fleet_state_test.cpp
@@ -22,13 +22,13 @@
     {
         const std::vector<published_record> list(records);
         this->state.on_records(record_stream::upstreams, list,
-                               record_position(list.back().position.value() + 1), now);
+                               record_position(list.back().position.offset() + 1), now);
     }
     auto operators(std::initializer_list<published_record> records, time_point now) -> void
     {
         const std::vector<published_record> list(records);
         this->state.on_records(record_stream::operators, list,
-                               record_position(list.back().position.value() + 1), now);
+                               record_position(list.back().position.offset() + 1), now);
     }
     auto view(time_point now) -> std::shared_ptr<const routing::fleet_view>
     {
--- a/src/fleet/peer_fetch.cpp
+++ b/src/fleet/peer_fetch.cpp
@@ -4,6 +4,7 @@
 #include "http/limited_body.hpp"
 #include "net/clock.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplardrift::fleet
@@ -24,6 +25,20 @@
 constexpr std::size_t max_batch_bytes = 16U << 20U;
 constexpr std::string_view fetch_path = "/records/";
 
+/// Label of a stream's offset in the target of a fetch. That of its era is the label and "-era";
+/// versions of the program without eras send none and ignore it.
+auto label_of(record_stream stream) -> std::string
+{
+    return stream == record_stream::operators ? "operators" : "upstreams";
+}
+
+auto position_segments(record_stream stream, record_position position) -> std::string
+{
+    const auto label = label_of(stream);
+    return label + "=" + std::to_string(position.offset()) + "/" + label +
+           "-era=" + std::to_string(position.era().value()) + "/";
+}
+
 auto parse_number_after(std::string_view target, std::string_view label) -> std::uint64_t
 {
     const auto at = target.find(label);
@@ -35,6 +50,16 @@
     return http::parse_number(text.substr(0, text.find('/'))).value_or(0);
 }
 
+/// An era out of range is read as the highest, so that a malformed request returns no records.
+auto parse_position(std::string_view target, record_stream stream) -> record_position
+{
+    const auto label = label_of(stream);
+    const auto era =
+        std::min<std::uint64_t>(parse_number_after(target, label + "-era="), max_store_era.value());
+    return record_position(parse_number_after(target, label + "="),
+                           store_era(static_cast<std::uint32_t>(era)));
+}
+
 } // namespace
 
 /// An HTTP request for missing records to one peer. Responses other than 200, failures and timeouts
@@ -56,11 +81,12 @@
     {
         const auto& state = this->owner.state;
         http::upstream_request request;
-        request.head = "GET " + std::string(fetch_path) + "operators=" +
-                       std::to_string(state.mirror_of(record_stream::operators).end().value()) +
-                       "/upstreams=" +
-                       std::to_string(state.mirror_of(record_stream::upstreams).end().value()) +
-                       "/ HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
+        request.head = "GET " + std::string(fetch_path);
+        for (const auto stream : {record_stream::operators, record_stream::upstreams})
+        {
+            request.head += position_segments(stream, state.mirror_of(stream).end());
+        }
+        request.head += " HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n";
         this->timer.expires_after(fetch_timeout);
         // An expiry that is already queued runs even if the response ends this fetch before it.
         this->timer.async_wait(
@@ -191,9 +217,8 @@
     const auto& upstreams = this->state.mirror_of(record_stream::upstreams);
     record_batch batch;
     batch.ends = {operators.end(), upstreams.end()};
-    batch.changes = {
-        operators.changes_since(record_position(parse_number_after(target, "operators="))),
-        upstreams.changes_since(record_position(parse_number_after(target, "upstreams=")))};
+    batch.changes = {operators.changes_since(parse_position(target, record_stream::operators)),
+                     upstreams.changes_since(parse_position(target, record_stream::upstreams))};
     return {200, encode_batch(batch), "application/octet-stream"};
 }
 
--- a/src/fleet/peer_link_test.cpp
+++ b/src/fleet/peer_link_test.cpp
@@ -256,3 +256,29 @@
                                second.state->mirror_of(record_stream::operators).end();
                     }));
 }
+
+TEST_CASE("a host that cannot reach the store takes its restored records from a peer")
+{
+    boost::asio::io_context io{1};
+    test_host first(io, 1, 10);
+    test_host second(io, 2, 20);
+    const auto list =
+        [](test_host& host, std::vector<published_record> records, record_position end)
+    {
+        host.state->on_listing(record_stream::operators, std::move(records), end, boot_clock_now());
+        host.state->on_listing(record_stream::upstreams, {}, record_position(0, end.era()),
+                               boot_clock_now());
+    };
+    const auto version_of = [](test_host& host)
+    { return host.state->mirror_of(record_stream::operators).find("config").value.value_or(""); };
+    list(first, {make_record("config", 90, "4"), make_record("lost", 91, "{}")},
+         record_position(92));
+    list(second, {make_record("config", 90, "4"), make_record("lost", 91, "{}")},
+         record_position(92));
+    REQUIRE(run_until(io, {&first, &second}, [&] { return first.has_logged("h2", "alive"); }));
+    list(second, {make_record("config", 3, "5", store_era(1))}, record_position(4, store_era(1)));
+    CHECK(run_until(io, {&first, &second}, [&] { return version_of(first) == "5"; }));
+    CHECK(!first.state->mirror_of(record_stream::operators).find("lost").value);
+    // The host that was behind has carried nothing back.
+    CHECK(!second.state->mirror_of(record_stream::operators).find("lost").value);
+}
--- a/src/fleet/peer_messages.cpp
+++ b/src/fleet/peer_messages.cpp
@@ -59,32 +59,36 @@
     rows.reserve(records.size());
     for (const auto& record : records)
     {
-        rows.emplace_back(record.key, record.position.value(), record.value.has_value(),
+        rows.emplace_back(record.key, record.position.offset(), record.value.has_value(),
                           record.value.value_or(""));
     }
     return rows;
 }
 
-auto from_rows(const std::vector<record_row>& rows) -> std::vector<published_record>
+auto from_rows(const std::vector<record_row>& rows, store_era era) -> std::vector<published_record>
 {
     std::vector<published_record> records;
     records.reserve(rows.size());
     for (const auto& [key, position, present, value] : rows)
     {
         records.push_back(
-            {key, record_position(position), present ? std::optional(value) : std::nullopt});
+            {key, record_position(position, era), present ? std::optional(value) : std::nullopt});
     }
     return records;
 }
 
-using position_row = std::tuple<std::uint64_t, std::uint64_t>; // operators, upstreams
+/// Offsets of operators and upstreams, then their eras: none if both are 0, one if they are equal.
+/// Versions of the program without eras send no era and ignore those that they receive.
+using position_row = std::vector<std::uint64_t>;
+constexpr std::size_t stream_count = 2;
+using distance_row = std::tuple<std::uint64_t, std::uint64_t>; // operators, upstreams
 /// Packed upstream keys, and for each key `4 * in_flight`, plus 1 if the upstream is ejected, plus
 /// 2 if it may have restarted.
 using load_rows = std::tuple<std::string, std::vector<std::uint32_t>>;
 /// Packed pairs of upstream key and chain hash, and for each pair the tokens of the last part.
 using cached_prefix_rows = std::tuple<std::string, std::vector<std::uint32_t>>;
 using beacon_body = std::tuple<std::uint32_t, std::string, std::string, std::uint32_t, position_row,
-                               position_row, std::int64_t, load_rows, cached_prefix_rows>;
+                               distance_row, std::int64_t, load_rows, cached_prefix_rows>;
 
 using received_beacon = decltype(std::tuple_cat(beacon_body(), std::make_tuple(std::string())));
 
@@ -254,31 +258,55 @@
 
 auto to_row(const std::array<record_position, 2>& positions) -> position_row
 {
-    return {positions[0].value(), positions[1].value()};
+    position_row row = {positions[0].offset(), positions[1].offset()};
+    const auto operators = positions[0].era();
+    const auto upstreams = positions[1].era();
+    if (operators != store_era() || upstreams != operators)
+    {
+        row.push_back(operators.value());
+    }
+    if (upstreams != operators)
+    {
+        row.push_back(upstreams.value());
+    }
+    return row;
 }
 
-/// Encodes `change_ends` as distances from `ends`, because small numbers take fewer bytes.
-auto to_distances(const host_beacon& beacon) -> position_row
+/// Encodes `change_ends` as distances from `ends`, because small numbers take fewer bytes. Both are
+/// of the same era: a stream enters an era with a listing, which counts as a change.
+auto to_distances(const host_beacon& beacon) -> distance_row
 {
     const auto distance = [&](std::size_t stream)
     {
-        const auto end = beacon.ends[stream].value();
-        return end - std::min(beacon.change_ends[stream].value(), end);
+        const auto end = beacon.ends[stream].offset();
+        return end - std::min(beacon.change_ends[stream].offset(), end);
     };
     return {distance(0), distance(1)};
 }
 
-auto from_distances(const std::array<record_position, 2>& ends, const position_row& row)
+auto from_distances(const std::array<record_position, 2>& ends, const distance_row& row)
     -> std::array<record_position, 2>
 {
-    const auto& [operators, upstreams] = row;
-    return {record_position(ends[0].value() - std::min(operators, ends[0].value())),
-            record_position(ends[1].value() - std::min(upstreams, ends[1].value()))};
+    const auto before = [](record_position end, std::uint64_t distance)
+    { return record_position(end.offset() - std::min(distance, end.offset()), end.era()); };
+    return {before(ends[0], std::get<0>(row)), before(ends[1], std::get<1>(row))};
 }
 
-auto from_row(const position_row& row) -> std::array<record_position, 2>
+/// nullopt for a row without both offsets or with an era out of range.
+auto from_row(const position_row& row) -> std::optional<std::array<record_position, 2>>
 {
-    return {record_position(std::get<0>(row)), record_position(std::get<1>(row))};
+    const auto has_valid_eras =
+        std::all_of(row.begin() + static_cast<std::ptrdiff_t>(std::min(stream_count, row.size())),
+                    row.end(), [](std::uint64_t era) { return era <= max_store_era.value(); });
+    if (row.size() < stream_count || !has_valid_eras)
+    {
+        return std::nullopt;
+    }
+    const auto era_at = [&](std::size_t index)
+    { return store_era(static_cast<std::uint32_t>(row[index])); };
+    const auto operators = row.size() > stream_count ? era_at(stream_count) : store_era();
+    const auto upstreams = row.size() > stream_count + 1 ? era_at(stream_count + 1) : operators;
+    return std::array{record_position(row[0], operators), record_position(row[1], upstreams)};
 }
 
 using summary_body = std::tuple<std::uint32_t, std::string, bool, load_rows, cached_prefix_rows>;
@@ -381,9 +409,10 @@
     return {changes.is_listing, to_rows(changes.records)};
 }
 
-auto from_changes_row(const changes_row& row) -> mirror_changes
+/// A replica holds records of one era only.
+auto from_changes_row(const changes_row& row, store_era era) -> mirror_changes
 {
-    return {from_rows(std::get<1>(row)), std::get<0>(row)};
+    return {from_rows(std::get<1>(row), era), std::get<0>(row)};
 }
 
 } // namespace
@@ -407,6 +436,11 @@
         return outcome<host_beacon>::failure(body ? "unsupported protocol version"
                                                   : body.failure_reason());
     }
+    const auto ends = from_row(std::get<4>(*body));
+    if (!ends)
+    {
+        return outcome<host_beacon>::failure("malformed positions");
+    }
     const auto loads = from_load_rows(std::get<7>(*body));
     const auto cached_prefixes = from_cached_prefix_rows(std::get<8>(*body));
     if (!loads || !cached_prefixes)
@@ -419,7 +453,7 @@
         beacon.identity = {std::get<1>(*body), std::get<2>(*body)};
     }
     beacon.incarnation = std::get<3>(*body);
-    beacon.ends = from_row(std::get<4>(*body));
+    beacon.ends = *ends;
     beacon.change_ends = from_distances(beacon.ends, std::get<5>(*body));
     beacon.registry_age = std::chrono::milliseconds(std::get<6>(*body));
     beacon.loads = *loads;
@@ -480,9 +514,15 @@
         return outcome<record_batch>::failure(body ? "unsupported protocol version"
                                                    : body.failure_reason());
     }
+    const auto ends = from_row(std::get<1>(*body));
+    if (!ends)
+    {
+        return outcome<record_batch>::failure("malformed positions");
+    }
     record_batch batch;
-    batch.ends = from_row(std::get<1>(*body));
-    batch.changes = {from_changes_row(std::get<2>(*body)), from_changes_row(std::get<3>(*body))};
+    batch.ends = *ends;
+    batch.changes = {from_changes_row(std::get<2>(*body), batch.ends[0].era()),
+                     from_changes_row(std::get<3>(*body), batch.ends[1].era())};
     return batch;
 }
 
--- a/src/fleet/text_record_decoder.hpp
+++ b/src/fleet/text_record_decoder.hpp
@@ -3,6 +3,7 @@
 #include "fleet/record_decoder.hpp"
 
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <string>
 
@@ -11,8 +12,8 @@
 
 /// Decoder for tests with plain-text values. Operator records: the key "config" has a version
 /// number as value; any other key is a zone, which is out while it has a value. Upstream records:
-/// the first character is the start number, followed by optional " leaving" and " cold"; "forged"
-/// is malformed.
+/// the first character is the start number, followed by an optional sequence number and optional
+/// " leaving" and " cold"; "forged" is malformed.
 class text_record_decoder final : public record_decoder
 {
 public:
@@ -51,16 +52,17 @@
         entry.service = "s";
         entry.zone = zone_name("a");
         entry.start_number = static_cast<std::uint64_t>(record.value->front());
+        entry.sequence = std::atoll(record.value->substr(1).c_str());
         entry.leaving = record.value->find("leaving") != std::string::npos;
         entry.cold_remaining = record.value->find("cold") != std::string::npos ? duration(2s) : 0ns;
         return result(upstream_announced{entry});
     }
 };
 
-inline auto make_record(std::string key, std::uint64_t position, std::optional<std::string> value)
-    -> published_record
+inline auto make_record(std::string key, std::uint64_t offset, std::optional<std::string> value,
+                        store_era era = store_era()) -> published_record
 {
-    return {std::move(key), record_position(position), std::move(value)};
+    return {std::move(key), record_position(offset, era), std::move(value)};
 }
 
 } // namespace poplardrift::fleet
--- a/src/routing/fleet_view.hpp
+++ b/src/routing/fleet_view.hpp
@@ -30,6 +30,7 @@
     bool leaving = false;           ///< draining: finishes its requests, accepts no new ones
     duration cold_remaining{};      ///< remaining cold time when the entry was written
     std::uint64_t start_number = 0; ///< differs between starts of an upstream; 0 if not set
+    std::int64_t sequence = 0;      ///< grows with each entry that the upstream writes in one start
     std::string version;            ///< of the upstream's software
     int slots = 0;                  ///< requests that it runs at once; 0 if unknown
 };
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -12,6 +12,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto poll_interval = 10ms;
+/// Occurs by name only, so that seeds keep the faults that they selected before there was this
+/// kind.
+constexpr const char* restore_kind = "restore";
 constexpr auto stop_margin = 1000ms; ///< tolerance beyond the promised time of a planned stop
 
 } // namespace
@@ -38,7 +41,8 @@
         {"upstream-link", &fault_schedule::disturb_upstream_link},
         {"drain", &fault_schedule::drain_upstream},
         {"zone", &fault_schedule::evacuate_zone},
-        {"fatal-prompts", &fault_schedule::begin_fatal_prompts}};
+        {"fatal-prompts", &fault_schedule::begin_fatal_prompts},
+        {restore_kind, &fault_schedule::restore_store}};
     return kinds;
 }
 
@@ -57,7 +61,7 @@
     const auto selection_chance = 1 + this->draw(4); // out of five
     for (const auto& kind : all_kinds())
     {
-        const auto is_selected = this->draw(5) < selection_chance;
+        const auto is_selected = kind.name != restore_kind && this->draw(5) < selection_chance;
         const auto is_named = std::find(names.begin(), names.end(), kind.name) != names.end();
         if (names.empty() ? is_selected : is_named)
         {
@@ -241,6 +245,35 @@
     this->fleet.get_store().expire("keyed.servers");
 }
 
+auto fault_schedule::restore_store() -> void
+{
+    if (std::exchange(this->store_is_down, true))
+    {
+        return;
+    }
+    this->log_event("the store's copy is taken");
+    this->fleet.get_store().take_copy();
+    const auto copy_age = this->draw_time(300, 5000);
+    const auto outage = this->draw_time(10, 1500);
+    this->schedule_recovery(copy_age,
+                            [this]
+                            {
+                                this->log_event("the store is down");
+                                this->fleet.change_store_faults(1);
+                                this->fleet.get_store().set_down(true);
+                            });
+    this->schedule_recovery(copy_age + outage,
+                            [this]
+                            {
+                                this->log_event("the store is back from its copy");
+                                this->fleet.get_store().restore();
+                                this->fleet.get_store().set_down(false);
+                                this->fleet.write_again();
+                                this->fleet.change_store_faults(-1);
+                                this->store_is_down = false;
+                            });
+}
+
 auto fault_schedule::draw_link_fault() -> link_fault
 {
     static const std::array<link_fault, 5> faults = {{{150ms, false, false, false},
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -18,7 +18,8 @@
 class fault_schedule final
 {
 public:
-    /// `kinds` names the kinds of fault to inject; if it is empty, the seed selects them.
+    /// `kinds` names the kinds of fault to inject; if it is empty, the seed selects them among all
+    /// but those that occur by name only.
     fault_schedule(soak_fleet& fleet, std::uint64_t seed, const std::vector<std::string>& kinds);
 
     [[nodiscard]] static auto kind_names() -> std::vector<std::string>;
@@ -51,6 +52,7 @@
     auto change_key() -> void;
     auto stop_store() -> void;
     auto expire_store_history() -> void;
+    auto restore_store() -> void;
     auto disturb_store_link() -> void;
     auto disturb_upstream_link() -> void;
     auto drain_upstream() -> void;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -206,14 +206,35 @@
     {
         this->evacuated_zones.erase(zone);
     }
-    this->store.put(operator_topic, "evacuate/" + zone,
-                    is_evacuated ? std::optional<std::string>("{}") : std::nullopt);
+    this->put_evacuation(zone, is_evacuated);
     if (is_evacuated)
     {
         this->evacuated_zones[zone] = clock::now();
     }
 }
 
+auto soak_fleet::put_evacuation(const std::string& zone, bool is_evacuated) -> void
+{
+    this->store.put(operator_topic, "evacuate/" + zone,
+                    is_evacuated ? std::optional<std::string>("{}") : std::nullopt);
+}
+
+auto soak_fleet::write_again() -> void
+{
+    this->store.put(operator_topic, "config", configuration_text(this->version));
+    {
+        const std::lock_guard lock(this->zone_mutex);
+        for (const auto* const zone : {"z-a", "z-b"})
+        {
+            this->put_evacuation(zone, this->evacuated_zones.contains(zone));
+        }
+    }
+    for (std::size_t number = 0; number < this->upstreams.size(); ++number)
+    {
+        this->advertise(number);
+    }
+}
+
 auto soak_fleet::change_store_faults(int change) -> void
 {
     this->store_faults += change;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -91,6 +91,8 @@
     /// The part in the callers' notation; empty if there is none.
     [[nodiscard]] auto get_fatal_part() const -> std::string;
     auto set_zone_evacuated(const std::string& zone, bool is_evacuated) -> void;
+    /// Operators and upstreams write again what a restore of the store may have lost.
+    auto write_again() -> void;
 
     /// Counts active faults: +1 when one starts, -1 when it ends.
     auto change_store_faults(int change) -> void;
@@ -115,6 +117,7 @@
 
     [[nodiscard]] auto settings_text(std::size_t host) const -> std::string;
     [[nodiscard]] static auto configuration_text(std::uint64_t version) -> std::string;
+    auto put_evacuation(const std::string& zone, bool is_evacuated) -> void;
     auto advertise(std::size_t upstream) -> void;
     auto run_advertiser() -> void;
     auto on_run(const std::string& id, std::size_t upstream) -> void;
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -35,6 +35,7 @@
         { static_cast<void>(this->mirror.apply_listing(records, end)); };
         listener.on_reachable = [this](bool is_reachable) { this->reachable = is_reachable; };
         listener.on_relisted = [this] { ++this->relist_count; };
+        listener.mirrored_position = [this] { return this->mirror.end(); };
         this->follower.emplace(this->io, this->address(), settings, std::move(listener));
     }
 
@@ -189,6 +190,87 @@
     CHECK(fixture.run_until([&] { return fixture.reachable; }));
 }
 
+// Guards against configurations that are acknowledged after a restore and never applied.
+TEST_CASE("records written after the store came back from an older copy are received")
+{
+    follower_fixture fixture;
+    fixture.store.put("keyed.op", "config", "1");
+    fixture.store.put("keyed.op", "kept", "1");
+    fixture.follower->start();
+    REQUIRE(fixture.run_until([&] { return fixture.value_of("kept") == "1"; }));
+    fixture.store.take_copy();
+    for (const auto* const value : {"2", "3", "4"})
+    {
+        fixture.store.put("keyed.op", "config", value);
+    }
+    fixture.store.put("keyed.op", "lost", "1");
+    REQUIRE(fixture.run_until([&] { return fixture.value_of("lost") == "1"; }));
+    fixture.store.restore();
+    fixture.store.put("keyed.op", "config", "4 again"); // at the offset that "2" had
+    CHECK(fixture.run_until(
+        [&] { return fixture.value_of("config") == "4 again" && !fixture.value_of("lost"); }));
+    CHECK(fixture.value_of("kept") == "1");
+    fixture.store.put("keyed.op", "config", "5");
+    CHECK(fixture.run_until([&] { return fixture.value_of("config") == "5"; }));
+}
+
+// Guards against reads and listings in a loop while positions lie beyond the end.
+TEST_CASE("a follower of a restored store makes few calls, whether it states an era or not")
+{
+    const auto* const stated = GENERATE("1", "");
+    follower_fixture fixture;
+    fixture.store.take_copy();
+    fixture.store.put("keyed.op", "config", "1");
+    fixture.follower->start();
+    REQUIRE(fixture.run_until([&] { return fixture.value_of("config") == "1"; }));
+    fixture.store.state_era(stated);
+    fixture.store.restore();
+    const auto calls_before = fixture.store.calls();
+    fixture.io.run_for(2s);
+    fixture.io.restart();
+    CAPTURE(stated);
+    CHECK(fixture.store.calls() - calls_before <= 30);
+}
+
+TEST_CASE("a listing that a restore crosses holds no record of the former era")
+{
+    follower_fixture fixture;
+    for (int number = 0; number < 4; ++number)
+    {
+        fixture.store.put("keyed.op", "k" + std::to_string(number), "kept");
+    }
+    fixture.store.take_copy();
+    fixture.store.put("keyed.op", "a", "lost"); // on the first page
+    fixture.store.restore_between_pages();
+    fixture.follower->start();
+    REQUIRE(fixture.run_until([&] { return fixture.mirror.is_complete(); }));
+    CHECK(!fixture.value_of("a"));
+    CHECK(fixture.value_of("k3") == "kept");
+    CHECK(fixture.mirror.end().era() == fleet::store_era(1));
+}
+
+TEST_CASE("answers of an earlier era, or without a valid one, change nothing")
+{
+    const auto* const stated = GENERATE("", "1", "-2", "2x", "99999999999999999999", "1048576");
+    CAPTURE(stated);
+    follower_fixture fixture;
+    fixture.store.restore();
+    fixture.store.restore();
+    fixture.store.put("keyed.op", "config", "1");
+    fixture.follower->start();
+    REQUIRE(fixture.run_until([&] { return fixture.value_of("config") == "1"; }));
+    fixture.store.state_era(stated);
+    fixture.store.put("keyed.op", "config", "2");
+    REQUIRE(fixture.run_until([&] { return !fixture.reachable; }));
+    CHECK(fixture.value_of("config") == "1");
+    const auto calls_before = fixture.store.calls();
+    fixture.io.run_for(1s);
+    fixture.io.restart();
+    CHECK(fixture.store.calls() - calls_before <= 8);
+    fixture.store.state_era(std::nullopt);
+    CHECK(fixture.run_until([&] { return fixture.value_of("config") == "2"; }));
+}
+
 TEST_CASE("the directory reports hosts that registered earlier and the host itself")
 {
     store_stand_in store;
--- a/tests/store_stand_in.cpp
+++ b/tests/store_stand_in.cpp
@@ -110,9 +110,48 @@
     this->changes_between_pages = changes;
 }
 
+auto store_stand_in::take_copy() -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->copy = this->topics;
+}
+
+auto store_stand_in::restore() -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->restore_locked();
+}
+
+auto store_stand_in::restore_locked() -> void
+{
+    this->topics = this->copy;
+    ++this->era;
+    this->records_changed.notify_all();
+}
+
+auto store_stand_in::state_era(const std::optional<std::string>& text) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->stated_era = text;
+}
+
+auto store_stand_in::append_era(httplib::Response& response) -> void
+{
+    const auto text =
+        this->stated_era.value_or(this->era > 0 ? std::to_string(this->era) : std::string());
+    if (!text.empty())
+    {
+        response.set_header("Store-Era", text);
+    }
+}
+
 auto store_stand_in::reject_if_down(httplib::Response& response) -> bool
 {
     ++this->call_count;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->append_era(response);
+    }
     if (this->down)
     {
         response.status = 503;
@@ -151,16 +190,21 @@
         return;
     }
     std::unique_lock lock(this->mutex);
-    auto& target = this->topics[request.get_param_value("topic")];
+    const auto asked_in = this->era;
+    const auto name = request.get_param_value("topic");
     const auto from = number_param(request, "from");
     const auto wait = std::chrono::milliseconds(number_param(request, "wait_ms"));
     this->records_changed.wait_for(lock, wait,
                                    [&]
                                    {
-                                       return this->stopping || from < target.first_offset ||
-                                              from < target.first_offset + target.records.size();
+                                       const auto& target = this->topics[name];
+                                       return this->stopping || this->era != asked_in ||
+                                              from != target.first_offset + target.records.size();
                                    });
-    if (from < target.first_offset)
+    const auto& target = this->topics[name];
+    response.headers.erase("Store-Era"); // that of the time before the wait
+    this->append_era(response);
+    if (from < target.first_offset || from > target.first_offset + target.records.size())
     {
         response.status = 410;
         response.set_content(json{{"first_offset", target.first_offset}}.dump(),
@@ -208,6 +252,10 @@
     {
         this->put_locked(target, key, value);
     }
+    if (this->restores_between_pages.exchange(false))
+    {
+        this->restore_locked();
+    }
 }
 
 } // namespace poplardrift::tests
--- a/tests/store_stand_in.hpp
+++ b/tests/store_stand_in.hpp
@@ -15,8 +15,8 @@
 {
 
 /// In-process HTTP stand-in for the platform's store: keyed topics with one partition, appends,
-/// long-polling reads, paged listings of the newest record of each key, expiry and outages.
-/// Thread-safe.
+/// long-polling reads, paged listings of the newest record of each key, expiry, outages and
+/// restores from an older copy. Thread-safe.
 class store_stand_in final
 {
 public:
@@ -42,6 +42,15 @@
     using change_list = std::vector<std::pair<std::string, std::optional<std::string>>>;
     auto append_between_pages(const change_list& changes) -> void;
     auto set_down(bool is_down) -> void { this->down = is_down; }
+    /// Takes the copy of all topics that the next restore returns to.
+    auto take_copy() -> void;
+    /// Discards all that was written since the copy, and states the next era. Reads that are
+    /// waiting end as reads of the restored store.
+    auto restore() -> void;
+    /// Restores after the first page of the next listing.
+    auto restore_between_pages() -> void { this->restores_between_pages = true; }
+    /// The era that answers state instead of the real one; empty: none.
+    auto state_era(const std::optional<std::string>& text) -> void;
     [[nodiscard]] auto calls() const -> int { return this->call_count; }
 
 private:
@@ -60,6 +69,8 @@
     auto handle_append(const httplib::Request& request, httplib::Response& response) -> void;
     auto handle_read(const httplib::Request& request, httplib::Response& response) -> void;
     auto handle_newest(const httplib::Request& request, httplib::Response& response) -> void;
+    auto restore_locked() -> void;
+    auto append_era(httplib::Response& response) -> void;
     [[nodiscard]] auto reject_if_down(httplib::Response& response) -> bool;
     auto put_locked(topic& target, const std::string& key, const std::optional<std::string>& value)
         -> void;
@@ -67,6 +78,10 @@
     std::mutex mutex;
     std::condition_variable records_changed;
     std::map<std::string, topic> topics;
+    std::map<std::string, topic> copy;
+    std::uint32_t era = 0; ///< answers state none until the first restore
+    std::optional<std::string> stated_era;
+    std::atomic<bool> restores_between_pages{false};
     std::optional<std::pair<std::string, std::string>> overtaking_change;
     change_list changes_between_pages;
     std::atomic<bool> down{false};
