--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -109,11 +109,9 @@
                                                  {"era", end.era().value()},
                                                  {"position", end.offset()}});
     auto& current = this->recoveries[static_cast<std::size_t>(stream)];
-    if (!current)
-    {
-        current.emplace();
-    }
-    current->ends_at = now + rewrite_time;
+    auto deferred_keys =
+        current ? std::move(current->deferred_keys) : std::set<std::string>(); // of a former era
+    current = recovery{now + rewrite_time, std::move(deferred_keys)};
     if (stream != record_stream::upstreams)
     {
         return;
