A status that promises "not run" needs the proof; upstreams' own ones become 502

What callers saw: an upstream ran an order, then failed with a sealed 503 or 429.

Cause: a response that is forwarded was judged by its status, not by what the upstream states. The truth of the router's own refusals was an expression repeated at three places.

Change: not_run_proof, made from the outcomes of all sends; a refusal can't be built without it, and no other own response has one of the four statuses. forwardable_failure doesn't exist for them: such a failure becomes 502 without the seal, with the log event upstream-status-withheld. A 421 by the upstream that was addressed is a failure too. The older daemon no longer says "not-run" after an earlier send that may have run, and withholds a service's own such status.

--- a/include/poplardrift/base/events.hpp
+++ b/include/poplardrift/base/events.hpp
@@ -61,6 +61,7 @@
     upstream_notice_ignored = 414,
     admission_limited = 415,
     admission_unlimited = 416,
+    upstream_status_withheld = 417,
     rollout_ordered = 420,
     rollout_phase_changed = 421,
     rollout_recorded = 422,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -91,6 +91,9 @@
          "A service is congested; this host admits its share of what the upstreams complete."},
         {admission_unlimited, info, "admission-unlimited",
          "A service is no longer congested; all requests are admitted at once."},
+        {upstream_status_withheld, warning, "upstream-status-withheld",
+         "An upstream failed with a status by which callers would take the request as not run, and "
+         "did not state that; callers get 502 instead."},
         {rollout_ordered, info, "rollout-ordered",
          "Operators ordered to move a service to another version, or this host learnt of it."},
         {rollout_phase_changed, info, "rollout-phase-changed",
--- a/src/daemon/chat_relay.cpp
+++ b/src/daemon/chat_relay.cpp
@@ -3,6 +3,7 @@
 #include "daemon/forwarding.hpp"
 #include "net/clock.hpp"
 #include "net/response_check.hpp"
+#include "routing/resend_policy.hpp"
 
 namespace poplardrift
 {
@@ -46,6 +47,12 @@
 auto chat_relay::fail(int problem_status, const std::string& detail, request_outcome outcome,
                       int retry_after) -> void
 {
+    if (this->may_have_run && outcome == request_outcome::not_run)
+    {
+        outcome = request_outcome::unknown;
+        problem_status = routing::is_promise(problem_status) ? bad_gateway : problem_status;
+        retry_after = 0;
+    }
     const auto* title = outcome == request_outcome::not_run ? "Not run" : "Not completed";
     this->last_problem = problem{problem_status, title, detail, outcome, retry_after};
 }
@@ -474,6 +481,7 @@
         this->no_slot = false;
         return attempt_result::denied;
     }
+    this->may_have_run = this->may_have_run || answered || !proves_request_not_sent(error);
     if (this->forward_target && !answered && this->status == 0 && proves_request_not_sent(error))
     {
         return attempt_result::owner_failed;
--- a/src/daemon/chat_relay.hpp
+++ b/src/daemon/chat_relay.hpp
@@ -100,6 +100,7 @@
     [[nodiscard]] auto classify_error_status(int answer_status) -> attempt_result;
     auto record_event_latency() -> void;
     auto finish() -> void;
+    /// After a send that may have run, `not_run` and statuses that promise it are replaced.
     auto fail(int problem_status, const std::string& detail, request_outcome outcome,
               int retry_after) -> void;
     [[nodiscard]] auto is_out_of_time() const -> bool;
@@ -130,6 +131,7 @@
     bool owner_accepted = false;
     time_point last_event{};
     std::optional<problem> last_problem;
+    bool may_have_run = false; ///< an engine may have begun to run the request
 };
 
 } // namespace poplardrift
--- a/src/daemon/service_relay.cpp
+++ b/src/daemon/service_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "net/clock.hpp"
 #include "net/response_check.hpp"
+#include "routing/resend_policy.hpp"
 
 #include <random>
 #include <thread>
@@ -43,6 +44,12 @@
 auto service_relay::fail(int status, const std::string& detail, request_outcome outcome,
                          int retry_after) -> void
 {
+    if (this->may_have_run && outcome == request_outcome::not_run)
+    {
+        outcome = request_outcome::unknown;
+        status = routing::is_promise(status) ? bad_gateway : status;
+        retry_after = 0;
+    }
     const auto* title = outcome == request_outcome::not_run ? "Not run" : "Outcome unknown";
     this->last_problem = problem{status, title, detail, outcome, retry_after};
 }
@@ -126,8 +133,12 @@
     if (!answered || !id_matches || !has_valid_head(response))
     {
         this->context.on_upstream_result(this->upstream, false);
-        return answered || !proves_request_not_sent(error) ? exchange_end::unknown
-                                                           : exchange_end::not_sent;
+        if (!answered && proves_request_not_sent(error))
+        {
+            return exchange_end::not_sent;
+        }
+        this->may_have_run = true;
+        return exchange_end::unknown;
     }
     const auto not_run_reported =
         response.get_header_value("x-outcome") == "not-run" && this->upstream.refusals_are_true;
@@ -137,6 +148,7 @@
     {
         return exchange_end::reported_not_run;
     }
+    this->may_have_run = true;
     this->reply.answer = {response.status, response.get_header_value("content-type"),
                           std::move(response.body), true};
     return exchange_end::answered;
@@ -261,6 +273,7 @@
     this->reply.answer = {response.status, response.get_header_value("content-type"),
                           std::move(response.body), true};
     this->reply.replayed = true;
+    this->is_from_owner = true;
 }
 
 auto service_relay::run_as_transaction() -> void
@@ -309,8 +322,20 @@
     this->finish();
 }
 
+auto service_relay::withhold_promise() -> void
+{
+    const auto status = this->reply.answer.status;
+    if (!this->last_problem && !this->is_from_owner && routing::is_promise(status))
+    {
+        this->fail(bad_gateway,
+                   "the service failed with " + std::to_string(status) + " after it may have run",
+                   request_outcome::unknown, 0);
+    }
+}
+
 auto service_relay::finish() -> void
 {
+    this->withhold_promise();
     const auto& caller = this->original.caller;
     const auto& route = caller.route->declared.path;
     this->context.process_metrics.of_route(route, caller.workspace->declared.path)
--- a/src/daemon/service_relay.hpp
+++ b/src/daemon/service_relay.hpp
@@ -62,8 +62,10 @@
     [[nodiscard]] auto acquire_slot() -> bool;
     auto release_slot() -> void;
     [[nodiscard]] auto exchange(bool dial_new) -> exchange_end;
+    /// After a send that may have run, `not_run` and statuses that promise it are replaced.
     auto fail(int status, const std::string& detail, request_outcome outcome, int retry_after)
         -> void;
+    auto withhold_promise() -> void;
     auto fail_with_refusal(transaction_refusal reason) -> void;
     auto finish() -> void;
 
@@ -73,6 +75,8 @@
     std::array<upstream_id, placement_request::max_excluded> excluded{};
     std::size_t excluded_count = 0;
     bool holds_slot = false;
+    bool may_have_run = false;  ///< a send has neither failed to connect nor been declined
+    bool is_from_owner = false; ///< the reply is another host's, which has checked it
     service_answer reply;
     std::optional<problem> last_problem;
 };
--- a/src/emulator/plain_service.cpp
+++ b/src/emulator/plain_service.cpp
@@ -94,6 +94,11 @@
     }
     ++this->served;
     --this->running;
+    if (books && random_fraction() < this->fail_booked.load())
+    {
+        reply(response, 503, {{"error", "booked, but the answer could not be made"}});
+        return;
+    }
     if (books && random_fraction() < this->lose_answers.load())
     {
         drop_connection(response);
@@ -110,6 +115,7 @@
     this->silent = changes.value("silent", this->silent.load());
     this->leaving = changes.value("leaving", this->leaving.load());
     this->lose_answers = changes.value("lose_answers", this->lose_answers.load());
+    this->fail_booked = changes.value("fail_booked", this->fail_booked.load());
     this->refuse = changes.value("refuse", this->refuse.load());
     this->late_ms = changes.value("late_ms", this->late_ms.load());
 }
--- a/src/emulator/plain_service.hpp
+++ b/src/emulator/plain_service.hpp
@@ -48,8 +48,9 @@
     std::atomic<bool> silent{false};
     std::atomic<bool> leaving{false};
     std::atomic<double> lose_answers{
-        0.0};                        ///< part of bookings whose answer is lost after the effect
-    std::atomic<double> refuse{0.0}; ///< part of requests refused before any effect
+        0.0}; ///< part of bookings whose answer is lost after the effect
+    std::atomic<double> fail_booked{0.0}; ///< part of bookings answered with 503 after the effect
+    std::atomic<double> refuse{0.0};      ///< part of requests refused before any effect
     std::atomic<double> late_ms{0.0};
     std::atomic<int> running{0};
     std::atomic<std::int64_t> served{0};
--- a/src/routing/resend_policy.cpp
+++ b/src/routing/resend_policy.cpp
@@ -32,7 +32,7 @@
     {
         return next_step::abort_response;
     }
-    if (worst <= send_outcome::declined)
+    if (not_run_proof::from(worst))
     {
         return next_step::refuse;
     }
@@ -41,8 +41,8 @@
 
 auto decide_next_step(const resend_context& context) -> next_step
 {
-    const auto has_not_run = context.worst <= send_outcome::declined;
-    const auto allowed = has_not_run || may_repeat(context.kind, context.resumable);
+    const auto allowed =
+        not_run_proof::from(context.worst) || may_repeat(context.kind, context.resumable);
     const auto may_end_upstreams = context.interruptions >= max_interruptions ||
                                    (context.interruptions > 0 && context.is_suspect);
     if (allowed && context.time_left && context.sends < context.max_attempts && !may_end_upstreams)
--- a/src/routing/resend_policy.hpp
+++ b/src/routing/resend_policy.hpp
@@ -3,6 +3,7 @@
 #include "routing/routing_configuration.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace poplardrift::routing
@@ -21,6 +22,28 @@
 
 [[nodiscard]] auto to_text(send_outcome outcome) -> std::string_view;
 
+/// True for the statuses by which callers are promised that their request has not run and never
+/// will. They may then send one again that must not run twice.
+[[nodiscard]] constexpr auto is_promise(int status) -> bool
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Evidence that no upstream has run a request or may still run it.
+class not_run_proof final
+{
+public:
+    /// Evidence from sends that have all ended, whose outcomes are `worst` at most; nullopt if one
+    /// of them may have been executed.
+    [[nodiscard]] static auto from(send_outcome worst) -> std::optional<not_run_proof>
+    {
+        return worst <= send_outcome::declined ? std::optional(not_run_proof()) : std::nullopt;
+    }
+
+private:
+    not_run_proof() = default;
+};
+
 /// Upstreams that may end while they run one request before it is not sent to another.
 constexpr int max_interruptions = 2;
 
--- a/src/routing/resend_policy_test.cpp
+++ b/src/routing/resend_policy_test.cpp
@@ -90,3 +90,22 @@
     context.time_left = false;
     CHECK(decide_next_step(context) == next_step::fail);
 }
+
+TEST_CASE("only sends that provably did not execute a request prove that it has not run")
+{
+    CHECK(not_run_proof::from(send_outcome::not_sent));
+    CHECK(not_run_proof::from(send_outcome::declined));
+    for (const auto outcome :
+         {send_outcome::unknown, send_outcome::failed, send_outcome::broken_midway})
+    {
+        CHECK(!not_run_proof::from(outcome));
+    }
+    for (const auto status : {408, 421, 429, 503})
+    {
+        CHECK(is_promise(status));
+    }
+    for (const auto status : {200, 400, 401, 404, 409, 413, 431, 500, 501, 502, 504})
+    {
+        CHECK(!is_promise(status));
+    }
+}
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -59,7 +59,7 @@
 auto exchange::other_memory() const -> std::size_t
 {
     return this->request.fields.allocated_bytes() + this->buffered_body.capacity() +
-           this->failure_body.capacity();
+           (this->last_failure ? this->last_failure->get_body().capacity() : 0);
 }
 
 auto exchange::is_stream() const -> bool
@@ -84,7 +84,7 @@
     this->service.get_rollouts().on_request(this->target_service, this->route->name);
     if (!overload::has_time_for_send(timeout))
     {
-        this->finish_with_error(503, "deadline too short");
+        this->refuse_or_fail(failure_status::bad_gateway, "deadline too short");
         return;
     }
     auto& prompts = this->service.get_quarantine();
@@ -103,14 +103,14 @@
 {
     if (!this->configuration || !this->service.get_view().upstreams_known)
     {
-        this->finish_with_error(503, "no configuration yet");
+        this->refuse_or_fail(failure_status::bad_gateway, "no configuration yet");
         return false;
     }
     this->route =
         this->configuration->find_route(host_name_of(this->request), path_of(this->request.target));
     if (this->route == nullptr)
     {
-        this->finish_with_error(404, "no route");
+        this->finish_with(rejection_status::not_found, "no route");
         return false;
     }
     if (this->configuration->requires_keys() && !this->route->anonymous)
@@ -118,13 +118,13 @@
         this->workspace = this->configuration->find_workspace(this->metadata.workspace_key);
         if (this->workspace == nullptr)
         {
-            this->finish_with_error(401, "unknown workspace key");
+            this->finish_with(rejection_status::unauthorized, "unknown workspace key");
             return false;
         }
     }
     if (this->metadata.id.empty())
     {
-        this->finish_with_error(400, "no request id");
+        this->finish_with(rejection_status::bad_request, "no request id");
         return false;
     }
     return true;
@@ -138,7 +138,7 @@
     this->head_at = now;
     this->upstream_head = head;
     this->response = this->service.get_adapter().decode_response(head);
-    if (this->response.misaddressed)
+    if (this->is_misaddressed())
     {
         this->upstream->misaddressed = true;
         this->service.get_log().write(
@@ -224,7 +224,7 @@
 auto exchange::on_response_end() -> void
 {
     const auto self = this->shared_from_this();
-    if (this->response.declined)
+    if (this->is_declined())
     {
         this->finish_send(send_outcome::declined, send_result::declined, "declined");
         return;
@@ -252,9 +252,10 @@
         this->finish_response();
         return;
     }
-    this->failure_head = this->upstream_head;
-    this->failure_body = std::exchange(this->buffered_body, {});
-    if (this->upstream_head.status < 500 && this->response.trusted)
+    const auto status = this->upstream_head.status;
+    this->last_failure =
+        forwardable_failure::from(this->upstream_head, std::exchange(this->buffered_body, {}));
+    if (status < 500 && this->last_failure && this->response.trusted)
     {
         // The error concerns the request itself; another upstream would respond alike.
         this->record_success();
@@ -272,6 +273,17 @@
                       send_result::failed, "error response");
 }
 
+auto exchange::is_misaddressed() const -> bool
+{
+    // The upstream that was addressed does not answer as another one.
+    return this->response.misaddressed && this->response.stated_name != this->upstream_name.value();
+}
+
+auto exchange::is_declined() const -> bool
+{
+    return this->response.declined || this->is_misaddressed();
+}
+
 auto exchange::on_response_failed(http::transport_failure why) -> void
 {
     const auto self = this->shared_from_this();
@@ -419,16 +431,16 @@
         this->place();
         return;
     case next_step::refuse:
-        this->finish_with_error(503, "not run");
+        this->refuse_or_fail(failure_status::bad_gateway, "not run");
         return;
     case next_step::forward_failure:
         this->forward_failure();
         return;
     case next_step::fail:
-        this->finish_with_error(502, "no whole answer");
+        this->finish_with(failure_status::bad_gateway, "no whole answer");
         return;
     case next_step::abort_response:
-        this->finish_with_error(0, "broken off");
+        this->finish_with(interruption{}, "broken off");
         return;
     }
 }
@@ -536,8 +548,7 @@
         }
         this->abandon_upstream();
         this->release_send(send_result::silent);
-        this->finish_with_error(this->worst_outcome <= send_outcome::declined ? 503 : 504,
-                                "deadline");
+        this->refuse_or_fail(failure_status::gateway_timeout, "deadline");
         return;
     }
     if (now >= this->progress_deadline())
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -7,6 +7,7 @@
 #include "routing/placement.hpp"
 #include "routing/resend_policy.hpp"
 #include "traffic/connection_pool.hpp"
+#include "traffic/own_response.hpp"
 #include "traffic/send_listener.hpp"
 #include "traffic/wire_adapter.hpp"
 
@@ -120,8 +121,15 @@
     auto commit_head() -> void;
     auto finish_response() -> void;
     auto forward_failure() -> void;
+    [[nodiscard]] auto is_misaddressed() const -> bool;
+    /// True if the response of the current send proves that the upstream has not run the request.
+    [[nodiscard]] auto is_declined() const -> bool;
+    [[nodiscard]] auto prove_not_run() const -> std::optional<routing::not_run_proof>;
+    /// Refuses the request if it provably has not run, else ends it with `otherwise`, or as
+    /// incomplete if its response has begun.
+    auto refuse_or_fail(failure_status otherwise, const char* reason) -> void;
+    auto finish_with(const own_response& answer, const char* reason) -> void;
     auto send_error_response(int status, const char* reason) -> void;
-    auto finish_with_error(int status, const char* reason) -> void;
 
     auto arm_timer() -> void;
     auto on_timer() -> void;
@@ -185,8 +193,7 @@
     bool is_proved_harmless = false;   ///< by output of this send
 
     // The response to the caller.
-    http::response_head failure_head;
-    std::string failure_body;
+    std::optional<forwardable_failure> last_failure; ///< an upstream's, while it may be forwarded
     http::response_head caller_head; ///< of the first upstream whose output was forwarded
     bool head_committed = false;
     bool done = false;
--- a/src/traffic/exchange_admission.cpp
+++ b/src/traffic/exchange_admission.cpp
@@ -71,7 +71,7 @@
                                        {"waiting", gate->waiting_count()},
                                        {"retry_after_ms", to_milliseconds(*this->retry_after)}});
     }
-    this->finish_with_error(503, "overload");
+    this->refuse_or_fail(failure_status::bad_gateway, "overload");
 }
 
 auto exchange::leave_gate() -> void
--- a/src/traffic/exchange_interruption.cpp
+++ b/src/traffic/exchange_interruption.cpp
@@ -103,13 +103,7 @@
     }
     this->retry_after = refusal->retry_after;
     constexpr const char* reason = "prompt part in quarantine";
-    if (this->head_committed)
-    {
-        this->finish_with_error(0, reason);
-        return true;
-    }
-    this->finish_with_error(this->worst_outcome <= routing::send_outcome::declined ? 503 : 502,
-                            reason);
+    this->refuse_or_fail(failure_status::bad_gateway, reason);
     return true;
 }
 
--- a/src/traffic/exchange_response.cpp
+++ b/src/traffic/exchange_response.cpp
@@ -182,6 +182,17 @@
 
 auto exchange::forward_failure() -> void
 {
+    const auto status = this->upstream_head.status;
+    if (!this->last_failure)
+    {
+        this->service.get_log().write(event_code::upstream_status_withheld,
+                                      {{"request", this->metadata.id},
+                                       {"route", this->route->name},
+                                       {"status", status},
+                                       {"upstream", this->upstream_name.value()}});
+        this->finish_with(failure_status::bad_gateway, "upstream failure without a proof");
+        return;
+    }
     this->done = true;
     this->timer.cancel();
     this->service.get_log().write(event_code::request_failed,
@@ -189,17 +200,39 @@
                                    {"route", this->route->name},
                                    {"reason", "upstream error response"},
                                    {"version", this->configuration->version.value()},
-                                   {"status", this->failure_head.status},
+                                   {"status", status},
                                    {"upstream", this->upstream_name.value()},
                                    {"sends", this->sends},
                                    {"age_ms", to_milliseconds(boot_clock_now() - this->arrived)}});
     this->service.count_outcome(this->route->name, "upstream_failure",
                                 boot_clock_now() - this->arrived);
-    this->sink->begin_response(this->failure_head, this->failure_body.size());
-    this->sink->write_body(this->failure_body);
+    this->sink->begin_response(this->last_failure->get_head(),
+                               this->last_failure->get_body().size());
+    this->sink->write_body(this->last_failure->get_body());
     this->sink->end_response();
 }
 
+auto exchange::prove_not_run() const -> std::optional<routing::not_run_proof>
+{
+    const auto is_under_way = this->upstream && this->is_sent;
+    return is_under_way ? std::nullopt : routing::not_run_proof::from(this->worst_outcome);
+}
+
+auto exchange::refuse_or_fail(failure_status otherwise, const char* reason) -> void
+{
+    if (this->head_committed)
+    {
+        this->finish_with(interruption{}, reason);
+        return;
+    }
+    if (const auto proof = this->prove_not_run())
+    {
+        this->finish_with(refusal{*proof}, reason);
+        return;
+    }
+    this->finish_with(otherwise, reason);
+}
+
 auto exchange::send_error_response(int status, const char* reason) -> void
 {
     http::response_head head;
@@ -224,16 +257,25 @@
     this->sink->end_response();
 }
 
-auto exchange::finish_with_error(int status, const char* reason) -> void
+auto exchange::finish_with(const own_response& answer, const char* reason) -> void
 {
+    struct to_status
+    {
+        auto operator()(const refusal&) const -> int { return 503; }
+        auto operator()(failure_status status) const -> int { return static_cast<int>(status); }
+        auto operator()(rejection_status status) const -> int { return static_cast<int>(status); }
+        auto operator()(const interruption&) const -> int { return 0; }
+    };
+    const auto status = std::visit(to_status{}, answer);
     const auto now = boot_clock_now();
     this->done = true;
     this->timer.cancel();
     this->leave_gate();
-    const auto code = this->head_committed ? event_code::stream_broken
-                      : status == 503      ? event_code::request_refused
-                      : status >= 500      ? event_code::request_failed
-                                           : event_code::request_invalid;
+    const auto code = this->head_committed                      ? event_code::stream_broken
+                      : std::holds_alternative<refusal>(answer) ? event_code::request_refused
+                      : std::holds_alternative<failure_status>(answer)
+                          ? event_code::request_failed
+                          : event_code::request_invalid;
     this->service.get_log().write(
         code, {{"request", this->metadata.id},
                {"route", this->route != nullptr ? this->route->name : ""},
--- a/src/traffic/wire_adapter.hpp
+++ b/src/traffic/wire_adapter.hpp
@@ -39,8 +39,9 @@
 /// Values that the router reads from an upstream's response head.
 struct response_metadata
 {
-    bool declined = false;     ///< the upstream did not and will not run the request
-    bool misaddressed = false; ///< declined because the request addressed another upstream
+    bool declined = false;     ///< the upstream states that it did not and will not run the request
+    bool misaddressed = false; ///< the upstream states that the request addressed another one
+    std::string stated_name;   ///< of the upstream, if it answers as misaddressed and states it
     bool success = false;
     bool trusted = false; ///< has the upstream's seal header field and no content coding
     bool leaving = false; ///< the upstream will stop and accepts no new requests
--- a/tests/router_fixture.hpp
+++ b/tests/router_fixture.hpp
@@ -55,10 +55,10 @@
     using adjustment = std::function<void(routing::routing_configuration&, routing::fleet_view&)>;
 
     explicit router(const std::vector<boost::asio::ip::tcp::endpoint>& upstreams,
-                    const adjustment& adjust = nullptr)
+                    const adjustment& adjust = nullptr, std::size_t max_held_bytes = 6000)
         : caller_address(free_address()), status_address(free_address()),
           service(traffic::traffic_settings{zone_name("a"), this->caller_address,
-                                            this->status_address, std::nullopt, 6000, 20},
+                                            this->status_address, std::nullopt, max_held_bytes, 20},
                   this->adapter, this->log, this->mailbox)
     {
         REQUIRE(this->service.open());
