--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -145,7 +145,7 @@
     }
 }
 
-auto fleet_state::defers(record_stream stream, const published_record& record) -> bool
+auto fleet_state::defer_if_restored(record_stream stream, const published_record& record) -> bool
 {
     if (this->applies_restored_listing)
     {
@@ -172,7 +172,7 @@
            !is_newer_than(gone->second.start_number, gone->second.sequence);
 }
 
-auto fleet_state::forget_upstream(const routing::known_upstream& known, time_point now) -> void
+auto fleet_state::remember_departed(const routing::known_upstream& known, time_point now) -> void
 {
     this->departed[known.entry.name] = {known.entry.start_number, known.entry.sequence, now};
 }
@@ -246,7 +246,7 @@
         auto operator()(const configuration_published& it) -> void { self.on_configuration(it); }
         auto operator()(const zone_switched& it) -> void
         {
-            if (!self.defers(record_stream::operators, record))
+            if (!self.defer_if_restored(record_stream::operators, record))
             {
                 self.on_zone(it, now);
             }
@@ -255,14 +255,14 @@
         auto operator()(const upstream_removed& it) -> void { self.on_removed(it, now); }
         auto operator()(const rollout_ordered& it) -> void
         {
-            if (!self.defers(record_stream::operators, record))
+            if (!self.defer_if_restored(record_stream::operators, record))
             {
                 self.on_rollout(it, record, now);
             }
         }
         auto operator()(const rollout_withdrawn& it) -> void
         {
-            if (!self.defers(record_stream::operators, record))
+            if (!self.defer_if_restored(record_stream::operators, record))
             {
                 self.on_rollout_withdrawn(it);
             }
@@ -410,7 +410,7 @@
         return;
     }
     this->log.write(event_code::upstream_gone, {{"upstream", removed.name.value()}});
-    this->forget_upstream(known, now);
+    this->remember_departed(known, now);
     this->upstreams.erase(found);
 }
 
@@ -450,7 +450,7 @@
         }
         this->log.write(event_code::upstream_gone,
                         {{"upstream", item->first.value()}, {"reason", "entry not renewed"}});
-        this->forget_upstream(item->second, now);
+        this->remember_departed(item->second, now);
         item = this->upstreams.erase(item);
         this->changed = true;
     }
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -72,10 +72,12 @@
     auto on_rollout_withdrawn(const rollout_withdrawn& withdrawn) -> void;
     auto begin_recovery(record_stream stream, record_position end, time_point now) -> void;
     auto end_recoveries(time_point now) -> void;
-    /// True when the change has to wait until the end of the recovery; it is then made up for.
-    [[nodiscard]] auto defers(record_stream stream, const published_record& record) -> bool;
+    /// Defers the change to the end of the recovery if it comes from the first listing of an era;
+    /// false if it is to be applied now.
+    [[nodiscard]] auto defer_if_restored(record_stream stream, const published_record& record)
+        -> bool;
     [[nodiscard]] auto is_outdated(const routing::upstream_entry& entry) const -> bool;
-    auto forget_upstream(const routing::known_upstream& known, time_point now) -> void;
+    auto remember_departed(const routing::known_upstream& known, time_point now) -> void;
     auto mark_zone_cold(const zone_name& zone, time_point now) -> void;
     auto remove_expired(time_point now) -> void;
     [[nodiscard]] auto may_have_expired(time_point now) const -> bool;
