--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -1,5 +1,6 @@
 #include "soak_caller.hpp"
 
+#include "routing/resend_policy.hpp"
 #include "soak_upstream.hpp"
 
 namespace poplardrift::soak
@@ -180,13 +181,16 @@
         return;
     }
     tracker.count(std::to_string(response.status));
+    if (routing::is_promise(response.status))
+    {
+        tracker.on_reported_not_run(id);
+    }
     if (response.status == 200)
     {
         this->check_success(id, record, response);
     }
     else if (response.status == 503 || response.status == 429)
     {
-        tracker.on_reported_not_run(id);
         if (!response.fields.find("Retry-After"))
         {
             tracker.add_finding(id + " was rejected without Retry-After");
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -2,6 +2,8 @@
 
 #include "http/message.hpp"
 
+#include <array>
+#include <functional>
 #include <thread>
 
 namespace poplardrift::soak
@@ -47,6 +49,16 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Status of a failure after the request has run; callers take three of the four as the promise
+/// that it has not.
+auto failure_status(const std::string& id) -> std::string
+{
+    static const std::array<std::string, 4> statuses = {
+        "500 Internal Server Error", "503 Service Unavailable", "429 Too Many Requests",
+        "408 Request Timeout"};
+    return statuses[std::hash<std::string>()(id) % statuses.size()];
+}
+
 } // namespace
 
 auto event_text(const std::string& id, int event) -> std::string
@@ -193,7 +205,7 @@
     const auto fields = seal_field + attempt_id_field(received.id) + this->leaving_field(received);
     if (mode == response_mode::fail)
     {
-        peer.send(make_response("500 Internal Server Error", fields, "oops"));
+        peer.send(make_response(failure_status(received.id), fields, "oops"));
         return true;
     }
     if (received.path.find("/stream") == 0)
