--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -232,6 +232,36 @@
     CHECK(fixture.store.calls() - calls_before <= 30);
 }
 
+TEST_CASE("a restore costs a host at most a few more calls than an outage of the same length")
+{
+    const auto count_calls = [](bool restores)
+    {
+        follower_fixture fixture;
+        fixture.store.put("keyed.op", "config", "1");
+        fixture.follower->start();
+        REQUIRE(fixture.run_until([&] { return fixture.value_of("config") == "1"; }));
+        fixture.store.take_copy();
+        fixture.store.put("keyed.op", "config", "2");
+        REQUIRE(fixture.run_until([&] { return fixture.value_of("config") == "2"; }));
+        const auto calls_before = fixture.store.calls();
+        fixture.store.set_down(true);
+        fixture.io.run_for(1s);
+        fixture.io.restart();
+        if (restores)
+        {
+            fixture.store.restore();
+        }
+        fixture.store.set_down(false);
+        fixture.io.run_for(2s);
+        fixture.io.restart();
+        return fixture.store.calls() - calls_before;
+    };
+    const auto after_outage = count_calls(false);
+    const auto after_restore = count_calls(true);
+    CAPTURE(after_outage, after_restore);
+    CHECK(after_restore <= after_outage + 5);
+}
+
 TEST_CASE("a listing that a restore crosses holds no record of the former era")
 {
     follower_fixture fixture;
